--- /dev/null
+++ b/authenticator/doc.go
@@ -0,0 +1,2 @@
+// Package authenticator checks keys and roles, and loads certificates.
+package authenticator
--- /dev/null
+++ b/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer loads, checks, plans, applies and spreads the operators' declarations.
+package configurer
--- /dev/null
+++ b/dispatcher/doc.go
@@ -0,0 +1,2 @@
+// Package dispatcher sends orders to workers under terms and leases.
+package dispatcher
--- /dev/null
+++ b/elector/doc.go
@@ -0,0 +1,2 @@
+// Package elector decides which entry VM owns a shard, with terms that only rise.
+package elector
--- /dev/null
+++ b/estimator/doc.go
@@ -0,0 +1,2 @@
+// Package estimator learns sizes and run times from finished tasks.
+package estimator
--- /dev/null
+++ b/filberthaven/main.go
@@ -0,0 +1,10 @@
+// Command filberthaven is a cluster scheduler for unlike workloads.
+package main
+
+import (
+	"os"
+
+	"filberthaven.example/commands"
+)
+
+func main() { os.Exit(commands.Run(os.Args[1:])) }
--- /dev/null
+++ b/granter/doc.go
@@ -0,0 +1,2 @@
+// Package granter divides limits between shards, and executors' slots between entry VMs.
+package granter
--- /dev/null
+++ b/journaler/doc.go
@@ -0,0 +1,2 @@
+// Package journaler writes a shard's records to the key-value service in groups, and replays them.
+package journaler
--- /dev/null
+++ b/measurer/doc.go
@@ -0,0 +1,2 @@
+// Package measurer drives load from seeds and reports histograms.
+package measurer
--- /dev/null
+++ b/messenger/codec.go
@@ -0,0 +1,37 @@
+// Package messenger carries calls between entry VMs, and between entry VMs and
+// workers, with connect over HTTP. Messages are structs beside the handlers that
+// use them; they travel as CBOR.
+package messenger
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// codec encodes messages for connect.
+type codec struct {
+	encoder cbor.EncMode
+	decoder cbor.DecMode
+}
+
+// newCodec returns the codec that all processes share. It bounds nesting and
+// sizes, since messages may come from a damaged peer.
+func newCodec() (codec, error) {
+	encoder, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		return codec{}, err
+	}
+	decoder, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	if err != nil {
+		return codec{}, err
+	}
+	return codec{encoder: encoder, decoder: decoder}, nil
+}
+
+// Name returns the content subtype.
+func (c codec) Name() string { return "cbor" }
+
+// Marshal encodes a message.
+func (c codec) Marshal(message any) ([]byte, error) { return c.encoder.Marshal(message) }
+
+// Unmarshal decodes a message.
+func (c codec) Unmarshal(data []byte, message any) error { return c.decoder.Unmarshal(data, message) }
--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,2 @@
+// Package router serves the callers' API and passes urgent requests to executors.
+package router
