messenger: Keep more idle connections to a peer

Cause: http.DefaultClient keeps two idle connections per host and follows proxy settings of the environment.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Messenger{client: http.DefaultClient, scheme: "http", timeout: DefaultTimeout, codec: codec}
+	m := &Messenger{client: &http.Client{Transport: NewTransport(nil)}, scheme: "http", timeout: DefaultTimeout, codec: codec}
 	for _, option := range options {
 		option(m)
 	}
