dispatcher: Deliver batches of orders under terms, tokens and leases

Cause: Workers are the fence of a shard; an owner paused between two of its steps must not act late. Change: A worker's guard checks term, batch number and a token by which the lease runs from the worker's own answer.

--- /dev/null
+++ b/dispatcher/handler.go
@@ -0,0 +1,223 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"connectrpc.com/connect"
+	"filberthaven.example/messenger"
+	"filberthaven.example/placer"
+)
+
+// procedure is the path of the call to a worker.
+const procedure = "/dispatcher/deliver"
+
+// Codes of refusals in an answer.
+const (
+	refusedNot uint8 = iota
+	refusedLapsed
+	refusedOther
+)
+
+type batchMessage struct {
+	Term     uint64         `cbor:"1,keyasint"`
+	Sequence uint64         `cbor:"2,keyasint"`
+	Token    uint64         `cbor:"3,keyasint,omitempty"`
+	Lease    time.Duration  `cbor:"4,keyasint,omitempty"`
+	Orders   []orderMessage `cbor:"5,keyasint,omitempty"`
+}
+
+type attemptMessage struct {
+	_      struct{} `cbor:",toarray"`
+	Job    string
+	Index  int
+	Number uint32
+}
+
+type orderMessage struct {
+	Kind       Kind           `cbor:"1,keyasint"`
+	Attempt    attemptMessage `cbor:"2,keyasint"`
+	Team       string         `cbor:"3,keyasint,omitempty"`
+	Name       string         `cbor:"4,keyasint,omitempty"`
+	Size       [3]int64       `cbor:"5,keyasint,omitempty"`
+	Estimate   time.Duration  `cbor:"6,keyasint,omitempty"`
+	Idempotent bool           `cbor:"7,keyasint,omitempty"`
+	Service    bool           `cbor:"8,keyasint,omitempty"`
+	CPU        int64          `cbor:"9,keyasint,omitempty"`
+}
+
+type runningMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt attemptMessage
+	Term    uint64
+	Usage   [3]int64
+}
+
+type finishedMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt attemptMessage
+	Outcome Outcome
+}
+
+type answerMessage struct {
+	Token       uint64            `cbor:"1,keyasint"`
+	Incarnation string            `cbor:"2,keyasint"`
+	Running     []runningMessage  `cbor:"3,keyasint,omitempty"`
+	Finished    []finishedMessage `cbor:"4,keyasint,omitempty"`
+	Refused     []uint8           `cbor:"5,keyasint,omitempty"`
+}
+
+// Handle registers a worker's guard for the calls of owners.
+func Handle(m *messenger.Messenger, mux messenger.Mux, guard *Guard) {
+	messenger.Handle(m, mux, procedure, func(ctx context.Context, message *batchMessage) (*answerMessage, error) {
+		answer, err := guard.Deliver(ctx, message.batch())
+		switch {
+		case errors.Is(err, ErrStaleTerm):
+			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		case errors.Is(err, ErrLate):
+			return nil, connect.NewError(connect.CodeAborted, err)
+		case err != nil:
+			return nil, err
+		}
+		return newAnswerMessage(answer), nil
+	})
+}
+
+// overMessenger returns the transport to workers over HTTP.
+func overMessenger(m *messenger.Messenger, address func(worker string) (string, bool)) Transport {
+	return func(ctx context.Context, worker string, batch Batch) (Answer, error) {
+		target, ok := address(worker)
+		if !ok {
+			return Answer{}, fmt.Errorf("%w: no address of worker %s", ErrNotDelivered, worker)
+		}
+		message, err := messenger.Call[batchMessage, answerMessage](ctx, m, target, procedure, newBatchMessage(batch))
+		if err != nil {
+			return Answer{}, deliveryError(worker, err)
+		}
+		return message.answer(), nil
+	}
+}
+
+// deliveryError tells apart whether a batch can have reached the worker.
+func deliveryError(worker string, err error) error {
+	kind := ErrUnknown
+	var dial *net.OpError
+	switch {
+	case connect.CodeOf(err) == connect.CodeFailedPrecondition:
+		kind = ErrStaleTerm
+	case connect.CodeOf(err) == connect.CodeAborted:
+		kind = ErrLate
+	case errors.As(err, &dial) && dial.Op == "dial":
+		kind = ErrNotDelivered
+	}
+	return fmt.Errorf("%w: worker %s: %w", kind, worker, err)
+}
+
+func newBatchMessage(batch Batch) *batchMessage {
+	message := &batchMessage{Term: batch.term, Sequence: batch.sequence, Token: batch.token, Lease: batch.lease}
+	for _, order := range batch.orders {
+		message.Orders = append(message.Orders, orderMessage{
+			Kind:       order.kind,
+			Attempt:    newAttemptMessage(order.attempt),
+			Team:       order.launch.team,
+			Name:       order.launch.name,
+			Size:       sizeMessage(order.launch.size),
+			Estimate:   order.launch.estimate,
+			Idempotent: order.launch.idempotent,
+			Service:    order.launch.service,
+			CPU:        order.cpu,
+		})
+	}
+	return message
+}
+
+func (m *batchMessage) batch() Batch {
+	batch := Batch{term: m.Term, sequence: m.Sequence, token: m.Token, lease: m.Lease}
+	for _, order := range m.Orders {
+		batch.orders = append(batch.orders, Order{
+			kind:    order.Kind,
+			attempt: order.Attempt.attempt(),
+			cpu:     order.CPU,
+			launch: Launch{
+				team:       order.Team,
+				name:       order.Name,
+				size:       sizeOf(order.Size),
+				estimate:   order.Estimate,
+				idempotent: order.Idempotent,
+				service:    order.Service,
+			},
+		})
+	}
+	return batch
+}
+
+func newAnswerMessage(answer Answer) *answerMessage {
+	message := &answerMessage{Token: answer.token, Incarnation: answer.report.incarnation}
+	for _, running := range answer.report.running {
+		message.Running = append(message.Running, runningMessage{
+			Attempt: newAttemptMessage(running.attempt), Term: running.term, Usage: sizeMessage(running.usage),
+		})
+	}
+	for _, finished := range answer.report.finished {
+		message.Finished = append(message.Finished, finishedMessage{
+			Attempt: newAttemptMessage(finished.attempt), Outcome: finished.outcome,
+		})
+	}
+	for _, err := range answer.refused {
+		message.Refused = append(message.Refused, refusalCode(err))
+	}
+	return message
+}
+
+func (m *answerMessage) answer() Answer {
+	answer := Answer{token: m.Token, report: Report{incarnation: m.Incarnation}}
+	for _, running := range m.Running {
+		answer.report.running = append(answer.report.running, NewRunning(running.Attempt.attempt(), running.Term, sizeOf(running.Usage)))
+	}
+	for _, finished := range m.Finished {
+		answer.report.finished = append(answer.report.finished, NewFinished(finished.Attempt.attempt(), finished.Outcome))
+	}
+	for _, code := range m.Refused {
+		answer.refused = append(answer.refused, refusal(code))
+	}
+	return answer
+}
+
+func refusalCode(err error) uint8 {
+	switch {
+	case err == nil:
+		return refusedNot
+	case errors.Is(err, ErrLapsed):
+		return refusedLapsed
+	default:
+		return refusedOther
+	}
+}
+
+func refusal(code uint8) error {
+	switch code {
+	case refusedNot:
+		return nil
+	case refusedLapsed:
+		return ErrLapsed
+	default:
+		return ErrRefused
+	}
+}
+
+func newAttemptMessage(a Attempt) attemptMessage {
+	return attemptMessage{Job: a.task.Job(), Index: a.task.Index(), Number: a.number}
+}
+
+func (m attemptMessage) attempt() Attempt {
+	return NewAttempt(placer.NewTaskID(m.Job, m.Index), m.Number)
+}
+
+func sizeMessage(r placer.Resources) [3]int64 {
+	return [3]int64{r.CPU(), r.Memory(), r.Accelerators()}
+}
+
+func sizeOf(m [3]int64) placer.Resources { return placer.NewResources(m[0], m[1], m[2]) }
--- /dev/null
+++ b/dispatcher/order.go
@@ -0,0 +1,134 @@
+package dispatcher
+
+import (
+	"time"
+
+	"filberthaven.example/placer"
+)
+
+// Kind is what an order asks for.
+type Kind uint8
+
+// The kinds of orders.
+const (
+	Start Kind = iota + 1
+	Stop
+	Checkpoint
+	Throttle
+	// Acknowledge lets the worker forget an ended run.
+	Acknowledge
+)
+
+var kindNames = [...]string{Start: "start", Stop: "stop", Checkpoint: "checkpoint", Throttle: "throttle", Acknowledge: "acknowledge"}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "invalid"
+}
+
+// Order asks a worker for one thing. An order for a run that has it already
+// changes nothing, so that orders can be repeated.
+type Order struct {
+	kind    Kind
+	attempt Attempt
+	launch  Launch // only with Start
+	cpu     int64  // thousandths of a processor; only with Throttle
+}
+
+// Launch is what a worker needs to know to start a task.
+type Launch struct {
+	team       string           // who pays
+	name       string           // the job's name
+	size       placer.Resources // to set aside while it runs
+	estimate   time.Duration    // declared run time; 0 when unknown
+	idempotent bool             // it may be run again
+	service    bool             // it runs until it is stopped
+}
+
+// NewLaunch returns what a worker needs to start a task of the job.
+func NewLaunch(spec placer.JobSpec) Launch {
+	return Launch{
+		team:       spec.Team(),
+		name:       spec.Name(),
+		size:       spec.Size(),
+		estimate:   spec.Estimate(),
+		idempotent: spec.Idempotent(),
+		service:    spec.Class() == placer.Service,
+	}
+}
+
+// Team returns the team that pays.
+func (l Launch) Team() string { return l.team }
+
+// Name returns the name of the job.
+func (l Launch) Name() string { return l.name }
+
+// Size returns what the worker sets aside.
+func (l Launch) Size() placer.Resources { return l.size }
+
+// Estimate returns the declared run time, 0 when unknown.
+func (l Launch) Estimate() time.Duration { return l.estimate }
+
+// Idempotent reports whether the task may be run again.
+func (l Launch) Idempotent() bool { return l.idempotent }
+
+// Service reports whether the task runs until it is stopped.
+func (l Launch) Service() bool { return l.service }
+
+// StartOrder asks for a run of a task.
+func StartOrder(attempt Attempt, launch Launch) Order {
+	return Order{kind: Start, attempt: attempt, launch: launch}
+}
+
+// StopOrder ends a run.
+func StopOrder(attempt Attempt) Order { return Order{kind: Stop, attempt: attempt} }
+
+// CheckpointOrder saves the progress of a run and ends it.
+func CheckpointOrder(attempt Attempt) Order { return Order{kind: Checkpoint, attempt: attempt} }
+
+// ThrottleOrder bounds a run to cpu thousandths of a processor.
+func ThrottleOrder(attempt Attempt, cpu int64) Order {
+	return Order{kind: Throttle, attempt: attempt, cpu: cpu}
+}
+
+// AcknowledgeOrder lets the worker forget an ended run. It is sent only after
+// the outcome is in the journal.
+func AcknowledgeOrder(attempt Attempt) Order { return Order{kind: Acknowledge, attempt: attempt} }
+
+// Kind returns what is asked for.
+func (o Order) Kind() Kind { return o.kind }
+
+// Attempt returns the run that the order is about.
+func (o Order) Attempt() Attempt { return o.attempt }
+
+// Launch returns what to start, with Start.
+func (o Order) Launch() Launch { return o.launch }
+
+// CPU returns the bound in thousandths of a processor, with Throttle.
+func (o Order) CPU() int64 { return o.cpu }
+
+// Batch is all that an owner has for one worker at a time.
+type Batch struct {
+	term     uint64
+	sequence uint64        // rises within the term
+	token    uint64        // of the worker's last answer in this term; 0 when there was none
+	lease    time.Duration // 0: fence only, the lease is left as it is
+	orders   []Order
+}
+
+// Answer is a worker's answer to a batch.
+type Answer struct {
+	token   uint64  // to echo in the next batch
+	report  Report  // the state after the orders
+	refused []error // one for each order, nil when it was carried out
+}
+
+// Report returns the state of the worker after the orders.
+func (a Answer) Report() Report { return a.report }
+
+// Refused returns for each order why the worker surely didn't carry it out, or
+// nil when it did.
+func (a Answer) Refused() []error { return a.refused }
--- /dev/null
+++ b/dispatcher/report.go
@@ -0,0 +1,106 @@
+package dispatcher
+
+import "filberthaven.example/placer"
+
+// Attempt names one run of a task: the first has number 1.
+type Attempt struct {
+	task   placer.TaskID
+	number uint32 // rises with each start of the task
+}
+
+// NewAttempt returns the name of the task's run with that number, from 1.
+func NewAttempt(task placer.TaskID, number uint32) Attempt {
+	return Attempt{task: task, number: number}
+}
+
+// Task returns the task.
+func (a Attempt) Task() placer.TaskID { return a.task }
+
+// Number returns which run of the task it is, from 1.
+func (a Attempt) Number() uint32 { return a.number }
+
+// Outcome says how a run ended on its worker.
+type Outcome uint8
+
+// The outcomes that a worker reports.
+const (
+	// Done means that the task finished its work.
+	Done Outcome = iota + 1
+	// Failed means that the task ran and failed.
+	Failed
+	// Stopped means that the worker ended the run before its work was finished,
+	// by an order or because its lease expired.
+	Stopped
+	// Checkpointed means that the run ended with its progress saved.
+	Checkpointed
+)
+
+var outcomeNames = [...]string{Done: "done", Failed: "failed", Stopped: "stopped", Checkpointed: "checkpointed"}
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "invalid"
+}
+
+// Running is a task that runs on a worker.
+type Running struct {
+	attempt Attempt
+	term    uint64           // the term under which it was started
+	usage   placer.Resources // as last observed; lags
+}
+
+// NewRunning returns a running task with the term of its start and its usage.
+func NewRunning(attempt Attempt, term uint64, usage placer.Resources) Running {
+	return Running{attempt: attempt, term: term, usage: usage}
+}
+
+// Attempt returns which run of which task it is.
+func (r Running) Attempt() Attempt { return r.attempt }
+
+// Term returns the term under which it was started.
+func (r Running) Term() uint64 { return r.term }
+
+// Usage returns what it was last seen to use; it lags.
+func (r Running) Usage() placer.Resources { return r.usage }
+
+// Finished is a run that has ended and that no owner has acknowledged yet.
+type Finished struct {
+	attempt Attempt
+	outcome Outcome // one of the constants
+}
+
+// NewFinished returns an ended run.
+func NewFinished(attempt Attempt, outcome Outcome) Finished {
+	return Finished{attempt: attempt, outcome: outcome}
+}
+
+// Attempt returns which run of which task it was.
+func (f Finished) Attempt() Attempt { return f.attempt }
+
+// Outcome returns how it ended.
+func (f Finished) Outcome() Outcome { return f.outcome }
+
+// Report is the whole state of a worker at one moment.
+type Report struct {
+	incarnation string     // differs after each restart of the worker
+	running     []Running  // all tasks that run
+	finished    []Finished // all ended runs not yet acknowledged
+}
+
+// NewReport returns the state of a worker.
+func NewReport(incarnation string, running []Running, finished []Finished) Report {
+	return Report{incarnation: incarnation, running: running, finished: finished}
+}
+
+// Incarnation returns the worker's incarnation; a new one remembers nothing of
+// the last.
+func (r Report) Incarnation() string { return r.incarnation }
+
+// Running returns the tasks that run.
+func (r Report) Running() []Running { return r.running }
+
+// Finished returns the ended runs not yet acknowledged.
+func (r Report) Finished() []Finished { return r.finished }
--- /dev/null
+++ b/emulator/worker_faults.go
@@ -0,0 +1,127 @@
+package emulator
+
+import (
+	"context"
+	"time"
+
+	"filberthaven.example/dispatcher"
+)
+
+// workerFaults are switched on and off while a worker runs.
+type workerFaults struct {
+	dead    bool
+	failing bool          // every run fails at once
+	deaf    bool          // batches don't arrive
+	mute    bool          // answers don't arrive
+	delay   time.Duration // before a batch is taken
+	paused  chan struct{} // nil, or closed when the worker goes on
+}
+
+// SetFailing makes every task that the worker starts fail at once.
+func (w *Worker) SetFailing(on bool) { w.change(func(f *workerFaults) { f.failing = on }) }
+
+// SetUnreachable loses batches (deaf) or answers (mute).
+func (w *Worker) SetUnreachable(deaf, mute bool) {
+	w.change(func(f *workerFaults) { f.deaf, f.mute = deaf, mute })
+}
+
+// SetDelay makes every batch arrive late by d.
+func (w *Worker) SetDelay(d time.Duration) { w.change(func(f *workerFaults) { f.delay = d }) }
+
+// Pause stops the worker until Resume; batches wait, also those whose sender has
+// given up.
+func (w *Worker) Pause() {
+	w.change(func(f *workerFaults) {
+		if f.paused == nil {
+			f.paused = make(chan struct{})
+		}
+	})
+}
+
+// Resume lets a paused worker go on.
+func (w *Worker) Resume() {
+	w.change(func(f *workerFaults) {
+		if f.paused != nil {
+			close(f.paused)
+			f.paused = nil
+		}
+	})
+}
+
+// Kill ends the worker with all that runs on it.
+func (w *Worker) Kill() {
+	w.Resume()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for attempt := range w.running {
+		w.end(attempt, dispatcher.Stopped)
+	}
+	w.faults.dead = true
+	w.guard.Close()
+}
+
+// Restart brings a killed worker back as a new incarnation that remembers
+// nothing. A worker that lives is killed first.
+func (w *Worker) Restart() {
+	w.Kill()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = workerFaults{}
+	w.reset()
+}
+
+func (w *Worker) change(f func(*workerFaults)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(&w.faults)
+}
+
+func (w *Worker) state() (workerFaults, *dispatcher.Guard) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults, w.guard
+}
+
+// receive returns the guard once the batch has arrived. A batch that is held up
+// past its sender's timeout still arrives later.
+func (w *Worker) receive(ctx context.Context, batch dispatcher.Batch) (*dispatcher.Guard, error) {
+	f, guard := w.state()
+	if f.dead {
+		return nil, dispatcher.ErrNotDelivered
+	}
+	if f.deaf {
+		<-ctx.Done()
+		return nil, dispatcher.ErrUnknown
+	}
+	if f.paused == nil && f.delay == 0 {
+		return guard, nil
+	}
+	arrived := make(chan struct{})
+	go func() {
+		time.Sleep(f.delay)
+		if f.paused != nil {
+			<-f.paused
+		}
+		select {
+		case <-ctx.Done():
+			_, _ = guard.Deliver(context.WithoutCancel(ctx), batch)
+		default:
+			close(arrived)
+		}
+	}()
+	select {
+	case <-arrived:
+		return guard, nil
+	case <-ctx.Done():
+		return nil, dispatcher.ErrUnknown
+	}
+}
+
+// send brings the answer, unless it gets lost.
+func (w *Worker) send(ctx context.Context) error {
+	if f, _ := w.state(); f.mute || f.dead {
+		<-ctx.Done()
+		return dispatcher.ErrUnknown
+	}
+	return nil
+}
