--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -130,10 +130,6 @@
 			f()
 		}
 	}
-	end := func(attempt dispatcher.Attempt, outcome dispatcher.Outcome) error {
-		locked(func() { w.end(attempt, outcome) })
-		return nil
-	}
 	return dispatcher.Agent{
 		Fence: func(uint64) {},
 		Report: func() (report dispatcher.Report) {
@@ -144,7 +140,10 @@
 			locked(func() { w.start(term, attempt, launch) })
 			return nil
 		},
-		Stop: func(attempt dispatcher.Attempt) error { return end(attempt, dispatcher.Stopped) },
+		Stop: func(attempt dispatcher.Attempt) error {
+			locked(func() { w.end(attempt, dispatcher.Stopped) })
+			return nil
+		},
 		Checkpoint: func(attempt dispatcher.Attempt) error {
 			locked(func() { w.checkpoint(attempt) })
 			return nil
