keeper: Reach the key-value service over HTTP, with a mirror of live/

Cause: every part of an entry VM needs the service through one seam, and tests need a stand-in with its failures. Measured: nothing yet.

--- /dev/null
+++ b/emulator/platform.go
@@ -0,0 +1,48 @@
+package emulator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Platform serves a Store and the list of VMs over HTTP with JSON.
+type Platform struct {
+	store  *Store
+	vms    *vmList
+	router chi.Router
+}
+
+// PlatformOption changes a Platform under construction.
+type PlatformOption func(*Platform)
+
+// WithLag sets how far the list of VMs lags behind.
+func WithLag(lag time.Duration) PlatformOption { return func(p *Platform) { p.vms.lag = lag } }
+
+// NewPlatform returns an http.Handler for the store and an empty list of VMs.
+func NewPlatform(store *Store, options ...PlatformOption) *Platform {
+	p := &Platform{store: store, vms: &vmList{vms: map[string]listedVM{}}, router: chi.NewRouter()}
+	for _, option := range options {
+		option(p)
+	}
+	p.router.Get("/v1/kv", p.getKey)
+	p.router.Put("/v1/kv", p.putKey)
+	p.router.Delete("/v1/kv", p.deleteKey)
+	p.router.Get("/v1/list", p.listKeys)
+	p.router.Get("/v1/watch", p.watchKeys)
+	p.router.Post("/v1/leases", p.grantLease)
+	p.router.Put("/v1/leases/{id}", p.renewLease)
+	p.router.Delete("/v1/leases/{id}", p.revokeLease)
+	p.router.Get("/v1/vms", p.getVMs)
+	p.router.Post("/v1/vms", p.setVM)
+	p.router.Post("/v1/faults", p.setFaults)
+	p.router.Get("/v1/counts", p.getCounts)
+	return p
+}
+
+// ServeHTTP answers a request.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.router.ServeHTTP(w, r) }
+
+// SetVM puts the VM into the list, or replaces what the list says of it.
+func (p *Platform) SetVM(vm VM) { p.vms.set(vm) }
--- /dev/null
+++ b/keeper/mirror.go
@@ -0,0 +1,220 @@
+package keeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	// DefaultPause is how long changes are gathered between two polls.
+	DefaultPause = 100 * time.Millisecond
+	// DefaultGap is the longest time between two answers of unbroken contact.
+	DefaultGap = 2 * time.Second
+	// retryPause is the first pause after an error, and retryLimit the longest.
+	retryPause = 50 * time.Millisecond
+	retryLimit = time.Second
+)
+
+// Mirror keeps a copy of all keys under a prefix by one watch.
+type Mirror struct {
+	store  Store
+	prefix string
+	pause  time.Duration
+	gap    time.Duration
+	log    hclog.Logger
+
+	telling sync.Mutex // held while subscribers are told, taken before mu
+
+	mu          sync.RWMutex
+	entries     map[string]Entry // tombstones included; a key's version only rises
+	subscribers []subscriber     // changed under telling as well
+	next        uint64           // version to watch from; only rises
+	since       time.Time        // when contact began; zero while broken
+	last        time.Time        // when the newest answer came
+}
+
+// subscriber is told of changes under a prefix.
+type subscriber struct {
+	prefix string
+	tell   func(Entry)
+}
+
+// MirrorOption changes a Mirror under construction.
+type MirrorOption func(*Mirror)
+
+// WithPause sets how long changes are gathered between two polls.
+func WithPause(pause time.Duration) MirrorOption { return func(m *Mirror) { m.pause = pause } }
+
+// WithGap sets the longest time between two answers of unbroken contact.
+func WithGap(gap time.Duration) MirrorOption { return func(m *Mirror) { m.gap = gap } }
+
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) MirrorOption { return func(m *Mirror) { m.log = log.Named("mirror") } }
+
+// NewMirror returns an empty copy of the keys under prefix. Run fills it.
+func NewMirror(store Store, prefix string, options ...MirrorOption) *Mirror {
+	m := &Mirror{
+		store:   store,
+		prefix:  prefix,
+		pause:   DefaultPause,
+		gap:     DefaultGap,
+		log:     hclog.NewNullLogger(),
+		entries: map[string]Entry{},
+	}
+	for _, option := range options {
+		option(m)
+	}
+	return m
+}
+
+// Run keeps the copy until the context ends, and returns its error.
+func (m *Mirror) Run(ctx context.Context) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = retryPause
+	retry.MaxInterval = retryLimit
+	for ctx.Err() == nil {
+		pause := m.pause
+		entries, next, err := m.store.Watch(ctx, m.prefix, m.position())
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			m.lost(err)
+			pause = retry.NextBackOff()
+		default:
+			retry.Reset()
+			m.heard(next)
+			m.apply(entries)
+		}
+		sleep(ctx, jitter(pause))
+	}
+	return ctx.Err()
+}
+
+// Get returns the entry of a key that exists.
+func (m *Mirror) Get(key string) (Entry, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	entry, ok := m.entries[key]
+	return entry, ok && !entry.deleted
+}
+
+// List returns the entries that exist under prefix, by key.
+func (m *Mirror) List(prefix string) []Entry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var entries []Entry
+	for key, entry := range m.entries {
+		if strings.HasPrefix(key, prefix) && !entry.deleted {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.key, b.key) })
+	return entries
+}
+
+// Subscribe calls tell with each entry held under prefix, then with each change
+// and deletion, in order of version. A call must neither block nor subscribe.
+func (m *Mirror) Subscribe(prefix string, tell func(Entry)) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	m.mu.Lock()
+	m.subscribers = append(m.subscribers, subscriber{prefix, tell})
+	m.mu.Unlock()
+	for _, entry := range m.List(prefix) {
+		tell(entry)
+	}
+}
+
+// Learn takes over an entry known from elsewhere, such as this VM's own write.
+// An entry that is not newer than the copy changes nothing.
+func (m *Mirror) Learn(entry Entry) { m.apply([]Entry{entry}) }
+
+// Contact returns how long contact with the service has been unbroken, by the
+// monotonic clock; 0 while it is broken.
+func (m *Mirror) Contact() time.Duration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.since.IsZero() || time.Since(m.last) > m.gap {
+		return 0
+	}
+	return time.Since(m.since)
+}
+
+// position returns the version to watch from.
+func (m *Mirror) position() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.next
+}
+
+// lost notes that contact is broken.
+func (m *Mirror) lost(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.since.IsZero() {
+		m.log.Warn("contact lost", "err", err)
+	}
+	m.since = time.Time{}
+}
+
+// heard notes an answer. After too long a gap, as that of a paused process,
+// contact begins anew.
+func (m *Mirror) heard(next uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.since.IsZero() || now.Sub(m.last) > m.gap {
+		m.log.Info("contact begins", "version", next)
+		m.since = now
+	}
+	m.last = now
+	m.next = max(m.next, next)
+}
+
+// apply takes over the newer of the entries and tells subscribers.
+func (m *Mirror) apply(entries []Entry) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	for _, entry := range entries {
+		if !m.hold(entry) {
+			continue
+		}
+		for _, s := range m.subscribers {
+			if strings.HasPrefix(entry.key, s.prefix) {
+				s.tell(entry)
+			}
+		}
+	}
+}
+
+// hold keeps the entry if it is newer than the one held, and reports that.
+func (m *Mirror) hold(entry Entry) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if entry.version <= m.entries[entry.key].version {
+		return false
+	}
+	m.entries[entry.key] = entry
+	return true
+}
+
+// jitter returns a time from half of d to d, so that VMs don't poll in step.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// sleep waits for d or the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
