--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -56,7 +56,9 @@
 func WithGap(gap time.Duration) MirrorOption { return func(m *Mirror) { m.gap = gap } }
 
 // WithLogger sets the logger.
-func WithLogger(log hclog.Logger) MirrorOption { return func(m *Mirror) { m.log = log.Named("mirror") } }
+func WithLogger(log hclog.Logger) MirrorOption {
+	return func(m *Mirror) { m.log = log.Named("mirror") }
+}
 
 // NewMirror returns an empty copy of the keys under prefix. Run fills it.
 func NewMirror(store Store, prefix string, options ...MirrorOption) *Mirror {
