--- a/keeper/client.go
+++ b/keeper/client.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// DefaultReads and DefaultWrites are calls a second of one VM, averaged.
-	DefaultReads  rate.Limit = 100
+	// DefaultReads is how many reads and watches a second one VM makes.
+	DefaultReads rate.Limit = 100
+	// DefaultWrites is how many writes a second one VM makes.
 	DefaultWrites rate.Limit = 100
 	// DefaultTimeout bounds a call whose context has no deadline.
 	DefaultTimeout = 2 * time.Second
