--- /dev/null
+++ b/router/decode.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"mime"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"filberthaven.example/placer"
+)
+
+// Bounds of what a job may ask for.
+const (
+	taskLimit        = 100_000
+	cpuLimit         = 4096.0  // processors per task
+	memoryLimit      = 1 << 26 // MiB per task
+	acceleratorLimit = 1024    // devices per task
+	nameLimit        = 128     // bytes of a name, a queue, a rack or a request id
+	durationLimit    = 366 * 24 * time.Hour
+	milliPerCPU      = 1000
+)
+
+// jobRequest is the body of POST /v1/jobs. Pointers tell absent from zero.
+type jobRequest struct {
+	Tasks        *int       `json:"tasks"`
+	CPU          float64    `json:"cpu"`          // processors per task
+	Memory       int64      `json:"memory"`       // MiB per task
+	Accelerators int64      `json:"accelerators"` // devices per task
+	Class        string     `json:"class"`
+	Deadline     *time.Time `json:"deadline"`
+	Within       *duration  `json:"within"`
+	Gang         bool       `json:"gang"`
+	Idempotent   *bool      `json:"idempotent"`
+	Estimate     *duration  `json:"estimate"`
+	Queue        string     `json:"queue"`
+	Name         string     `json:"name"`
+	Request      string     `json:"request"`
+	Rack         string     `json:"rack"`
+	Spread       bool       `json:"spread"`
+}
+
+// duration is a time.Duration written as text, such as "90s".
+type duration time.Duration
+
+// UnmarshalJSON reads a positive duration up to durationLimit.
+func (d *duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.New(`a duration is text such as "90s"`)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration %q is not valid", text)
+	}
+	if parsed <= 0 || parsed > durationLimit {
+		return fmt.Errorf("duration %q is out of range", text)
+	}
+	*d = duration(parsed)
+	return nil
+}
+
+// readJob returns the job asked for, or a *ProblemError. Nothing but one JSON object
+// with known fields passes.
+func readJob(w http.ResponseWriter, request *http.Request) (jobRequest, error) {
+	if media, _, err := mime.ParseMediaType(request.Header.Get("Content-Type")); err != nil || media != "application/json" {
+		return jobRequest{}, NewProblem(http.StatusUnsupportedMediaType, "media", "the body must be application/json")
+	}
+	stop := boundRead(w, bodyTimeout)
+	defer stop()
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, JobLimit))
+	if err != nil {
+		return jobRequest{}, bodyProblem(err)
+	}
+	return parseJob(body)
+}
+
+// bodyProblem returns the answer for a request body that could not be read.
+func bodyProblem(err error) *ProblemError {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return NewProblem(http.StatusRequestEntityTooLarge, "large", fmt.Sprintf("the body is over %d bytes", large.Limit))
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return NewProblem(http.StatusRequestTimeout, "slow", "the body came too slowly")
+	}
+	return NewProblem(http.StatusBadRequest, "body", "the body could not be read")
+}
+
+// parseJob decodes and checks a body.
+func parseJob(body []byte) (jobRequest, error) {
+	var job jobRequest
+	if !utf8.Valid(body) {
+		return job, NewProblem(http.StatusBadRequest, "json", "the body is not UTF-8")
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&job); err != nil {
+		return job, NewProblem(http.StatusBadRequest, "json", cleanJSONError(err))
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return job, NewProblem(http.StatusBadRequest, "json", "data follows the object")
+	}
+	if reason := job.fault(); reason != "" {
+		return job, NewProblem(http.StatusUnprocessableEntity, "invalid", reason)
+	}
+	return job, nil
+}
+
+// cleanJSONError returns the reason without Go's own type names.
+func cleanJSONError(err error) string {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return fmt.Sprintf("field %q has the wrong type or is out of range", kind.Field)
+	}
+	return strings.TrimPrefix(err.Error(), "json: ")
+}
+
+// fault returns what is wrong with the job, empty when nothing is.
+func (j *jobRequest) fault() string {
+	switch {
+	case j.Tasks != nil && (*j.Tasks < 1 || *j.Tasks > taskLimit):
+		return fmt.Sprintf("tasks must be from 1 to %d", taskLimit)
+	case math.IsNaN(j.CPU) || j.CPU < 0 || j.CPU > cpuLimit:
+		return fmt.Sprintf("cpu must be from 0 to %g processors", cpuLimit)
+	case j.Memory < 0 || j.Memory > memoryLimit:
+		return fmt.Sprintf("memory must be from 0 to %d MiB", memoryLimit)
+	case j.Accelerators < 0 || j.Accelerators > acceleratorLimit:
+		return fmt.Sprintf("accelerators must be from 0 to %d", acceleratorLimit)
+	case j.size().IsZero():
+		return "a task must ask for cpu, memory or accelerators"
+	case j.Deadline != nil && j.Within != nil:
+		return "deadline and within exclude each other"
+	}
+	return j.textFault()
+}
+
+// textFault returns what is wrong with the names of the job.
+func (j *jobRequest) textFault() string {
+	for field, text := range map[string]string{"queue": j.Queue, "name": j.Name, "request": j.Request, "rack": j.Rack} {
+		if !isName(text) {
+			return fmt.Sprintf("%s must be at most %d printable characters", field, nameLimit)
+		}
+	}
+	if j.Class == "" {
+		return ""
+	}
+	if _, err := placer.ParseClass(j.Class); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// isName reports whether text is short and printable.
+func isName(text string) bool {
+	return len(text) <= nameLimit && strings.IndexFunc(text, func(c rune) bool { return !unicode.IsPrint(c) }) < 0
+}
+
+// size returns what a task asks for. Thousandths are rounded up, so that a
+// little is not nothing.
+func (j *jobRequest) size() placer.Resources {
+	return placer.NewResources(int64(math.Ceil(j.CPU*milliPerCPU)), j.Memory, j.Accelerators)
+}
+
+// spec returns the checked job as the scheduler takes it.
+func (j *jobRequest) spec(id, team string, now time.Time) placer.JobSpec {
+	options := []placer.JobOption{placer.WithSubmitted(now), placer.WithConstraints(placer.NewConstraints(j.Rack, j.Spread))}
+	if j.Tasks != nil {
+		options = append(options, placer.WithTasks(*j.Tasks))
+	}
+	if j.Name != "" {
+		options = append(options, placer.WithName(j.Name))
+	}
+	if j.Queue != "" {
+		options = append(options, placer.WithQueue(j.Queue))
+	}
+	if class, err := placer.ParseClass(j.Class); err == nil {
+		options = append(options, placer.WithClass(class))
+	}
+	if j.Gang {
+		options = append(options, placer.WithGang())
+	}
+	if j.Idempotent != nil && !*j.Idempotent {
+		options = append(options, placer.WithNonIdempotent())
+	}
+	if j.Estimate != nil {
+		options = append(options, placer.WithEstimate(time.Duration(*j.Estimate)))
+	}
+	if deadline := j.deadline(now); !deadline.IsZero() {
+		options = append(options, placer.WithDeadline(deadline))
+	}
+	return placer.NewJobSpec(id, team, j.size(), options...)
+}
+
+// deadline returns the time asked for, zero when there is none.
+func (j *jobRequest) deadline(now time.Time) time.Time {
+	switch {
+	case j.Deadline != nil:
+		return *j.Deadline
+	case j.Within != nil:
+		return now.Add(time.Duration(*j.Within))
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/router/job.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"time"
+
+	"filberthaven.example/placer"
+)
+
+// Counts holds the number of tasks of a job in each state.
+type Counts struct {
+	pending, running, done, failed, unknown int // never negative
+}
+
+// NewCounts returns the numbers of tasks by state. Unknown counts tasks that
+// must not run again and whose end was not seen.
+func NewCounts(pending, running, done, failed, unknown int) Counts {
+	return Counts{pending: pending, running: running, done: done, failed: failed, unknown: unknown}
+}
+
+// Job is a job as its team sees it.
+type Job struct {
+	spec     placer.JobSpec
+	state    string // one word, never empty
+	terminal bool   // the state changes no more
+	counts   Counts
+	reason   string // why it is in that state, may be empty
+}
+
+// NewJob returns a job in a state, a word such as "pending". Terminal says that the
+// state changes no more.
+func NewJob(spec placer.JobSpec, state string, terminal bool, counts Counts, reason string) Job {
+	return Job{spec: spec, state: state, terminal: terminal, counts: counts, reason: reason}
+}
+
+// Spec returns what the team asked for.
+func (j Job) Spec() placer.JobSpec { return j.spec }
+
+// State returns the state's name.
+func (j Job) State() string { return j.state }
+
+// Terminal reports whether the state changes no more.
+func (j Job) Terminal() bool { return j.terminal }
+
+// jobBody is a job in an answer.
+type jobBody struct {
+	ID           string     `json:"id"`
+	Name         string     `json:"name"`
+	Team         string     `json:"team"`
+	Queue        string     `json:"queue"`
+	Class        string     `json:"class"`
+	State        string     `json:"state"`
+	Terminal     bool       `json:"terminal"`
+	Reason       string     `json:"reason,omitempty"`
+	Tasks        int        `json:"tasks"`
+	CPU          float64    `json:"cpu"`
+	Memory       int64      `json:"memory"`
+	Accelerators int64      `json:"accelerators,omitempty"`
+	Gang         bool       `json:"gang,omitempty"`
+	Idempotent   bool       `json:"idempotent"`
+	Estimate     string     `json:"estimate,omitempty"`
+	Deadline     *time.Time `json:"deadline,omitempty"`
+	Submitted    *time.Time `json:"submitted,omitempty"`
+	Pending      int        `json:"pending"`
+	Running      int        `json:"running"`
+	Done         int        `json:"done"`
+	Failed       int        `json:"failed"`
+	Unknown      int        `json:"unknown"`
+}
+
+// body returns the job as it is sent.
+func (j Job) body() jobBody {
+	spec, size := j.spec, j.spec.Size()
+	body := jobBody{
+		ID: spec.ID(), Name: spec.Name(), Team: spec.Team(), Queue: spec.Queue(), Class: spec.Class().String(),
+		State: j.state, Terminal: j.terminal, Reason: j.reason, Tasks: spec.Tasks(),
+		CPU: float64(size.CPU()) / milliPerCPU, Memory: size.Memory(), Accelerators: size.Accelerators(),
+		Gang: spec.Gang(), Idempotent: spec.Idempotent(),
+		Deadline: timeOrNil(spec.Deadline()), Submitted: timeOrNil(spec.Submitted()),
+		Pending: j.counts.pending, Running: j.counts.running, Done: j.counts.done,
+		Failed: j.counts.failed, Unknown: j.counts.unknown,
+	}
+	if spec.Estimate() > 0 {
+		body.Estimate = spec.Estimate().String()
+	}
+	return body
+}
+
+// timeOrNil returns nil for the zero time.
+func timeOrNil(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
