--- a/placer/job.go
+++ b/placer/job.go
@@ -62,6 +62,8 @@
 type Constraints struct {
 	rack   string // only this rack, when set
 	spread bool   // prefer racks and VMs without a task of the job
+	apart  bool   // at most one task of the job on a VM
+	near   string // prefer racks with tasks of this job, when set
 }
 
 // NewConstraints returns constraints to a rack (empty: any) and to spreading.
@@ -75,6 +77,25 @@
 // Spread reports whether tasks should go to unlike racks and VMs.
 func (c Constraints) Spread() bool { return c.spread }
 
+// WithApart returns the constraints with at most one task of the job on a VM.
+func (c Constraints) WithApart() Constraints {
+	c.apart = true
+	return c
+}
+
+// Apart reports whether a VM may run at most one task of the job.
+func (c Constraints) Apart() bool { return c.apart }
+
+// WithNear returns the constraints with a preference for racks that run tasks
+// of the job with that identifier.
+func (c Constraints) WithNear(job string) Constraints {
+	c.near = job
+	return c
+}
+
+// Near returns the job whose racks are preferred, or "" for none.
+func (c Constraints) Near() string { return c.near }
+
 // JobOption changes a job under construction.
 type JobOption func(*JobSpec)
 
--- /dev/null
+++ b/placer/worker.go
@@ -0,0 +1,51 @@
+package placer
+
+// WorkerState says whether a worker takes new tasks.
+type WorkerState uint8
+
+// The states of a worker.
+const (
+	Live        WorkerState = iota // takes new tasks
+	Leaving                        // takes none; what runs may end
+	Quarantined                    // takes none but a probe
+)
+
+var workerStateNames = [...]string{Live: "live", Leaving: "leaving", Quarantined: "quarantined"}
+
+// String returns the name of the state.
+func (s WorkerState) String() string { return workerStateNames[s] }
+
+// Worker is a VM that runs tasks.
+type Worker struct {
+	id    string      // unique over the fleet
+	rack  string      // shared by VMs that fail together
+	total Resources   // what all its tasks may hold together
+	state WorkerState // one of the constants
+}
+
+// WorkerOption changes a worker under construction.
+type WorkerOption func(*Worker)
+
+// NewWorker returns a live worker, changed by the options.
+func NewWorker(id, rack string, total Resources, options ...WorkerOption) Worker {
+	worker := Worker{id: id, rack: rack, total: total}
+	for _, option := range options {
+		option(&worker)
+	}
+	return worker
+}
+
+// WithState sets the state.
+func WithState(state WorkerState) WorkerOption { return func(w *Worker) { w.state = state } }
+
+// ID returns the identifier.
+func (w Worker) ID() string { return w.id }
+
+// Rack returns the rack.
+func (w Worker) Rack() string { return w.rack }
+
+// Total returns what all tasks of the worker may hold together.
+func (w Worker) Total() Resources { return w.total }
+
+// State returns the state.
+func (w Worker) State() WorkerState { return w.state }
