--- /dev/null
+++ b/loader/error.go
@@ -0,0 +1,115 @@
+package loader
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Kinds of errors. A caller tests for them with errors.Is.
+var (
+	// ErrSyntax means that a line is neither section, key nor comment.
+	ErrSyntax = errors.New("syntax error")
+	// ErrUnknownSection means that no section of that kind exists.
+	ErrUnknownSection = errors.New("unknown section")
+	// ErrUnknownKey means that the section has no such key.
+	ErrUnknownKey = errors.New("unknown key")
+	// ErrDuplicate means that a section or key stands twice.
+	ErrDuplicate = errors.New("stands twice")
+	// ErrMissing means that a required key is absent or empty.
+	ErrMissing = errors.New("required key is missing")
+	// ErrValue means that a value has the wrong form or is out of bounds.
+	ErrValue = errors.New("bad value")
+)
+
+// Error is one fault of a file.
+type Error struct {
+	file    string // empty when the fault has no place in a file
+	line    int    // from 1; 0 when the fault has no line
+	section string // as in the file, with brackets; may be empty
+	key     string // may be empty
+	err     error  // never nil
+}
+
+// NewError returns a fault of a section's key that has no place in a file.
+func NewError(kind, name, key string, err error) *Error {
+	return &Error{section: header(kind, name), key: key, err: err}
+}
+
+// File returns the name of the file, empty when unknown.
+func (e *Error) File() string { return e.file }
+
+// Line returns the line from 1, or 0 when unknown.
+func (e *Error) Line() int { return e.line }
+
+// Section returns the section with its brackets.
+func (e *Error) Section() string { return e.section }
+
+// Key returns the key, empty when the section as a whole is meant.
+func (e *Error) Key() string { return e.key }
+
+// Unwrap returns the fault itself.
+func (e *Error) Unwrap() error { return e.err }
+
+// Error returns "file:line: [section] key: fault".
+func (e *Error) Error() string {
+	var b strings.Builder
+	if e.file != "" {
+		b.WriteString(e.file + ":")
+		if e.line > 0 {
+			b.WriteString(strconv.Itoa(e.line) + ":")
+		}
+		b.WriteByte(' ')
+	}
+	if e.section != "" {
+		b.WriteString(e.section + " ")
+	}
+	if e.key != "" {
+		b.WriteString(e.key + ": ")
+	}
+	b.WriteString(e.err.Error())
+	return b.String()
+}
+
+// Errors is all faults of a load, by file and line.
+type Errors []*Error
+
+// Error returns one fault a line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults, for errors.Is and errors.As.
+func (e Errors) Unwrap() []error {
+	faults := make([]error, len(e))
+	for i, fault := range e {
+		faults[i] = fault
+	}
+	return faults
+}
+
+// sorted returns the faults by file and line.
+func (e Errors) sorted() Errors {
+	faults := slices.Clone(e)
+	slices.SortStableFunc(faults, func(a, b *Error) int {
+		return cmp.Or(cmp.Compare(a.file, b.file), cmp.Compare(a.line, b.line))
+	})
+	return faults
+}
+
+// header returns a section's first line.
+func header(kind, name string) string {
+	if kind == "" {
+		return ""
+	}
+	if name == "" {
+		return "[" + kind + "]"
+	}
+	return "[" + kind + ` "` + name + `"]`
+}
