configurer: Check, plan, write, spread and serve the declarations

Cause: operators need one document with a revision that never reverts, changed against races and lost answers, and in force on all entry VMs. Change: declarations as INI with exceptions over defaults, the copy in force, the writer with its history, the exchange between entry VMs, the operators' API with its client, settings of an entry VM, the frame of the command line. Measured: nothing yet; unit tests of loader and settings only. Conclusion: a first API to build on; tests of races and faults follow.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -1,5 +1,91 @@
 // Package commands parses the command line and wires the parts together.
 package commands
 
+import (
+	"errors"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// register adds one command to the parser.
+type register func(parser *flags.Parser, env *environment) error
+
+// registers lists the commands in the order of the help.
+func registers() []register {
+	return []register{
+		addCheck,
+	}
+}
+
+const summary = `A cluster scheduler for services, deferred work and urgent requests.
+
+Completion: complete -C filberthaven filberthaven (in bash).
+
+Exit codes: 0 done; 1 failed; 2 wrong usage; 3 refused, nothing was changed;
+4 another change came first, plan again; 5 the fleet can't be reached or the
+outcome is unknown; 6 done, but not yet in force on all entry VMs.`
+
 // Run carries out the command line and returns the exit code.
-func Run(_ []string) int { return 0 }
+func Run(args []string) int { return run(args, os.Stdout, os.Stderr) }
+
+func run(args []string, out, err io.Writer) int {
+	env := &environment{out: out, err: err}
+	parser, failure := newParser(env)
+	if failure != nil {
+		printLine(err, "filberthaven:", failure)
+		return exitFailed
+	}
+	_, failure = parser.ParseArgs(args)
+	if env.Version && parser.Active == nil {
+		printLine(out, "filberthaven", version())
+		return exitDone
+	}
+	var usage *flags.Error
+	if errors.As(failure, &usage) {
+		if usage.Type == flags.ErrHelp {
+			printLine(out, usage.Message)
+			return exitDone
+		}
+		printLine(err, "filberthaven:", usage.Message)
+		return exitUsage
+	}
+	if failure == nil && parser.Active == nil {
+		parser.WriteHelp(err)
+		return exitUsage
+	}
+	return env.report(failure)
+}
+
+// newParser returns a parser with all commands.
+func newParser(env *environment) (*flags.Parser, error) {
+	parser := flags.NewNamedParser("filberthaven", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = summary
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddGroup("Global options", "", env); err != nil {
+		return nil, err
+	}
+	for _, add := range registers() {
+		if err := add(parser, env); err != nil {
+			return nil, err
+		}
+	}
+	return parser, nil
+}
+
+// version returns the version of the main module, and the revision it was built from.
+func version() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "(unknown)"
+	}
+	text := info.Main.Version
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			text += " " + setting.Value
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/commands/environment.go
@@ -0,0 +1,32 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// environment is what all commands share: the global options, and where they print.
+// Fields that the parser sets are exported.
+type environment struct {
+	Address string `long:"address" env:"FILBERTHAVEN_ADDRESS" value-name:"URL" description:"an entry VM or the balancer, such as https://10.0.1.1:8443"`
+	Key     string `long:"key" env:"FILBERTHAVEN_KEY" value-name:"KEY" description:"an operator's or a team's key; better set in the environment" default-mask:"-"`
+	JSON    bool   `long:"json" description:"print JSON"`
+	Version bool   `long:"version" description:"print the version and exit"`
+
+	out, err io.Writer
+}
+
+// print writes value as JSON with --json, and otherwise what text writes.
+func (e *environment) print(value any, text func(w io.Writer) error) error {
+	if !e.JSON {
+		return text(e.out)
+	}
+	encoder := json.NewEncoder(e.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// printLine writes a line to a terminal or pipe. Nothing can be told about a
+// failure to write there.
+func printLine(w io.Writer, words ...any) { _, _ = fmt.Fprintln(w, words...) }
--- /dev/null
+++ b/configurer/centre.go
@@ -0,0 +1,92 @@
+package configurer
+
+import (
+	"fmt"
+	"strconv"
+
+	"filberthaven.example/loader"
+)
+
+// State is whether a data centre or a VM takes work.
+type State string
+
+// The states.
+const (
+	In   State = "in"   // takes work
+	Out  State = "out"  // drained: starts nothing, hands over what it can
+	Lost State = "lost" // declared lost: its jobs go on elsewhere
+)
+
+// maxShards is the largest number of shards of a data centre.
+const maxShards = 64
+
+// Centre is a data centre.
+type Centre struct {
+	name   string // never empty
+	state  State
+	reason string // never empty unless the state is In
+	shards int    // at least 1
+	stated bool   // the state was written, not the default
+}
+
+// Name returns the name of the data centre.
+func (c Centre) Name() string { return c.name }
+
+// State returns whether the data centre takes work.
+func (c Centre) State() State { return c.state }
+
+// Reason returns why the data centre takes no work.
+func (c Centre) Reason() string { return c.reason }
+
+// Shards returns the names of the shards, such as pianura-a.0.
+func (c Centre) Shards() []string {
+	names := make([]string, c.shards)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s.%d", c.name, i)
+	}
+	return names
+}
+
+func decodeCentre(s *loader.Section) Centre {
+	return Centre{
+		name:   s.Name(),
+		state:  State(loader.Get(s, "state", loader.OneOf(string(In), string(Out), string(Lost)), string(In))),
+		reason: loader.Get(s, "reason", loader.Text, ""),
+		shards: loader.Get(s, "shards", loader.Int, 1, loader.Between(1, maxShards)),
+		stated: s.Has("state"),
+	}
+}
+
+// block leaves the state In out, so that exported files don't undo a later drain.
+func (c Centre) block() loader.Block {
+	state := string(c.state)
+	if c.state == In {
+		state = ""
+	}
+	return loader.NewBlock("centre", c.name,
+		loader.NewPair("state", state),
+		loader.NewPair("reason", c.reason),
+		loader.NewPair("shards", strconv.Itoa(c.shards)))
+}
+
+// VM is a VM that operators took out of service. VMs that take work are not
+// declared.
+type VM struct {
+	id     string // never empty
+	reason string // never empty
+}
+
+// ID returns the id of the VM.
+func (v VM) ID() string { return v.id }
+
+// Reason returns why the VM takes no work.
+func (v VM) Reason() string { return v.reason }
+
+func decodeVM(s *loader.Section) VM {
+	loader.Get(s, "state", loader.OneOf(string(Out)), string(Out))
+	return VM{id: s.Name(), reason: loader.Require(s, "reason", loader.Text)}
+}
+
+func (v VM) block() loader.Block {
+	return loader.NewBlock("vm", v.id, loader.NewPair("state", string(Out)), loader.NewPair("reason", v.reason))
+}
--- /dev/null
+++ b/configurer/handler_read.go
@@ -0,0 +1,74 @@
+package configurer
+
+import (
+	"fmt"
+	"strconv"
+)
+
+func (h *Handler) document(c call[noBody]) (revisionWire, error) {
+	revision, err := h.writer.Latest(c.ctx)
+	if err != nil {
+		// The copy answers while the service is down.
+		revision = h.copy.Latest()
+		h.log.Warn("declarations answered from the copy", "error", err)
+	}
+	if revision == nil {
+		return revisionWire{}, ErrNoRevision
+	}
+	return newRevisionWire(revision, true), nil
+}
+
+func (h *Handler) history(c call[noBody]) (historyWire, error) {
+	revisions, err := h.writer.History(c.ctx)
+	if err != nil {
+		return historyWire{}, err
+	}
+	wire := historyWire{Revisions: []revisionWire{}}
+	for _, revision := range revisions {
+		wire.Revisions = append(wire.Revisions, newRevisionWire(revision, false))
+	}
+	return wire, nil
+}
+
+func (h *Handler) former(c call[noBody]) (revisionWire, error) {
+	number, err := strconv.ParseUint(c.path("revision"), 10, 64)
+	if err != nil {
+		return revisionWire{}, fmt.Errorf("%w: want a number: %q", ErrRequest, c.path("revision"))
+	}
+	latest, err := h.writer.Latest(c.ctx)
+	if err != nil {
+		return revisionWire{}, err
+	}
+	if latest != nil && latest.number == number {
+		return newRevisionWire(latest, true), nil
+	}
+	revision, err := h.writer.Former(c.ctx, number)
+	if err != nil {
+		return revisionWire{}, err
+	}
+	return newRevisionWire(revision, true), nil
+}
+
+func (h *Handler) force(c call[noBody]) (forceWire, error) {
+	holdings := h.report(c.ctx)
+	return forceWire{Revision: h.copy.Revision(), Force: newHoldingWires(holdings)}, nil
+}
+
+func (h *Handler) plan(c call[planRequest]) (planWire, error) {
+	document, err := c.request.Files.parse()
+	if err != nil {
+		return planWire{}, err
+	}
+	b, err := h.writer.read(c.ctx)
+	if err != nil {
+		return planWire{}, err
+	}
+	next, err := document.keepStates(b.document()).edited()
+	if err != nil {
+		return planWire{}, err
+	}
+	if err := checkChange(b.document(), next); err != nil {
+		return planWire{}, err
+	}
+	return newPlanWire(NewPlan(b.number(), b.document(), next, h.usage(c.ctx), h.now())), nil
+}
--- /dev/null
+++ b/configurer/handler_write.go
@@ -0,0 +1,135 @@
+package configurer
+
+import (
+	"context"
+	"fmt"
+
+	"filberthaven.example/loader"
+)
+
+func (h *Handler) apply(c call[applyRequest]) (changeWire, error) {
+	document, err := c.request.Files.parse()
+	if err != nil {
+		return changeWire{}, err
+	}
+	revision, err := h.writer.Apply(c.ctx, c.request.Revision, document, c.caller.name, c.request.Reason)
+	return h.accepted(c.ctx, revision, err)
+}
+
+func (h *Handler) rollback(c call[rollbackRequest]) (changeWire, error) {
+	revision, err := h.writer.Rollback(c.ctx, c.request.Revision, c.request.To, c.caller.name, c.request.Reason)
+	return h.accepted(c.ctx, revision, err)
+}
+
+// change makes a direct change for the caller, which needs a written reason.
+func (h *Handler) change(ctx context.Context, caller Caller, reason string, edit func(*Document) (*Document, error)) (changeWire, error) {
+	if reason == "" {
+		return changeWire{}, fmt.Errorf("%w: %w", ErrRequest, ErrReason)
+	}
+	revision, err := h.writer.Change(ctx, caller.name, reason, edit)
+	return h.accepted(ctx, revision, err)
+}
+
+// checkTarget refuses a request that doesn't name either a data centre or a VM.
+func (r stateRequest) checkTarget() error {
+	if (r.Centre == "") == (r.VM == "") {
+		return fmt.Errorf("%w: want either a centre or a vm", ErrRequest)
+	}
+	if r.Lost && r.VM != "" {
+		return fmt.Errorf("%w: only a data centre is declared lost", ErrRequest)
+	}
+	return nil
+}
+
+func (h *Handler) drain(c call[stateRequest]) (changeWire, error) {
+	request := c.request
+	if err := request.checkTarget(); err != nil {
+		return changeWire{}, err
+	}
+	state := Out
+	if request.Lost {
+		state = Lost
+	}
+	return h.change(c.ctx, c.caller, request.Reason, func(d *Document) (*Document, error) {
+		if request.VM != "" {
+			return d.withVM(request.VM, request.Reason)
+		}
+		return d.withCentre(request.Centre, state, request.Reason)
+	})
+}
+
+func (h *Handler) takeBack(c call[stateRequest]) (changeWire, error) {
+	request := c.request
+	if err := request.checkTarget(); err != nil {
+		return changeWire{}, err
+	}
+	return h.change(c.ctx, c.caller, request.Reason, func(d *Document) (*Document, error) {
+		if request.VM != "" {
+			return d.withoutVM(request.VM)
+		}
+		return d.withCentre(request.Centre, In, "")
+	})
+}
+
+func (h *Handler) withdraw(c call[withdrawRequest]) (changeWire, error) {
+	request := c.request
+	return h.change(c.ctx, c.caller, request.Reason, func(d *Document) (*Document, error) {
+		return d.withoutAccess(request.Key, request.Reason)
+	})
+}
+
+func (h *Handler) grant(c call[grantRequest]) (changeWire, error) {
+	request := c.request
+	hash, err := parseHash(request.Hash)
+	if err != nil {
+		return changeWire{}, fmt.Errorf("%w: hash: %w", ErrRequest, err)
+	}
+	key := Key{id: request.Key, hash: hash, team: request.Team, role: Role(request.Role), expires: request.Expires, note: request.Note}
+	if key.role != NoRole && key.role != Operator && key.role != Viewer {
+		return changeWire{}, fmt.Errorf("%w: role: want %s or %s", ErrRequest, Operator, Viewer)
+	}
+	return h.change(c.ctx, c.caller, request.Reason, func(d *Document) (*Document, error) {
+		next, err := d.withKey(key)
+		if err != nil || request.Replaces == "" {
+			return next, err
+		}
+		return next.withExpiry(request.Replaces, request.Until)
+	})
+}
+
+func (h *Handler) limit(c call[limitRequest]) (changeWire, error) {
+	request := c.request
+	exception, err := request.exception(c.caller.name)
+	if err != nil {
+		return changeWire{}, err
+	}
+	return h.change(c.ctx, c.caller, request.Reason, func(d *Document) (*Document, error) {
+		if request.Value == "" {
+			return d.withoutException(exception.name)
+		}
+		return d.withException(exception)
+	})
+}
+
+// exception returns what the request sets, named after its key and team.
+func (r limitRequest) exception(author string) (Exception, error) {
+	e := Exception{
+		name: r.Key + "-" + r.Team, scope: scope{"team", r.Team}, key: r.Key,
+		reason: r.Reason, author: author, expires: r.Expires,
+	}
+	if r.Key != "limit" && r.Key != "slots" {
+		return e, fmt.Errorf("%w: key: want limit or slots: %q", ErrRequest, r.Key)
+	}
+	if _, err := loader.Word(e.name); err != nil {
+		return e, fmt.Errorf("%w: team: %w", ErrRequest, err)
+	}
+	for _, key := range valueKeys {
+		if key.name != r.Key || r.Value == "" {
+			continue
+		}
+		if err := key.parse(&e.values, r.Value); err != nil {
+			return e, fmt.Errorf("%w: value: %w", ErrRequest, err)
+		}
+	}
+	return e, nil
+}
--- /dev/null
+++ b/configurer/optional.go
@@ -0,0 +1,20 @@
+package configurer
+
+// optional is a value that may be absent.
+type optional[T any] struct {
+	value T
+	set   bool
+}
+
+func some[T any](value T) optional[T] { return optional[T]{value: value, set: true} }
+
+// first returns the first value that is set, or the zero value.
+func first[T any](values ...optional[T]) T {
+	for _, value := range values {
+		if value.set {
+			return value.value
+		}
+	}
+	var zero T
+	return zero
+}
--- /dev/null
+++ b/configurer/spreader.go
@@ -0,0 +1,158 @@
+package configurer
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"filberthaven.example/messenger"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Times of the exchange between entry VMs.
+const (
+	pushTimeout  = time.Second
+	pushInterval = 100 * time.Millisecond
+	// SpreadTimeout is how long a change waits for entry VMs that don't answer.
+	SpreadTimeout = 3 * time.Second
+	// FetchInterval is the time between two questions to other entry VMs.
+	FetchInterval = time.Second
+)
+
+// Peer is another entry VM.
+type Peer struct {
+	id      string // never empty
+	address string // host:port
+}
+
+// NewPeer returns the entry VM of that id at that address.
+func NewPeer(id, address string) Peer { return Peer{id: id, address: address} }
+
+// Holding is the revision that an entry VM has in force.
+type Holding struct {
+	vm       string // id of the entry VM
+	revision uint64 // 0 when not reached
+	err      error  // why the entry VM wasn't reached
+}
+
+// VM returns the id of the entry VM.
+func (h Holding) VM() string { return h.vm }
+
+// Revision returns the number of the revision in force there.
+func (h Holding) Revision() uint64 { return h.revision }
+
+// Err returns why the entry VM could not be reached, or nil.
+func (h Holding) Err() error { return h.err }
+
+// Spreader passes revisions between entry VMs, without the key-value service.
+type Spreader struct {
+	id        string // of this entry VM
+	copy      *Copy
+	messenger *messenger.Messenger
+	peers     func() []Peer // the other entry VMs as known now
+	log       hclog.Logger
+}
+
+// SpreaderOption changes a Spreader under construction.
+type SpreaderOption func(*Spreader)
+
+// WithSpreaderLogger sets the logger.
+func WithSpreaderLogger(log hclog.Logger) SpreaderOption {
+	return func(s *Spreader) { s.log = log.Named("config") }
+}
+
+// NewSpreader returns a spreader for the entry VM of that id, whose copy it serves.
+// Peers returns the other entry VMs as known at the time.
+func NewSpreader(id string, c *Copy, m *messenger.Messenger, peers func() []Peer, options ...SpreaderOption) *Spreader {
+	s := &Spreader{id: id, copy: c, messenger: m, peers: peers, log: hclog.NewNullLogger()}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Run asks one other entry VM after the other for newer revisions, until ctx ends.
+// An entry VM that the service can't be reached from catches up so.
+func (s *Spreader) Run(ctx context.Context) {
+	ticker := time.NewTicker(FetchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.fetchOne(ctx)
+		}
+	}
+}
+
+// fetchOne asks a random entry VM.
+func (s *Spreader) fetchOne(ctx context.Context) {
+	peers := s.peers()
+	if len(peers) == 0 {
+		return
+	}
+	peer := peers[rand.IntN(len(peers))]
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	if _, err := s.copy.Fetch(ctx, s.messenger, peer.address); err != nil {
+		s.log.Debug("entry VM not reached", "vm", peer.id, "error", err)
+	}
+}
+
+// Report asks all entry VMs which revision they have in force, by id.
+func (s *Spreader) Report(ctx context.Context) []Holding {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	return s.each(func(peer Peer) Holding {
+		revision, err := s.copy.Fetch(ctx, s.messenger, peer.address)
+		return Holding{vm: peer.id, revision: revision, err: err}
+	})
+}
+
+// Spread offers the revision in force to all entry VMs until each has it, for
+// SpreadTimeout at most, and returns what each has, by id.
+func (s *Spreader) Spread(ctx context.Context) []Holding {
+	ctx, cancel := context.WithTimeout(ctx, SpreadTimeout)
+	defer cancel()
+	return s.each(func(peer Peer) Holding { return s.push(ctx, peer) })
+}
+
+// push offers the revision in force to one entry VM until it has it.
+func (s *Spreader) push(ctx context.Context, peer Peer) Holding {
+	for {
+		holding := s.pushOnce(ctx, peer)
+		if holding.err == nil && holding.revision >= s.copy.Revision() {
+			return holding
+		}
+		select {
+		case <-ctx.Done():
+			return holding
+		case <-time.After(pushInterval):
+		}
+	}
+}
+
+func (s *Spreader) pushOnce(ctx context.Context, peer Peer) Holding {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	revision, err := s.copy.Push(ctx, s.messenger, peer.address)
+	return Holding{vm: peer.id, revision: revision, err: err}
+}
+
+// each calls f for all peers at once and adds this entry VM.
+func (s *Spreader) each(f func(Peer) Holding) []Holding {
+	peers := s.peers()
+	holdings := make([]Holding, len(peers))
+	var group sync.WaitGroup
+	for i, peer := range peers {
+		group.Go(func() { holdings[i] = f(peer) })
+	}
+	group.Wait()
+	holdings = append(holdings, Holding{vm: s.id, revision: s.copy.Revision()})
+	slices.SortFunc(holdings, func(a, b Holding) int { return cmp.Compare(a.vm, b.vm) })
+	return holdings
+}
--- /dev/null
+++ b/configurer/team.go
@@ -0,0 +1,18 @@
+package configurer
+
+import "filberthaven.example/loader"
+
+// Team is a customer of the fleet. What it may use is asked of a Resolver.
+type Team struct {
+	name   string // never empty
+	values values // its own, before exceptions
+}
+
+// Name returns the name of the team.
+func (t Team) Name() string { return t.name }
+
+func decodeTeam(s *loader.Section) Team {
+	return Team{name: s.Name(), values: decodeValues(s, teamKeys...)}
+}
+
+func (t Team) block() loader.Block { return loader.NewBlock("team", t.name, t.values.pairs()...) }
--- /dev/null
+++ b/configurer/wire.go
@@ -0,0 +1,141 @@
+package configurer
+
+import "time"
+
+// revisionWire is a revision with its document.
+type revisionWire struct {
+	Revision uint64    `json:"revision"`
+	Author   string    `json:"author"`
+	Reason   string    `json:"reason"`
+	Time     time.Time `json:"time"`
+	Text     string    `json:"text,omitempty"` // the document as INI
+}
+
+type historyWire struct {
+	Revisions []revisionWire `json:"revisions"` // newest first
+}
+
+// filesWire are declarations: the text of each file by its name.
+type filesWire map[string]string
+
+type planRequest struct {
+	Files filesWire `json:"files"`
+}
+
+type planWire struct {
+	Revision    uint64           `json:"revision"` // planned on
+	Differences []differenceWire `json:"differences"`
+	Effects     []string         `json:"effects"`
+}
+
+type differenceWire struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Before  string `json:"before,omitempty"`
+	After   string `json:"after,omitempty"`
+	Added   bool   `json:"added,omitempty"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+type applyRequest struct {
+	Revision uint64    `json:"revision"` // planned on; 0 for the first
+	Files    filesWire `json:"files"`
+	Reason   string    `json:"reason"`
+}
+
+type rollbackRequest struct {
+	Revision uint64 `json:"revision"` // in force now
+	To       uint64 `json:"to"`
+	Reason   string `json:"reason"`
+}
+
+// stateRequest takes a data centre or a VM out of service, or back.
+type stateRequest struct {
+	Centre string `json:"centre,omitempty"`
+	VM     string `json:"vm,omitempty"`
+	Lost   bool   `json:"lost,omitempty"` // only for a data centre that is taken out
+	Reason string `json:"reason"`
+}
+
+type withdrawRequest struct {
+	Key    string `json:"key"`
+	Reason string `json:"reason"`
+}
+
+type grantRequest struct {
+	Key      string    `json:"key"`  // id
+	Hash     string    `json:"hash"` // SHA-256 of the secret in hexadecimal digits
+	Team     string    `json:"team,omitempty"`
+	Role     string    `json:"role,omitempty"`
+	Expires  time.Time `json:"expires,omitzero"`
+	Note     string    `json:"note,omitempty"`
+	Replaces string    `json:"replaces,omitempty"` // id of the key that lapses
+	Until    time.Time `json:"until,omitzero"`     // when it lapses
+	Reason   string    `json:"reason"`
+}
+
+type limitRequest struct {
+	Team    string    `json:"team"`
+	Key     string    `json:"key"`             // limit or slots
+	Value   string    `json:"value,omitempty"` // empty: the exception ends
+	Expires time.Time `json:"expires,omitzero"`
+	Reason  string    `json:"reason"`
+}
+
+type holdingWire struct {
+	VM       string `json:"vm"`
+	Revision uint64 `json:"revision"`
+	Error    string `json:"error,omitempty"`
+}
+
+// changeWire answers each change.
+type changeWire struct {
+	Revision   uint64        `json:"revision"`
+	Everywhere bool          `json:"everywhere"` // in force on all entry VMs
+	Force      []holdingWire `json:"force"`
+}
+
+type forceWire struct {
+	Revision uint64        `json:"revision"`
+	Force    []holdingWire `json:"force"`
+}
+
+func newRevisionWire(r *Revision, text bool) revisionWire {
+	wire := revisionWire{Revision: r.number, Author: r.author, Reason: r.reason, Time: r.time}
+	if text {
+		wire.Text = string(r.document.Text())
+	}
+	return wire
+}
+
+func newPlanWire(p Plan) planWire {
+	wire := planWire{Revision: p.revision, Differences: []differenceWire{}, Effects: append([]string{}, p.effects...)}
+	for _, d := range p.differences {
+		wire.Differences = append(wire.Differences, differenceWire{
+			Kind: d.kind, Name: d.name, Key: d.key, Before: d.before, After: d.after, Added: d.added, Removed: d.removed,
+		})
+	}
+	return wire
+}
+
+func (w planWire) plan() Plan {
+	p := Plan{revision: w.Revision, effects: w.Effects}
+	for _, d := range w.Differences {
+		p.differences = append(p.differences, Difference{
+			kind: d.Kind, name: d.Name, key: d.Key, before: d.Before, after: d.After, added: d.Added, removed: d.Removed,
+		})
+	}
+	return p
+}
+
+func newHoldingWires(holdings []Holding) []holdingWire {
+	wires := make([]holdingWire, len(holdings))
+	for i, h := range holdings {
+		wires[i] = holdingWire{VM: h.vm, Revision: h.revision}
+		if h.err != nil {
+			wires[i].Error = h.err.Error()
+		}
+	}
+	return wires
+}
--- /dev/null
+++ b/configurer/writer.go
@@ -0,0 +1,260 @@
+package configurer
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"filberthaven.example/keeper"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/oops"
+)
+
+// Outcomes of a change.
+var (
+	// ErrRaced means that another change came first; nothing was written.
+	ErrRaced = errors.New("another change came first")
+	// ErrNewer means that the document holds keys of a newer version of the program,
+	// which this one would lose.
+	ErrNewer = errors.New("the declarations were written by a newer version")
+)
+
+// Bounds of the retries of a write whose answer was lost.
+const (
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = time.Second
+	// WriteTimeout bounds a change whose context has no deadline.
+	WriteTimeout = 10 * time.Second
+	// raceLimit is how often a direct command is tried against other changes.
+	raceLimit = 8
+)
+
+// Writer changes the revision in the key-value service.
+type Writer struct {
+	store *keeper.Store
+	copy  *Copy // never older than what it takes in itself
+	now   func() time.Time
+	log   hclog.Logger
+}
+
+// WriterOption changes a Writer under construction.
+type WriterOption func(*Writer)
+
+// WithWriterLogger sets the logger.
+func WithWriterLogger(log hclog.Logger) WriterOption {
+	return func(w *Writer) { w.log = log.Named("config") }
+}
+
+// WithClock sets the clock that dates revisions.
+func WithClock(now func() time.Time) WriterOption { return func(w *Writer) { w.now = now } }
+
+// NewWriter returns a writer to the service. Accepted revisions come into force in
+// the copy at once.
+func NewWriter(store *keeper.Store, c *Copy, options ...WriterOption) *Writer {
+	w := &Writer{store: store, copy: c, now: time.Now, log: hclog.NewNullLogger()}
+	for _, option := range options {
+		option(w)
+	}
+	return w
+}
+
+// base is what a change builds on.
+type base struct {
+	revision *Revision // nil before the first
+	version  uint64    // of the live key, to be expected by the write
+}
+
+// number returns the number of the revision, or 0 before the first.
+func (b base) number() uint64 {
+	if b.revision == nil {
+		return 0
+	}
+	return b.revision.number
+}
+
+// document returns the document, never nil.
+func (b base) document() *Document {
+	if b.revision == nil {
+		return emptyDocument
+	}
+	return b.revision.document
+}
+
+// read returns the newest revision known. The service's may be older than the copy's
+// after the service was restored; an accepted revision never reverts.
+func (w *Writer) read(ctx context.Context) (base, error) {
+	entry, err := w.store.Get(ctx, LiveKey)
+	if errors.Is(err, keeper.ErrNotFound) {
+		return base{revision: w.copy.Latest()}, nil
+	}
+	if err != nil {
+		return base{}, oops.In("configurer").Wrapf(err, "declarations can't be read")
+	}
+	revision, err := DecodeRevision(entry.Value())
+	if err != nil {
+		return base{}, err
+	}
+	w.copy.offer(revision)
+	if known := w.copy.Latest(); known.number > revision.number {
+		revision = known
+	}
+	return base{revision: revision, version: entry.Version()}, nil
+}
+
+// Latest returns the newest revision, or nil before the first.
+func (w *Writer) Latest(ctx context.Context) (*Revision, error) {
+	b, err := w.read(ctx)
+	return b.revision, err
+}
+
+// Apply replaces the revision with the number planned (0: there is none) by the
+// document, and returns the new number. Errors: ErrRaced when the revision is another,
+// loader.Errors when the change is refused, keeper.ErrUnavailable when nothing was
+// written, keeper.ErrUnknown when the outcome is open.
+func (w *Writer) Apply(ctx context.Context, planned uint64, document *Document, author, reason string) (uint64, error) {
+	ctx, cancel := bound(ctx)
+	defer cancel()
+	b, err := w.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if b.number() != planned {
+		return 0, oops.In("configurer").Wrapf(ErrRaced, "planned on revision %d, in force is %d", planned, b.number())
+	}
+	return w.replace(ctx, b, document.keepStates(b.document()), author, reason)
+}
+
+// Change replaces the document by what edit makes of it, whatever its revision, and
+// returns the new number. Edit may be called again after a race.
+func (w *Writer) Change(ctx context.Context, author, reason string, edit func(*Document) (*Document, error)) (uint64, error) {
+	ctx, cancel := bound(ctx)
+	defer cancel()
+	for attempt := 1; ; attempt++ {
+		b, err := w.read(ctx)
+		if err != nil {
+			return 0, err
+		}
+		next, err := edit(b.document())
+		if err != nil {
+			return 0, err
+		}
+		number, err := w.replace(ctx, b, next, author, reason)
+		if !errors.Is(err, ErrRaced) || attempt == raceLimit {
+			return number, err
+		}
+		w.log.Info("change raced; trying again", "attempt", attempt)
+	}
+}
+
+// Rollback puts the document of a former revision into force as a new revision.
+// Withdrawn keys stay withdrawn, and what is drained stays drained.
+func (w *Writer) Rollback(ctx context.Context, planned, to uint64, author, reason string) (uint64, error) {
+	ctx, cancel := bound(ctx)
+	defer cancel()
+	former, err := w.Former(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	return w.Apply(ctx, planned, former.document.unstated(), author, reason)
+}
+
+// replace writes the document as the revision after b.
+func (w *Writer) replace(ctx context.Context, b base, document *Document, author, reason string) (uint64, error) {
+	if len(b.document().unknown) > 0 || len(document.unknown) > 0 {
+		return 0, oops.In("configurer").Wrap(ErrNewer)
+	}
+	document, err := document.edited()
+	if err != nil {
+		return 0, err
+	}
+	if err := checkChange(b.document(), document); err != nil {
+		return 0, err
+	}
+	next := &Revision{
+		number: b.number() + 1, author: author, reason: reason, time: w.now(),
+		id: rand.Text(), document: document,
+	}
+	if err := next.encode(); err != nil {
+		return 0, err
+	}
+	if b.revision != nil {
+		if err := w.keep(ctx, b.revision); err != nil {
+			return 0, err
+		}
+	}
+	if err := w.write(ctx, b, next); err != nil {
+		w.log.Warn("change failed", "revision", next.number, "author", author, "error", err)
+		return 0, oops.In("configurer").Wrapf(err, "revision %d", next.number)
+	}
+	w.copy.offer(next)
+	w.log.Info("change accepted", "revision", next.number, "author", author, "reason", reason)
+	return next.number, nil
+}
+
+// write puts the revision in place of b. While the outcome is open it reads back,
+// and writes the same bytes under the same version again.
+func (w *Writer) write(ctx context.Context, b base, next *Revision) error {
+	open := false // an earlier attempt may have taken effect, or may yet
+	attempt := func() (struct{}, error) {
+		_, err := w.store.Put(ctx, LiveKey, next.data, b.version, 0)
+		switch {
+		case err == nil:
+			return struct{}{}, nil
+		case errors.Is(err, keeper.ErrConflict):
+			return struct{}{}, w.settle(ctx, next)
+		case errors.Is(err, keeper.ErrTooLarge):
+			return struct{}{}, backoff.Permanent(err)
+		case errors.Is(err, keeper.ErrUnavailable) && !open:
+			return struct{}{}, backoff.Permanent(err)
+		}
+		open = true
+		return struct{}{}, errors.Join(keeper.ErrUnknown, err)
+	}
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = firstRetry, lastRetry
+	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(delays), backoff.WithMaxElapsedTime(WriteTimeout))
+	if err != nil && open && !errors.Is(err, ErrRaced) {
+		return errors.Join(keeper.ErrUnknown, err)
+	}
+	return err
+}
+
+// settle tells after a conflict whether the revision was written: by this writer, whose
+// answer was lost, or not at all.
+func (w *Writer) settle(ctx context.Context, next *Revision) error {
+	entry, err := w.store.Get(ctx, LiveKey)
+	if err != nil {
+		return errors.Join(keeper.ErrUnknown, err)
+	}
+	live, err := DecodeRevision(entry.Value())
+	if err != nil {
+		return backoff.Permanent(err)
+	}
+	if live.id == next.id {
+		return nil
+	}
+	if live.number <= next.number {
+		return backoff.Permanent(ErrRaced)
+	}
+	// A later revision is in force. Its writer kept the one before it.
+	former, err := w.Former(ctx, next.number)
+	switch {
+	case errors.Is(err, ErrNoRevision):
+		return backoff.Permanent(errors.Join(keeper.ErrUnknown, err))
+	case err != nil:
+		return errors.Join(keeper.ErrUnknown, err)
+	case former.id != next.id:
+		return backoff.Permanent(ErrRaced)
+	}
+	return nil
+}
+
+// bound gives a context a deadline if it has none.
+func bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, WriteTimeout)
+}
--- a/loader/error.go
+++ b/loader/error.go
@@ -38,6 +38,12 @@
 	return &Error{section: header(kind, name), key: key, err: err}
 }
 
+// NewErrorAt returns a fault as another process reported it. The section is given with
+// its brackets.
+func NewErrorAt(file string, line int, section, key string, err error) *Error {
+	return &Error{file: file, line: line, section: section, key: key, err: err}
+}
+
 // File returns the name of the file, empty when unknown.
 func (e *Error) File() string { return e.file }
 
--- /dev/null
+++ b/server/settings.go
@@ -0,0 +1,275 @@
+package server
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"filberthaven.example/loader"
+)
+
+// Defaults of the settings.
+const (
+	defaultBody   = 1 << 20 // bytes
+	defaultHeader = 64 << 10
+	defaultRead   = 10 * time.Second
+	defaultIdle   = 2 * time.Minute
+	defaultCall   = 2 * time.Second
+	defaultDrain  = 30 * time.Second
+	defaultReload = 10 * time.Second
+)
+
+// ErrPlaintext means that a VM would serve an address beyond loopback without
+// TLS and without permission to do so.
+var ErrPlaintext = errors.New("TLS files are required beyond loopback, unless plaintext = yes")
+
+// Settings is what one entry VM knows when it starts. It never changes.
+type Settings struct {
+	id        string // unique in the fleet; never empty
+	centre    string // one of centres
+	listen    string // host:port for callers and operators
+	internal  string // host:port for entry VMs and workers
+	advertise string // host:port at which others reach internal
+	debug     string // loopback host:port for pprof; empty: none
+	platform  string // URL of the platform, without a slash at the end
+	peers     []string
+	centres   []Centre // sorted by name
+	logging   Logging
+	limits    Limits
+	tls       TLS
+	drain     time.Duration // above 0
+}
+
+// Centre is a data centre as known at the start, until a document is in force.
+type Centre struct {
+	name   string
+	shards int // at least 1
+}
+
+// NewCentre returns a data centre with that number of shards, at least 1.
+func NewCentre(name string, shards int) Centre { return Centre{name: name, shards: max(shards, 1)} }
+
+// Name returns the name of the data centre.
+func (c Centre) Name() string { return c.name }
+
+// Shards returns the names of the shards, such as pianura-a.0.
+func (c Centre) Shards() []string {
+	names := make([]string, c.shards)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s.%d", c.name, i)
+	}
+	return names
+}
+
+// Logging says what is logged, and how.
+type Logging struct {
+	level string // trace, debug, info, warn or error
+	json  bool
+}
+
+// Level returns the lowest level logged.
+func (l Logging) Level() string { return l.level }
+
+// JSON reports whether a log line is a JSON object.
+func (l Logging) JSON() bool { return l.json }
+
+// Limits bounds what a caller can take up.
+type Limits struct {
+	body   int64         // bytes of a request's body
+	header int           // bytes of a request's header
+	read   time.Duration // for a request's header and body
+	idle   time.Duration // of a kept connection
+	call   time.Duration // of a call to the platform or another entry VM
+}
+
+// Body returns the largest body of a request in bytes.
+func (l Limits) Body() int64 { return l.body }
+
+// Header returns the largest header of a request in bytes.
+func (l Limits) Header() int { return l.header }
+
+// Read returns the time allowed for sending a request.
+func (l Limits) Read() time.Duration { return l.read }
+
+// Idle returns how long a connection without requests is kept.
+func (l Limits) Idle() time.Duration { return l.idle }
+
+// Call returns the timeout of calls to the platform and to other entry VMs.
+func (l Limits) Call() time.Duration { return l.call }
+
+// TLS names the certificate files. Either all are empty or all are set.
+type TLS struct {
+	certificate string
+	key         string
+	authority   string
+	reload      time.Duration // between looks at the files
+	plaintext   bool          // permission to serve beyond loopback without TLS
+}
+
+// Certificate returns the path of the PEM certificate, empty without TLS.
+func (t TLS) Certificate() string { return t.certificate }
+
+// Key returns the path of the PEM private key.
+func (t TLS) Key() string { return t.key }
+
+// Authority returns the path of the PEM authority that signs entry VMs.
+func (t TLS) Authority() string { return t.authority }
+
+// Reload returns the time between looks at the files for changes.
+func (t TLS) Reload() time.Duration { return t.reload }
+
+// Plaintext reports whether serving beyond loopback without TLS is permitted.
+func (t TLS) Plaintext() bool { return t.plaintext }
+
+// Enabled reports whether certificate files are set.
+func (t TLS) Enabled() bool { return t.certificate != "" }
+
+// Option changes Settings under construction.
+type Option func(*Settings)
+
+// WithID sets the id of the VM.
+func WithID(id string) Option { return func(s *Settings) { s.id = id } }
+
+// WithCentre sets the data centre of the VM.
+func WithCentre(name string) Option { return func(s *Settings) { s.centre = name } }
+
+// WithListen sets the address for callers and operators.
+func WithListen(address string) Option { return func(s *Settings) { s.listen = address } }
+
+// WithInternal sets the address for entry VMs and workers, and the address at
+// which they reach it.
+func WithInternal(listen, advertise string) Option {
+	return func(s *Settings) { s.internal, s.advertise = listen, advertise }
+}
+
+// WithPlatform sets the URL of the platform.
+func WithPlatform(url string) Option { return func(s *Settings) { s.platform = url } }
+
+// WithPeers sets addresses of other entry VMs to ask first.
+func WithPeers(addresses ...string) Option { return func(s *Settings) { s.peers = addresses } }
+
+// WithCentres sets the data centres known at the start.
+func WithCentres(centres ...Centre) Option { return func(s *Settings) { s.centres = centres } }
+
+// WithLogging sets level and form of the log.
+func WithLogging(level string, json bool) Option {
+	return func(s *Settings) { s.logging = Logging{level: level, json: json} }
+}
+
+// WithDrain sets how long a planned stop waits for requests under way.
+func WithDrain(d time.Duration) Option { return func(s *Settings) { s.drain = d } }
+
+// WithTLS sets the certificate files.
+func WithTLS(certificate, key, authority string) Option {
+	return func(s *Settings) {
+		s.tls.certificate, s.tls.key, s.tls.authority = certificate, key, authority
+	}
+}
+
+// NewSettings returns settings on loopback with free ports, changed by the
+// options, or an error when they contradict each other.
+func NewSettings(options ...Option) (*Settings, error) {
+	s := defaultSettings()
+	for _, option := range options {
+		option(s)
+	}
+	if s.advertise == "" {
+		s.advertise = s.internal
+	}
+	if faults := s.check(); len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func defaultSettings() *Settings {
+	return &Settings{
+		id:       "vm-" + rand.Text()[:10],
+		listen:   "127.0.0.1:0",
+		internal: "127.0.0.1:0",
+		logging:  Logging{level: "info"},
+		limits:   Limits{body: defaultBody, header: defaultHeader, read: defaultRead, idle: defaultIdle, call: defaultCall},
+		tls:      TLS{reload: defaultReload},
+		drain:    defaultDrain,
+	}
+}
+
+// check returns what contradicts, each fault at its section and key.
+func (s *Settings) check() loader.Errors {
+	var faults loader.Errors
+	refuse := func(section, key string, err error) {
+		faults = append(faults, loader.NewError(section, "", key, err))
+	}
+	if len(s.centres) > 0 && !slices.ContainsFunc(s.centres, func(c Centre) bool { return c.name == s.centre }) {
+		refuse("vm", "centre", fmt.Errorf("no section [centre %q]", s.centre))
+	}
+	if host, _, err := net.SplitHostPort(s.advertise); err == nil {
+		if ip := net.ParseIP(host); ip != nil && ip.IsUnspecified() {
+			refuse("vm", "advertise", errors.New("others can't reach an unspecified address"))
+		}
+	}
+	files := []string{s.tls.certificate, s.tls.key, s.tls.authority}
+	if slices.Contains(files, "") && slices.ContainsFunc(files, func(f string) bool { return f != "" }) {
+		refuse("tls", "certificate", errors.New("certificate, key and authority go together"))
+	}
+	exposed := !isLoopback(s.listen) || !isLoopback(s.internal)
+	if exposed && !s.tls.Enabled() && !s.tls.plaintext {
+		refuse("tls", "plaintext", ErrPlaintext)
+	}
+	if s.debug != "" && !isLoopback(s.debug) {
+		refuse("vm", "debug", errors.New("want a loopback address"))
+	}
+	return faults
+}
+
+// isLoopback reports whether only this machine reaches the address.
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+// ID returns the id of the VM.
+func (s *Settings) ID() string { return s.id }
+
+// Centre returns the data centre of the VM.
+func (s *Settings) Centre() string { return s.centre }
+
+// Listen returns the address for callers and operators.
+func (s *Settings) Listen() string { return s.listen }
+
+// Internal returns the address for entry VMs and workers.
+func (s *Settings) Internal() string { return s.internal }
+
+// Advertise returns the address at which others reach Internal.
+func (s *Settings) Advertise() string { return s.advertise }
+
+// Debug returns the loopback address for pprof, empty for none.
+func (s *Settings) Debug() string { return s.debug }
+
+// Platform returns the URL of the platform.
+func (s *Settings) Platform() string { return s.platform }
+
+// Peers returns addresses of other entry VMs to ask first; may be empty.
+func (s *Settings) Peers() []string { return slices.Clone(s.peers) }
+
+// Centres returns the data centres known at the start, by name.
+func (s *Settings) Centres() []Centre { return slices.Clone(s.centres) }
+
+// Logging returns what is logged, and how.
+func (s *Settings) Logging() Logging { return s.logging }
+
+// Limits returns the bounds on callers.
+func (s *Settings) Limits() Limits { return s.limits }
+
+// TLS returns the certificate files.
+func (s *Settings) TLS() TLS { return s.tls }
+
+// Drain returns how long a planned stop waits for requests under way.
+func (s *Settings) Drain() time.Duration { return s.drain }
--- /dev/null
+++ b/server/settings_load.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"filberthaven.example/loader"
+	"github.com/samber/oops"
+)
+
+// LoadSettings reads the settings of one entry VM from an INI file. An error
+// holds a loader.Errors with all faults.
+func LoadSettings(path string) (*Settings, error) {
+	file, err := loader.ReadFile(path)
+	if err != nil {
+		return nil, oops.In("server").Wrapf(err, "settings can't be read")
+	}
+	return decodeSettings(file)
+}
+
+func decodeSettings(file loader.File) (*Settings, error) {
+	decoder := loader.NewDecoder(file)
+	settings := defaultSettings()
+	settings.decode(decoder)
+	if len(decoder.Faults()) == 0 {
+		for _, fault := range settings.check() {
+			decoder.Refuse(strings.Trim(fault.Section(), "[]"), "", fault.Key(), fault.Unwrap())
+		}
+	}
+	if err := decoder.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// decode reads all sections; values that are absent keep their defaults.
+func (s *Settings) decode(d *loader.Decoder) {
+	vm := d.One("vm")
+	s.id = loader.Require(vm, "id", loader.Word)
+	s.centre = loader.Require(vm, "centre", loader.Word)
+	s.listen = loader.Require(vm, "listen", loader.Address)
+	s.internal = loader.Require(vm, "internal", loader.Address)
+	s.advertise = loader.Get(vm, "advertise", loader.Address, s.internal)
+	s.debug = loader.Get(vm, "debug", loader.Address, "")
+	s.peers = loader.Get(vm, "peers", loader.List(loader.Address), nil)
+	s.drain = loader.Get(vm, "drain", loader.Duration, s.drain, loader.Between(time.Second, time.Hour))
+	s.platform = loader.Require(d.One("platform"), "address", loader.URL)
+	for section := range d.Each("centre") {
+		shards := loader.Get(section, "shards", loader.Int, 1, loader.Between(1, maxShards))
+		s.centres = append(s.centres, NewCentre(section.Name(), shards))
+	}
+	slices.SortFunc(s.centres, func(a, b Centre) int { return cmp.Compare(a.name, b.name) })
+	s.decodeLogging(d.One("log"))
+	s.decodeLimits(d.One("limits"))
+	s.decodeTLS(d.One("tls"))
+}
+
+// maxShards is the largest number of shards of a data centre.
+const maxShards = 64
+
+func (s *Settings) decodeLogging(section *loader.Section) {
+	s.logging.level = loader.Get(section, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), s.logging.level)
+	s.logging.json = loader.Get(section, "format", loader.OneOf("text", "json"), "text") == "json"
+}
+
+func (s *Settings) decodeLimits(section *loader.Section) {
+	limits := &s.limits
+	limits.body = loader.Get(section, "body", loader.Size, limits.body, loader.Between[int64](1<<10, 64<<20))
+	header := loader.Get(section, "header", loader.Size, int64(limits.header), loader.Between[int64](4<<10, 1<<20))
+	limits.header = int(header)
+	limits.read = loader.Get(section, "read", loader.Duration, limits.read, loader.Between(100*time.Millisecond, time.Hour))
+	limits.idle = loader.Get(section, "idle", loader.Duration, limits.idle, loader.Between(time.Second, time.Hour))
+	limits.call = loader.Get(section, "call", loader.Duration, limits.call, loader.Between(10*time.Millisecond, time.Minute))
+}
+
+func (s *Settings) decodeTLS(section *loader.Section) {
+	s.tls.certificate = loader.Get(section, "certificate", loader.Text, "")
+	s.tls.key = loader.Get(section, "key", loader.Text, "")
+	s.tls.authority = loader.Get(section, "authority", loader.Text, "")
+	s.tls.reload = loader.Get(section, "reload", loader.Duration, s.tls.reload, loader.Between(time.Second, time.Hour))
+	s.tls.plaintext = loader.Get(section, "plaintext", loader.Bool, false)
+}
