granter: Divide executors' slots between entry VMs

Cause: executors take 8 requests and 64 connections over all entry VMs. Conclusion: thin, to be wired.

--- /dev/null
+++ b/granter/slotter_holder.go
@@ -0,0 +1,233 @@
+package granter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"filberthaven.example/messenger"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Intervals of reports.
+const (
+	// reportInterval is the time between two reports to the owner.
+	reportInterval = 200 * time.Millisecond
+	// hurryInterval is the least time between two reports when requests wait.
+	hurryInterval = 20 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 3 * time.Second
+	// demandDecay is the part of an earlier peak of demand that is kept at each
+	// report.
+	demandDecay = 0.9
+)
+
+// ErrNoSlot means that no executor of the service is granted to this entry VM,
+// or that none got free in time.
+var ErrNoSlot = errors.New("no free slot")
+
+// Holder keeps the slots that were granted to this entry VM. It keeps them while
+// no owner can be reached.
+type Holder struct {
+	id          string
+	incarnation uint64
+	owner       func() (address string, ok bool)
+	messenger   *messenger.Messenger
+	logger      hclog.Logger
+	hurry       chan struct{} // holds one element when requests wait
+
+	mu        sync.RWMutex
+	services  map[string]*heldService
+	executors map[string]*held
+	term, seq uint64 // of the newest grants applied; only rise together
+}
+
+// HolderOption changes a Holder under construction.
+type HolderOption func(*Holder)
+
+// WithHolder sets the own VM and the incarnation of the process, which is higher than
+// those of earlier processes of the VM.
+func WithHolder(id string, incarnation uint64) HolderOption {
+	return func(h *Holder) {
+		h.id = id
+		h.incarnation = incarnation
+	}
+}
+
+// WithOwner sets where the shard's owner is reached, if there is one.
+func WithOwner(f func() (address string, ok bool)) HolderOption {
+	return func(h *Holder) { h.owner = f }
+}
+
+// WithHolderMessenger sets what reports travel by.
+func WithHolderMessenger(m *messenger.Messenger) HolderOption {
+	return func(h *Holder) { h.messenger = m }
+}
+
+// WithHolderLogger sets where changes are logged.
+func WithHolderLogger(logger hclog.Logger) HolderOption {
+	return func(h *Holder) { h.logger = logger.Named("granter") }
+}
+
+// NewHolder returns a Holder without slots, changed by the options. Run fetches
+// them.
+func NewHolder(options ...HolderOption) (*Holder, error) {
+	h := &Holder{
+		owner:     func() (string, bool) { return "", false },
+		logger:    hclog.NewNullLogger(),
+		hurry:     make(chan struct{}, 1),
+		services:  map[string]*heldService{},
+		executors: map[string]*held{},
+	}
+	for _, option := range options {
+		option(h)
+	}
+	return h, nil
+}
+
+// Run reports to the owner and applies its grants until ctx is done.
+func (h *Holder) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-h.hurry:
+			if wait := hurryInterval - time.Since(last); wait > 0 {
+				timer.Reset(wait)
+				continue
+			}
+		}
+		last = time.Now()
+		h.report(ctx)
+		timer.Reset(reportInterval)
+	}
+}
+
+// report sends one report and applies the answer.
+func (h *Holder) report(ctx context.Context) {
+	address, ok := h.owner()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	response, err := messenger.Call[slotsRequest, slotsResponse](ctx, h.messenger, address, slotsProcedure, h.request())
+	if err != nil {
+		h.logger.Debug("owner not reached", "address", address, "error", err)
+		return
+	}
+	h.apply(response)
+}
+
+// request returns the report of the present state.
+func (h *Holder) request() *slotsRequest {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	request := &slotsRequest{Holder: h.id, Incarnation: h.incarnation, Term: h.term, Seq: h.seq}
+	for name, service := range h.services {
+		demand, holding := service.report()
+		request.Demand = append(request.Demand, slotCount{Name: name, Slots: demand})
+		request.Holding = append(request.Holding, holding...)
+	}
+	return request
+}
+
+// apply takes grants over unless they are older than those applied.
+func (h *Holder) apply(response *slotsResponse) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if response.Term < h.term || response.Term == h.term && response.Seq <= h.seq && h.seq > 0 {
+		return
+	}
+	named := map[string]bool{}
+	for _, grant := range response.Grants {
+		named[grant.Executor] = true
+		h.heldOf(grant).set(grant)
+	}
+	for id, executor := range h.executors {
+		if !named[id] && executor.drop() {
+			delete(h.executors, id)
+		}
+	}
+	h.term, h.seq = response.Term, response.Seq
+	for _, service := range h.services {
+		service.serve()
+	}
+}
+
+// heldOf returns the executor of a grant, new on first use. The lock is held.
+func (h *Holder) heldOf(grant slotGrant) *held {
+	if known, ok := h.executors[grant.Executor]; ok && known.service.name == grant.Service {
+		return known
+	}
+	service := h.serviceLocked(grant.Service)
+	fresh := &held{service: service, id: grant.Executor}
+	service.add(fresh)
+	h.executors[grant.Executor] = fresh
+	return fresh
+}
+
+// serviceLocked returns a service, new on first use. The lock is held.
+func (h *Holder) serviceLocked(name string) *heldService {
+	service, ok := h.services[name]
+	if !ok {
+		service = &heldService{name: name, hurry: h.hurry}
+		h.services[name] = service
+	}
+	return service
+}
+
+// serviceOf returns a service, new on first use.
+func (h *Holder) serviceOf(name string) *heldService {
+	h.mu.RLock()
+	service, ok := h.services[name]
+	h.mu.RUnlock()
+	if ok {
+		return service
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.serviceLocked(name)
+}
+
+// Acquire returns a slot of the least loaded executor that avoid (nil: none)
+// does not reject. It waits until ctx is done and then returns ErrNoSlot. A
+// service with no executor in the grants fails at once.
+func (h *Holder) Acquire(ctx context.Context, service string, avoid func(executor string) bool) (Slot, error) {
+	return h.serviceOf(service).acquire(ctx, avoid)
+}
+
+// Exclude keeps new requests from an executor that leaves, before the owner's
+// grants say so; false lets them in again.
+func (h *Holder) Exclude(executor string, excluded bool) {
+	h.mu.RLock()
+	known, ok := h.executors[executor]
+	h.mu.RUnlock()
+	if ok {
+		known.exclude(excluded)
+	}
+}
+
+// Load returns the slots granted, the requests in flight and those that wait
+// for a slot of the service.
+func (h *Holder) Load(service string) (granted, inFlight, waiting int) {
+	return h.serviceOf(service).load()
+}
+
+// Services returns the names of the services that have executors here.
+func (h *Holder) Services() []string {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var names []string
+	for name, service := range h.services {
+		if granted, _, _ := service.load(); granted > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
