--- /dev/null
+++ b/scheduler/record.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"filberthaven.example/placer"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// recordVersion is the version of records that this program writes.
+const recordVersion = 1
+
+// recordKind is what a record tells.
+type recordKind uint8
+
+const (
+	recordAccept recordKind = iota + 1 // a job, with the state of its tasks
+	recordStart                        // a run of a task
+	recordEnd                          // the end of a run
+	recordCancel                       // no task of the job starts any more
+	recordExpire                       // the deadline passed before a start
+	recordMoving                       // the job is handed to another shard
+	recordMoved                        // the other shard has it
+	recordClaim                        // an urgent request with an id
+	recordSettle                       // the outcome of a claimed request
+	recordClose                        // the owner has stopped in order
+	recordBeat                         // proof that the owner still owns
+)
+
+// record is one change of a shard's state. Replay may meet a record twice or
+// late, so each carries a number by which older news are ignored.
+type record struct {
+	Version     uint8        `cbor:"0,keyasint"`
+	Kind        recordKind   `cbor:"1,keyasint"`
+	Job         string       `cbor:"2,keyasint,omitempty"`
+	Index       int          `cbor:"3,keyasint,omitempty"`
+	Attempt     uint32       `cbor:"4,keyasint,omitempty"`
+	Worker      string       `cbor:"5,keyasint,omitempty"`
+	Incarnation string       `cbor:"6,keyasint,omitempty"`
+	Result      result       `cbor:"7,keyasint,omitempty"`
+	At          int64        `cbor:"8,keyasint,omitempty"` // milliseconds since 1970
+	Spec        *specRecord  `cbor:"9,keyasint,omitempty"`
+	Team        string       `cbor:"10,keyasint,omitempty"`
+	Request     string       `cbor:"11,keyasint,omitempty"`
+	Digest      uint64       `cbor:"12,keyasint,omitempty"`
+	Holder      string       `cbor:"13,keyasint,omitempty"`
+	Target      string       `cbor:"14,keyasint,omitempty"`
+	Hop         uint32       `cbor:"15,keyasint,omitempty"` // moves of the job so far
+	Tasks       []taskRecord `cbor:"16,keyasint,omitempty"`
+	Cancelled   bool         `cbor:"17,keyasint,omitempty"`
+	Expired     bool         `cbor:"18,keyasint,omitempty"`
+	Term        uint64       `cbor:"19,keyasint,omitempty"`
+}
+
+// taskRecord is the state of one task in an accept record.
+type taskRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Index       int
+	Attempt     uint32
+	Running     bool
+	Result      result
+	Worker      string
+	Incarnation string
+}
+
+// specRecord is a JobSpec in a record.
+type specRecord struct {
+	ID         string        `cbor:"1,keyasint"`
+	Team       string        `cbor:"2,keyasint"`
+	Name       string        `cbor:"3,keyasint,omitempty"`
+	Queue      string        `cbor:"4,keyasint"`
+	Class      placer.Class  `cbor:"5,keyasint"`
+	Tasks      int           `cbor:"6,keyasint"`
+	Size       [3]int64      `cbor:"7,keyasint"`
+	Estimate   time.Duration `cbor:"8,keyasint,omitempty"`
+	Deadline   int64         `cbor:"9,keyasint,omitempty"`  // milliseconds since 1970
+	Submitted  int64         `cbor:"10,keyasint,omitempty"` // milliseconds since 1970
+	Gang       bool          `cbor:"11,keyasint,omitempty"`
+	Idempotent bool          `cbor:"12,keyasint,omitempty"`
+	Rack       string        `cbor:"13,keyasint,omitempty"`
+	Spread     bool          `cbor:"14,keyasint,omitempty"`
+}
+
+func newSpecRecord(spec placer.JobSpec) *specRecord {
+	size := spec.Size()
+	return &specRecord{
+		ID:         spec.ID(),
+		Team:       spec.Team(),
+		Name:       spec.Name(),
+		Queue:      spec.Queue(),
+		Class:      spec.Class(),
+		Tasks:      spec.Tasks(),
+		Size:       [3]int64{size.CPU(), size.Memory(), size.Accelerators()},
+		Estimate:   spec.Estimate(),
+		Deadline:   millis(spec.Deadline()),
+		Submitted:  millis(spec.Submitted()),
+		Gang:       spec.Gang(),
+		Idempotent: spec.Idempotent(),
+		Rack:       spec.Constraints().Rack(),
+		Spread:     spec.Constraints().Spread(),
+	}
+}
+
+func (r *specRecord) spec() placer.JobSpec {
+	options := []placer.JobOption{
+		placer.WithName(r.Name),
+		placer.WithQueue(r.Queue),
+		placer.WithClass(r.Class),
+		placer.WithTasks(r.Tasks),
+		placer.WithEstimate(r.Estimate),
+		placer.WithDeadline(timeOf(r.Deadline)),
+		placer.WithSubmitted(timeOf(r.Submitted)),
+		placer.WithConstraints(placer.NewConstraints(r.Rack, r.Spread)),
+	}
+	if r.Gang {
+		options = append(options, placer.WithGang())
+	}
+	if !r.Idempotent {
+		options = append(options, placer.WithNonIdempotent())
+	}
+	return placer.NewJobSpec(r.ID, r.Team, placer.NewResources(r.Size[0], r.Size[1], r.Size[2]), options...)
+}
+
+// encode returns the bytes of a record.
+func (r record) encode() ([]byte, error) {
+	r.Version = recordVersion
+	return cbor.Marshal(r)
+}
+
+// decodeRecords calls f for each record of a sequence, or returns ErrBadRecord.
+func decodeRecords(data []byte, f func(record)) error {
+	decoder := cbor.NewDecoder(bytes.NewReader(data))
+	for {
+		var r record
+		err := decoder.Decode(&r)
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return fmt.Errorf("%w at byte %d: %w", ErrBadRecord, decoder.NumBytesRead(), err)
+		case r.Version != recordVersion:
+			return fmt.Errorf("%w at byte %d: version %d, this program reads %d", ErrBadRecord, decoder.NumBytesRead(), r.Version, recordVersion)
+		}
+		f(r)
+	}
+}
+
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func timeOf(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
