--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -81,7 +81,7 @@
 		if changed {
 			s.show(l)
 		}
-		s.startLink(l)
+		s.startLink(s.base, l)
 	}
 	for id, l := range s.links {
 		if l.listed && !present[id] {
@@ -104,11 +104,11 @@
 }
 
 // startLink begins the exchange with a listed worker, once; the lock is held.
-func (s *Scheduler) startLink(l *link) {
+func (s *Scheduler) startLink(base context.Context, l *link) {
 	if l.stop != nil || !l.listed || s.stage != serving {
 		return
 	}
-	ctx, cancel := context.WithCancel(s.base)
+	ctx, cancel := context.WithCancel(base)
 	l.stop = cancel
 	s.group.Go(func() {
 		defer cancel()
--- a/scheduler/recovery.go
+++ b/scheduler/recovery.go
@@ -46,9 +46,9 @@
 	s.hold()
 	s.stage = serving
 	for _, l := range s.links {
-		s.startLink(l)
+		s.startLink(ctx, l)
 	}
-	s.resumeMoves()
+	s.resumeMoves(ctx)
 	close(s.open)
 	s.logger.Info("Shard recovered.", "shard", s.shard, "term", s.term, "jobs", len(s.book.jobs), "orderly", s.orderly)
 	return nil
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -95,34 +95,34 @@
 		s.logger.Info("Job moves.", "shard", s.shard, "job", id, "target", target, "reason", "shard is drained")
 		s.write(record{Kind: recordMoving, Job: id, Target: target, Hop: j.hop}, true, func(err error) {
 			if err == nil {
-				s.move(j)
+				s.move(s.base, j)
 			}
 		})
 	}
 }
 
 // resumeMoves goes on with the transfers that an earlier owner began.
-func (s *Scheduler) resumeMoves() {
+func (s *Scheduler) resumeMoves(ctx context.Context) {
 	for _, j := range s.book.jobs {
 		if j.gone() && !j.moved {
-			s.move(j)
+			s.move(ctx, j)
 		}
 	}
 }
 
 // move hands a job to its target: always the same, since an answer that was lost
 // may have been a yes.
-func (s *Scheduler) move(j *job) {
-	if s.transfer == nil || s.stage != serving || s.base.Err() != nil {
+func (s *Scheduler) move(ctx context.Context, j *job) {
+	if s.transfer == nil || s.stage != serving || ctx.Err() != nil {
 		return
 	}
 	r := j.record()
 	r.Target, r.Result, r.At = "", 0, 0
 	t := Transfer{target: j.target, record: r}
 	s.group.Go(func() {
-		for s.transfer(s.base, t) != nil {
+		for s.transfer(ctx, t) != nil {
 			select {
-			case <-s.base.Done():
+			case <-ctx.Done():
 				return
 			case <-s.over:
 				return
