configurer: Read back lost answers before trying again

Cause: a store that loses every answer never told the outcome, a lost answer of the history write was reported as an unknown change, and a lagging replica made a writer say that it was raced. Change: read back after each unknown answer; retry the history write; take an answer with the version expected as lagging. Keys hold their hash as text.

--- a/configurer/check.go
+++ b/configurer/check.go
@@ -92,8 +92,7 @@
 	c.checkAmounts("defaults", "", c.document.defaults)
 }
 
-// checkAmounts refuses limits and slots over the bounds. A limit that doesn't
-// bind passes no bound.
+// checkAmounts refuses limits and slots over the bounds, "none" included.
 func (c *checker) checkAmounts(kind, name string, v values) {
 	bounds := c.document.bounds
 	limitKey, slotsKey := "limit", "slots"
--- a/configurer/client.go
+++ b/configurer/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -156,13 +155,14 @@
 // Grant declares a key. With replaces, the key of that id lapses at the time until.
 func (c *Client) Grant(ctx context.Context, key Key, replaces string, until time.Time, reason string) (Accepted, error) {
 	return c.change(ctx, "/grant", grantRequest{
-		Key: key.id, Hash: hex.EncodeToString(key.hash[:]), Team: key.team, Role: string(key.role),
+		Key: key.id, Hash: key.hash, Team: key.team, Role: string(key.role),
 		Expires: key.expires, Note: key.note, Replaces: replaces, Until: until, Reason: reason,
 	})
 }
 
-// NewKey returns a key to be granted to a team or a role.
-func NewKey(id string, hash [HashSize]byte, team string, role Role, expires time.Time, note string) Key {
+// NewKey returns a key to be granted to a team or a role. The hash is the SHA-256 of its
+// secret in hexadecimal digits.
+func NewKey(id string, hash string, team string, role Role, expires time.Time, note string) Key {
 	return Key{id: id, hash: hash, team: team, role: role, expires: expires, note: note}
 }
 
--- a/configurer/history.go
+++ b/configurer/history.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"filberthaven.example/keeper"
+	"github.com/cenkalti/backoff/v5"
 	"github.com/samber/oops"
 )
 
@@ -81,24 +82,25 @@
 }
 
 // keep writes a revision that is about to be replaced into the ring. It is done before
-// the replacement is written, so that no revision is missing from the history.
+// the replacement is written, so that no revision is missing from the history. A failure is
+// keeper.ErrUnavailable: whatever became of this write, the live key is as it was.
 func (w *Writer) keep(ctx context.Context, revision *Revision) error {
-	held, version, err := w.slot(ctx, revision.number)
-	if err != nil {
-		return err
-	}
-	if held != nil && (held.id == revision.id || held.number > revision.number) {
-		return nil
-	}
-	_, err = w.store.Put(ctx, historyKey(revision.number), revision.data, version, 0)
-	if err == nil {
-		return nil
+	attempt := func() (struct{}, error) {
+		held, version, err := w.slot(ctx, revision.number)
+		if err != nil {
+			return struct{}{}, backoff.Permanent(err)
+		}
+		if held != nil && (held.id == revision.id || held.number > revision.number) {
+			return struct{}{}, nil
+		}
+		_, err = w.store.Put(ctx, historyKey(revision.number), revision.data, version, 0)
+		if errors.Is(err, keeper.ErrUnavailable) {
+			return struct{}{}, backoff.Permanent(err)
+		}
+		return struct{}{}, err
 	}
-	// Another writer keeps the same revision, or the answer was lost.
-	held, _, failure := w.slot(ctx, revision.number)
-	if failure == nil && held != nil && held.number >= revision.number {
-		return nil
+	if err := retry(ctx, attempt); err != nil {
+		return fmt.Errorf("revision %d can't be kept: %w: %s", revision.number, keeper.ErrUnavailable, err.Error())
 	}
-	// Nothing has been written to the live key, whatever became of this write.
-	return oops.In("configurer").Wrapf(errors.Join(keeper.ErrUnavailable, err), "revision %d can't be kept", revision.number)
+	return nil
 }
--- a/configurer/key.go
+++ b/configurer/key.go
@@ -1,12 +1,9 @@
 package configurer
 
 import (
-	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"filberthaven.example/loader"
@@ -22,25 +19,22 @@
 	Viewer   Role = "viewer"   // reads them
 )
 
-// HashSize is the size of a key's stored hash in bytes.
-const HashSize = sha256.Size
-
 // Key is a key as declared: the hash of its secret, and what it stands for.
 type Key struct {
-	id        string         // never empty; public
-	hash      [HashSize]byte // SHA-256 of the secret
-	team      string         // empty for an operator's key
-	role      Role           // NoRole for a team's key
-	expires   time.Time      // zero: never
-	withdrawn bool           // for good
-	note      string         // who holds it, or why it was withdrawn
+	id        string    // never empty; public
+	hash      string    // SHA-256 of the secret in hexadecimal digits
+	team      string    // empty for an operator's key
+	role      Role      // NoRole for a team's key
+	expires   time.Time // zero: never
+	withdrawn bool      // for good
+	note      string    // who holds it, or why it was withdrawn
 }
 
 // ID returns the public id of the key.
 func (k Key) ID() string { return k.id }
 
-// Hash returns the SHA-256 of the secret.
-func (k Key) Hash() [HashSize]byte { return k.hash }
+// Hash returns the SHA-256 of the secret in hexadecimal digits.
+func (k Key) Hash() string { return k.hash }
 
 // Team returns the team that the key stands for, empty for an operator's key.
 func (k Key) Team() string { return k.team }
@@ -80,7 +74,7 @@
 		withdrawn = formatBool(true)
 	}
 	return loader.NewBlock("key", k.id,
-		loader.NewPair("hash", hex.EncodeToString(k.hash[:])),
+		loader.NewPair("hash", k.hash),
 		loader.NewPair("team", k.team),
 		loader.NewPair("role", string(k.role)),
 		loader.NewPair("expires", formatTime(k.expires)),
@@ -88,13 +82,13 @@
 		loader.NewPair("note", k.note))
 }
 
-// parseHash takes 64 hexadecimal digits.
-func parseHash(text string) (hash [HashSize]byte, err error) {
+// parseHash takes a SHA-256 in hexadecimal digits.
+func parseHash(text string) (string, error) {
 	digits, err := hex.DecodeString(text)
-	if err != nil || len(digits) != HashSize {
-		return hash, fmt.Errorf("want %d hexadecimal digits", 2*HashSize)
+	if err != nil || len(digits) != sha256.Size {
+		return "", fmt.Errorf("want %d hexadecimal digits", 2*sha256.Size)
 	}
-	return [HashSize]byte(digits), nil
+	return hex.EncodeToString(digits), nil
 }
 
 func formatTime(t time.Time) string {
@@ -103,31 +97,3 @@
 	}
 	return t.UTC().Format(time.RFC3339Nano)
 }
-
-// tokenPrefix begins each key as its holder shows it.
-const tokenPrefix = "fh_"
-
-// ErrToken means that a text isn't a key.
-var ErrToken = errors.New("want a key such as fh_ID_SECRET")
-
-// NewToken returns a random key as shown once to its holder, its id, and the
-// hash that is declared.
-func NewToken() (token, id string, hash [HashSize]byte) {
-	id = strings.ToLower(rand.Text()[:12])
-	secret := rand.Text()
-	return tokenPrefix + id + "_" + secret, id, HashSecret(secret)
-}
-
-// ParseToken splits a key into its id and secret, or returns ErrToken.
-func ParseToken(token string) (id, secret string, err error) {
-	rest, found := strings.CutPrefix(token, tokenPrefix)
-	id, secret, split := strings.Cut(rest, "_")
-	if !found || !split || id == "" || secret == "" {
-		return "", "", ErrToken
-	}
-	return id, secret, nil
-}
-
-// HashSecret returns the hash of a key's secret. Secrets are random and long, so that
-// a plain hash is enough.
-func HashSecret(secret string) [HashSize]byte { return sha256.Sum256([]byte(secret)) }
--- a/configurer/resolver.go
+++ b/configurer/resolver.go
@@ -17,14 +17,17 @@
 	return resolve(r, func(v *values) optional[float64] { return v.share }, scope{"team", team})
 }
 
-// Limit returns the thousandths of processors that the team may have running.
+// Limit returns the thousandths of processors that the team may have running, within the
+// bound.
 func (r Resolver) Limit(team string) int64 {
-	return resolve(r, func(v *values) optional[int64] { return v.limit }, scope{"team", team})
+	limit := resolve(r, func(v *values) optional[int64] { return v.limit }, scope{"team", team})
+	return min(limit, r.document.bounds.limit)
 }
 
-// Slots returns how many urgent requests the team may have in flight.
+// Slots returns how many urgent requests the team may have in flight, within the bound.
 func (r Resolver) Slots(team string) int64 {
-	return resolve(r, func(v *values) optional[int64] { return v.slots }, scope{"team", team})
+	slots := resolve(r, func(v *values) optional[int64] { return v.slots }, scope{"team", team})
+	return min(slots, r.document.bounds.slots)
 }
 
 // Pending returns how many deferred jobs the team may have waiting.
--- a/configurer/writer.go
+++ b/configurer/writer.go
@@ -27,13 +27,15 @@
 	lastRetry  = time.Second
 	// WriteTimeout bounds a change whose context has no deadline.
 	WriteTimeout = 10 * time.Second
+	// staleLimit is how often a read is tried that answers less than is known.
+	staleLimit = 3
 	// raceLimit is how often a direct command is tried against other changes.
 	raceLimit = 8
 )
 
 // Writer changes the revision in the key-value service.
 type Writer struct {
-	store *keeper.Store
+	store keeper.Store
 	copy  *Copy // never older than what it takes in itself
 	now   func() time.Time
 	log   hclog.Logger
@@ -52,7 +54,7 @@
 
 // NewWriter returns a writer to the service. Accepted revisions come into force in
 // the copy at once.
-func NewWriter(store *keeper.Store, c *Copy, options ...WriterOption) *Writer {
+func NewWriter(store keeper.Store, c *Copy, options ...WriterOption) *Writer {
 	w := &Writer{store: store, copy: c, now: time.Now, log: hclog.NewNullLogger()}
 	for _, option := range options {
 		option(w)
@@ -82,12 +84,29 @@
 	return b.revision.document
 }
 
-// read returns the newest revision known. The service's may be older than the copy's
-// after the service was restored; an accepted revision never reverts.
+// read returns the newest revision known. The service may answer an older one than the
+// copy's, from a lagging replica or after it was restored; an accepted revision never
+// reverts.
 func (w *Writer) read(ctx context.Context) (base, error) {
+	for attempt := 1; ; attempt++ {
+		b, err := w.readOnce(ctx)
+		if err != nil {
+			return base{}, err
+		}
+		known := w.copy.Latest()
+		if known == nil || b.number() >= known.number {
+			return b, nil
+		}
+		if attempt == staleLimit {
+			return base{revision: known, version: b.version}, nil
+		}
+	}
+}
+
+func (w *Writer) readOnce(ctx context.Context) (base, error) {
 	entry, err := w.store.Get(ctx, LiveKey)
 	if errors.Is(err, keeper.ErrNotFound) {
-		return base{revision: w.copy.Latest()}, nil
+		return base{}, nil
 	}
 	if err != nil {
 		return base{}, oops.In("configurer").Wrapf(err, "declarations can't be read")
@@ -97,9 +116,6 @@
 		return base{}, err
 	}
 	w.copy.offer(revision)
-	if known := w.copy.Latest(); known.number > revision.number {
-		revision = known
-	}
 	return base{revision: revision, version: entry.Version()}, nil
 }
 
@@ -202,47 +218,48 @@
 		switch {
 		case err == nil:
 			return struct{}{}, nil
-		case errors.Is(err, keeper.ErrConflict):
-			return struct{}{}, w.settle(ctx, next)
-		case errors.Is(err, keeper.ErrTooLarge):
-			return struct{}{}, backoff.Permanent(err)
-		case errors.Is(err, keeper.ErrUnavailable) && !open:
+		case errors.Is(err, keeper.ErrTooLarge), errors.Is(err, keeper.ErrUnavailable) && !open:
 			return struct{}{}, backoff.Permanent(err)
 		}
-		open = true
-		return struct{}{}, errors.Join(keeper.ErrUnknown, err)
+		open = open || !errors.Is(err, keeper.ErrConflict)
+		return struct{}{}, w.settle(ctx, b, next)
+	}
+	err := retry(ctx, attempt)
+	if err == nil || errors.Is(err, ErrRaced) || errors.Is(err, keeper.ErrUnknown) || !open {
+		return err
 	}
+	return errors.Join(keeper.ErrUnknown, err)
+}
+
+// retry calls attempt until it succeeds, fails for good, or ctx ends.
+func retry(ctx context.Context, attempt backoff.Operation[struct{}]) error {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = firstRetry, lastRetry
 	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(delays), backoff.WithMaxElapsedTime(WriteTimeout))
-	if err != nil && open && !errors.Is(err, ErrRaced) {
-		return errors.Join(keeper.ErrUnknown, err)
-	}
 	return err
 }
 
-// settle tells after a conflict whether the revision was written: by this writer, whose
-// answer was lost, or not at all.
-func (w *Writer) settle(ctx context.Context, next *Revision) error {
+// settle tells after a conflict or a lost answer whether the revision was written. It returns keeper.ErrUnknown where a later try may tell.
+func (w *Writer) settle(ctx context.Context, b base, next *Revision) error {
 	entry, err := w.store.Get(ctx, LiveKey)
 	if err != nil {
 		return errors.Join(keeper.ErrUnknown, err)
 	}
 	live, err := DecodeRevision(entry.Value())
-	if err != nil {
-		return backoff.Permanent(err)
-	}
-	if live.id == next.id {
+	switch {
+	case err != nil:
+		return backoff.Permanent(errors.Join(keeper.ErrUnknown, err))
+	case live.id == next.id:
 		return nil
-	}
-	if live.number <= next.number {
+	case entry.Version() <= b.version:
+		// Not written so far, or a lagging replica answered.
+		return keeper.ErrUnknown
+	case live.number <= next.number:
 		return backoff.Permanent(ErrRaced)
 	}
 	// A later revision is in force. Its writer kept the one before it.
 	former, err := w.Former(ctx, next.number)
 	switch {
-	case errors.Is(err, ErrNoRevision):
-		return backoff.Permanent(errors.Join(keeper.ErrUnknown, err))
 	case err != nil:
 		return errors.Join(keeper.ErrUnknown, err)
 	case former.id != next.id:
--- /dev/null
+++ b/configurer/writer_test.go
@@ -0,0 +1,334 @@
+package configurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/keeper"
+	"filberthaven.example/loader"
+	qt "github.com/frankban/quicktest"
+)
+
+const hashOfNothing = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+// fleetText declares two data centres, a team, and keys of the team and of operators.
+const fleetText = `
+[centre "a"]
+shards = 2
+[centre "b"]
+[team "cremona"]
+[key "team00000000"]
+hash = ` + hashOfNothing + `
+team = cremona
+[key "oper00000000"]
+hash = ` + hashOfNothing + `
+role = operator
+`
+
+// applyFirst writes the first revision.
+func applyFirst(c *qt.C, w *Writer) {
+	c.Helper()
+	number, err := w.Apply(c.Context(), 0, parseText(c, fleetText), "ada", "first")
+	c.Assert(err, qt.IsNil)
+	c.Assert(number, qt.Equals, uint64(1))
+}
+
+func TestWriter(t *testing.T) {
+	c := qt.New(t)
+	store := emulator.NewStore()
+	w := NewWriter(store.Seam(), NewCopy())
+	applyFirst(c, w)
+
+	c.Run("raced", func(c *qt.C) {
+		_, err := w.Apply(c.Context(), 0, parseText(c, fleetText), "bea", "late")
+		c.Assert(err, qt.ErrorIs, ErrRaced)
+	})
+	c.Run("drain survives an apply", func(c *qt.C) {
+		drain := func(d *Document) (*Document, error) { return d.withCentre("a", Out, "power") }
+		number, err := w.Change(c.Context(), "bea", "power", drain)
+		c.Assert(err, qt.IsNil)
+		number, err = w.Apply(c.Context(), number, parseText(c, fleetText+"[team \"mantova\"]\n"), "ada", "team")
+		c.Assert(err, qt.IsNil)
+		c.Assert(number, qt.Equals, uint64(3))
+		centre, _ := w.copy.Current().Centre("a")
+		c.Assert(centre.State(), qt.Equals, Out)
+		c.Assert(centre.Reason(), qt.Equals, "power")
+	})
+	c.Run("last data centre", func(c *qt.C) {
+		_, err := w.Change(c.Context(), "bea", "power", func(d *Document) (*Document, error) { return d.withCentre("b", Lost, "fire") })
+		c.Assert(err, qt.ErrorIs, ErrLastCentre)
+	})
+	c.Run("withdrawn key stays withdrawn", func(c *qt.C) {
+		withdraw := func(d *Document) (*Document, error) { return d.withoutAccess("team00000000", "leaked") }
+		number, err := w.Change(c.Context(), "bea", "leaked", withdraw)
+		c.Assert(err, qt.IsNil)
+		number, err = w.Rollback(c.Context(), number, 1, "ada", "all wrong")
+		c.Assert(err, qt.IsNil)
+		c.Assert(number, qt.Equals, uint64(5))
+		key, _ := w.copy.Current().Key("team00000000")
+		c.Assert(key.Withdrawn(), qt.IsTrue)
+		_, known := w.copy.Current().Team("mantova")
+		c.Assert(known, qt.IsFalse)
+		centre, _ := w.copy.Current().Centre("a")
+		c.Assert(centre.State(), qt.Equals, Out)
+	})
+	c.Run("last operator", func(c *qt.C) {
+		_, err := w.Change(c.Context(), "bea", "leaked", func(d *Document) (*Document, error) { return d.withoutAccess("oper00000000", "leaked") })
+		c.Assert(err, qt.ErrorIs, ErrLockedOut)
+	})
+	c.Run("shards and data centres stay", func(c *qt.C) {
+		text := "[centre \"a\"]\nstate = in\n[key \"oper00000000\"]\nhash = " + hashOfNothing + "\nrole = operator\n"
+		_, err := w.Apply(c.Context(), 5, parseText(c, text), "ada", "smaller")
+		c.Assert(err, qt.ErrorIs, ErrShrunk)
+		c.Assert(err, qt.ErrorIs, ErrInService)
+	})
+	c.Run("no such revision", func(c *qt.C) {
+		_, err := w.Rollback(c.Context(), 5, 77, "ada", "which")
+		c.Assert(err, qt.ErrorIs, ErrNoRevision)
+	})
+	c.Run("history", func(c *qt.C) {
+		revisions, err := w.History(c.Context())
+		c.Assert(err, qt.IsNil)
+		assertNumbers(c, revisions, 5, 4, 3, 2, 1)
+		c.Assert(revisions[3].Reason(), qt.Equals, "power")
+		c.Assert(revisions[3].Author(), qt.Equals, "bea")
+	})
+}
+
+func assertNumbers(c *qt.C, revisions []*Revision, want ...uint64) {
+	c.Helper()
+	var numbers []uint64
+	for _, r := range revisions {
+		numbers = append(numbers, r.number)
+	}
+	c.Assert(numbers, qt.DeepEquals, want)
+}
+
+// TestWriterRestored holds that a change after the service was restored to an older
+// state builds on the revision in force.
+func TestWriterRestored(t *testing.T) {
+	c := qt.New(t)
+	copied := NewCopy()
+	store := emulator.NewStore().Seam()
+	w := NewWriter(store, copied)
+	applyFirst(c, w)
+	copied.Offer(revisionOf(c, 7).Data())
+	number, err := w.Change(c.Context(), "ada", "drain", func(d *Document) (*Document, error) { return d.withVM("w", "old") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(number, qt.Equals, uint64(8))
+	_, known := copied.Current().Team("team-7")
+	c.Assert(known, qt.IsTrue)
+}
+
+// TestWriterNewer holds that what a newer version wrote is not lost.
+func TestWriterNewer(t *testing.T) {
+	c := qt.New(t)
+	store := emulator.NewStore().Seam()
+	_, err := store.Put(c.Context(), LiveKey, []byte(`{"revision":3,"text":"[centre \"a\"]\nheight = 3\n"}`), 0, 0)
+	c.Assert(err, qt.IsNil)
+	w := NewWriter(store, NewCopy())
+	_, err = w.Change(c.Context(), "ada", "drain", func(d *Document) (*Document, error) { return d.withVM("w", "old") })
+	c.Assert(err, qt.ErrorIs, ErrNewer)
+}
+
+func TestWriterFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault emulator.Fault
+		want  error
+		holds bool // the change is in force in the end
+	}{
+		"down":         {emulator.Down(), keeper.ErrUnavailable, false},
+		"answers lost": {emulator.LoseAnswers(1), nil, true},
+		"late":         {emulator.LateWrites(1, 100*time.Millisecond), nil, true},
+		"slow":         {emulator.Slow(time.Second), nil, true},
+		"stale reads":  {emulator.StaleReads(0.5), nil, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := emulator.NewStore()
+				w := NewWriter(store.Seam(), NewCopy())
+				applyFirst(c, w)
+				store.SetFaults(test.fault)
+				number, err := w.Change(c.Context(), "ada", "old", func(d *Document) (*Document, error) { return d.withVM("w", "old") })
+				if test.want != nil {
+					c.Assert(err, qt.ErrorIs, test.want)
+				} else {
+					c.Assert(err, qt.IsNil)
+					c.Assert(number, qt.Equals, uint64(2))
+				}
+				store.SetFaults()
+				time.Sleep(time.Minute)
+				latest, err := NewWriter(store.Seam(), NewCopy()).Latest(c.Context())
+				c.Assert(err, qt.IsNil)
+				_, known := latest.Document().VM("w")
+				c.Assert(known, qt.Equals, test.holds)
+			})
+		})
+	}
+}
+
+// TestWriterDownAfterLost holds that "nothing was written" is not said after a write whose
+// answer was lost.
+func TestWriterDownAfterLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := emulator.NewStore()
+		seam := store.Seam()
+		w := NewWriter(seam, NewCopy())
+		applyFirst(c, w)
+		w.store.Put = func(ctx context.Context, key string, value []byte, expect uint64, lease keeper.LeaseID) (uint64, error) {
+			version, err := seam.Put(ctx, key, value, expect, lease)
+			if key != LiveKey {
+				return version, err
+			}
+			store.SetFaults(emulator.Down())
+			return 0, keeper.ErrUnknown
+		}
+		_, err := w.Change(c.Context(), "ada", "old", func(d *Document) (*Document, error) { return d.withVM("w", "old") })
+		c.Assert(err, qt.ErrorIs, keeper.ErrUnknown)
+		c.Assert(newProblem(err).Type, qt.Equals, "unknown")
+	})
+}
+
+// TestWriterRaces lets several operators change the document through faults. What was
+// accepted is in the history under its number; what was refused is not.
+func TestWriterRaces(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runRace(qt.New(t), seed) })
+		})
+	}
+}
+
+// outcome is what one operator was told.
+type outcome struct {
+	vm     string // unique to the change
+	number uint64
+	err    error
+}
+
+func runRace(c *qt.C, seed uint64) {
+	const operators, changes = 4, 5
+	store := emulator.NewStore(emulator.WithSeed(seed))
+	applyFirst(c, NewWriter(store.Seam(), NewCopy()))
+	store.SetFaults(emulator.LoseAnswers(0.2), emulator.LateWrites(0.2, time.Second),
+		emulator.StaleReads(0.2), emulator.FailReads(0.1), emulator.Slow(20*time.Millisecond))
+	var mu sync.Mutex
+	var outcomes []outcome
+	var group sync.WaitGroup
+	for operator := range operators {
+		random := rand.New(rand.NewPCG(seed, uint64(operator)))
+		w := NewWriter(store.Client(fmt.Sprint(operator)).Seam(), NewCopy())
+		group.Go(func() {
+			for change := range changes {
+				time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+				id := fmt.Sprintf("vm-%d-%d", operator, change)
+				number, err := w.Change(context.Background(), fmt.Sprint(operator), "race", func(d *Document) (*Document, error) {
+					return d.withVM(id, "race")
+				})
+				mu.Lock()
+				outcomes = append(outcomes, outcome{id, number, err})
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	store.SetFaults()
+	time.Sleep(time.Minute)
+	assertOutcomes(c, NewWriter(store.Seam(), NewCopy()), outcomes)
+}
+
+// assertOutcomes compares what operators were told with the history.
+func assertOutcomes(c *qt.C, w *Writer, outcomes []outcome) {
+	c.Helper()
+	revisions, err := w.History(c.Context())
+	c.Assert(err, qt.IsNil)
+	first := map[string]uint64{} // the revision that brought a VM in
+	for i := len(revisions) - 1; i >= 0; i-- {
+		c.Assert(revisions[i].number, qt.Equals, uint64(len(revisions)-i))
+		for vm := range revisions[i].document.VMs() {
+			if first[vm.id] == 0 {
+				first[vm.id] = revisions[i].number
+			}
+		}
+	}
+	accepted := 0
+	for _, o := range outcomes {
+		switch {
+		case o.err == nil:
+			accepted++
+			c.Assert(first[o.vm], qt.Equals, o.number, qt.Commentf("%s was accepted", o.vm))
+		case !errors.Is(o.err, keeper.ErrUnknown):
+			c.Assert(first[o.vm], qt.Equals, uint64(0), qt.Commentf("%s: %v", o.vm, o.err))
+		}
+	}
+	c.Assert(accepted > 0, qt.IsTrue)
+}
+
+func TestPlan(t *testing.T) {
+	c := qt.New(t)
+	before := parseText(c, fleetText+"[service \"prenota\"]\ncentres = a\n")
+	after := parseText(c, `
+[centre "a"]
+shards = 2
+state = out
+reason = power
+[centre "b"]
+[team "cremona"]
+limit = 4
+[service "prenota"]
+centres = a
+[key "oper00000000"]
+hash = `+hashOfNothing+`
+role = operator
+`)
+	usage := NewUsage(map[string]int64{"cremona": 5500}, map[string]Load{"a": NewLoad(12, 3)})
+	plan := NewPlan(4, before, after, usage, time.Unix(0, 0))
+	c.Assert(FormatDifferences(plan.Differences()), qt.Equals, `~ [centre "a"]
+    + reason = power
+    + state = out
+- [key "team00000000"]
+    - hash = `+hashOfNothing+`
+    - team = cremona
+~ [team "cremona"]
+    + limit = 4
+`)
+	c.Assert(plan.Effects(), qt.DeepEquals, []string{
+		"team cremona runs 5.5 processors, over its limit of 4: it starts nothing new, and its newest deferred tasks are checkpointed or stopped",
+		"data centre a goes out of service: 12 running tasks finish or move, 3 pending tasks go elsewhere",
+		"service prenota has no data centre in service",
+		"key team00000000 of team cremona stops working",
+	})
+}
+
+// TestSize holds that the declarations of the largest fleet fit into one value.
+func TestSize(t *testing.T) {
+	c := qt.New(t)
+	var blocks []loader.Block
+	for i := range 7 {
+		blocks = append(blocks, loader.NewBlock("centre", fmt.Sprintf("centre-%d", i), loader.NewPair("shards", "4")))
+	}
+	for i := range 590 {
+		team := fmt.Sprintf("team-%03d", i)
+		blocks = append(blocks, loader.NewBlock("team", team, loader.NewPair("share", "2.5"), loader.NewPair("limit", "400"), loader.NewPair("slots", "80")))
+		for j := range 3 {
+			blocks = append(blocks, loader.NewBlock("key", fmt.Sprintf("%012x", i*3+j),
+				loader.NewPair("hash", hashOfNothing), loader.NewPair("team", team), loader.NewPair("note", "the office of the team, second shift")))
+		}
+	}
+	document := parseText(c, string(loader.Encode(blocks)))
+	w := NewWriter(emulator.NewStore().Seam(), NewCopy())
+	_, err := w.Apply(c.Context(), 0, document, "ada", "all teams")
+	c.Assert(err, qt.IsNil)
+	c.Logf("%d bytes for 590 teams with 3 keys each", len(w.copy.Latest().Data()))
+	c.Assert(len(w.copy.Latest().Data()) < keeper.ValueLimit, qt.IsTrue)
+}
