--- a/configurer/handler_write.go
+++ b/configurer/handler_write.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"filberthaven.example/loader"
 )
 
 func (h *Handler) apply(c call[applyRequest]) (changeWire, error) {
+	if err := checkReason(c.request.Reason); err != nil {
+		return changeWire{}, err
+	}
 	document, err := c.request.Files.parse()
 	if err != nil {
 		return changeWire{}, err
@@ -17,14 +21,25 @@
 }
 
 func (h *Handler) rollback(c call[rollbackRequest]) (changeWire, error) {
+	if err := checkReason(c.request.Reason); err != nil {
+		return changeWire{}, err
+	}
 	revision, err := h.writer.Rollback(c.ctx, c.request.Revision, c.request.To, c.caller.name, c.request.Reason)
 	return h.accepted(c.ctx, revision, err)
 }
 
-// change makes a direct change for the caller, which needs a written reason.
+// checkReason refuses a change without a written reason.
+func checkReason(reason string) error {
+	if strings.TrimSpace(reason) == "" {
+		return fmt.Errorf("%w: %w", ErrRequest, ErrReason)
+	}
+	return nil
+}
+
+// change makes a direct change for the caller.
 func (h *Handler) change(ctx context.Context, caller Caller, reason string, edit func(*Document) (*Document, error)) (changeWire, error) {
-	if reason == "" {
-		return changeWire{}, fmt.Errorf("%w: %w", ErrRequest, ErrReason)
+	if err := checkReason(reason); err != nil {
+		return changeWire{}, err
 	}
 	revision, err := h.writer.Change(ctx, caller.name, reason, edit)
 	return h.accepted(ctx, revision, err)
@@ -80,7 +95,7 @@
 
 func (h *Handler) grant(c call[grantRequest]) (changeWire, error) {
 	request := c.request
-	hash, err := parseHash(request.Hash)
+	hash, err := loader.SHA256(request.Hash)
 	if err != nil {
 		return changeWire{}, fmt.Errorf("%w: hash: %w", ErrRequest, err)
 	}
--- a/configurer/key.go
+++ b/configurer/key.go
@@ -1,9 +1,6 @@
 package configurer
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
 	"time"
 
 	"filberthaven.example/loader"
@@ -59,7 +56,7 @@
 func decodeKey(s *loader.Section) Key {
 	return Key{
 		id:        s.Name(),
-		hash:      loader.Require(s, "hash", parseHash),
+		hash:      loader.Require(s, "hash", loader.SHA256),
 		team:      loader.Get(s, "team", loader.Word, ""),
 		role:      Role(loader.Get(s, "role", loader.OneOf(string(Operator), string(Viewer)), "")),
 		expires:   loader.Get(s, "expires", loader.Time, time.Time{}),
@@ -82,14 +79,8 @@
 		loader.NewPair("note", k.note))
 }
 
-// parseHash takes a SHA-256 in hexadecimal digits.
-func parseHash(text string) (string, error) {
-	digits, err := hex.DecodeString(text)
-	if err != nil || len(digits) != sha256.Size {
-		return "", fmt.Errorf("want %d hexadecimal digits", 2*sha256.Size)
-	}
-	return hex.EncodeToString(digits), nil
-}
+// Declaration returns the key's section as INI.
+func (k Key) Declaration() string { return string(loader.Encode([]loader.Block{k.block()})) }
 
 func formatTime(t time.Time) string {
 	if t.IsZero() {
--- a/configurer/wire.go
+++ b/configurer/wire.go
@@ -112,13 +112,17 @@
 func newPlanWire(p Plan) planWire {
 	wire := planWire{Revision: p.revision, Differences: []differenceWire{}, Effects: append([]string{}, p.effects...)}
 	for _, d := range p.differences {
-		wire.Differences = append(wire.Differences, differenceWire{
-			Kind: d.kind, Name: d.name, Key: d.key, Before: d.before, After: d.after, Added: d.added, Removed: d.removed,
-		})
+		wire.Differences = append(wire.Differences, newDifferenceWire(d))
 	}
 	return wire
 }
 
+func newDifferenceWire(d Difference) differenceWire {
+	return differenceWire{
+		Kind: d.kind, Name: d.name, Key: d.key, Before: d.before, After: d.after, Added: d.added, Removed: d.removed,
+	}
+}
+
 func (w planWire) plan() Plan {
 	p := Plan{revision: w.Revision, effects: w.Effects}
 	for _, d := range w.Differences {
--- a/loader/value.go
+++ b/loader/value.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"math"
@@ -117,6 +119,15 @@
 	return strings.TrimSuffix(text, "/"), nil
 }
 
+// SHA256 takes a hash in hexadecimal digits and returns it in lower case.
+func SHA256(text string) (string, error) {
+	digits, err := hex.DecodeString(text)
+	if err != nil || len(digits) != sha256.Size {
+		return "", fmt.Errorf("want %d hexadecimal digits", 2*sha256.Size)
+	}
+	return hex.EncodeToString(digits), nil
+}
+
 // OneOf takes one of the words.
 func OneOf(words ...string) Parser[string] {
 	return func(text string) (string, error) {
