commands: Plan, apply, drain, grant and the rest for operators

Cause: operators drive the fleet from the command line. Change: plan, apply, diff, export, history, rollback, drain, return, limit, grant, withdraw, status and check, with JSON, long help and exit codes; scripts run them against three entry VMs with a service in memory.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,7 +16,9 @@
 // registers lists the commands in the order of the help.
 func registers() []register {
 	return []register{
-		addCheck,
+		addStatus,
+		addCheck, addPlan, addApply, addDiff, addExport, addHistory, addRollback,
+		addDrain, addReturn, addLimit, addGrant, addWithdraw,
 	}
 }
 
@@ -26,7 +28,8 @@
 
 Exit codes: 0 done; 1 failed; 2 wrong usage; 3 refused, nothing was changed;
 4 another change came first, plan again; 5 the fleet can't be reached or the
-outcome is unknown; 6 done, but not yet in force on all entry VMs.`
+outcome is unknown; 6 done, but not yet in force on all entry VMs; 7 diff found
+differences.`
 
 // Run carries out the command line and returns the exit code.
 func Run(args []string) int { return run(args, os.Stdout, os.Stderr) }
--- a/commands/environment.go
+++ b/commands/environment.go
@@ -9,10 +9,11 @@
 // environment is what all commands share: the global options, and where they print.
 // Fields that the parser sets are exported.
 type environment struct {
-	Address string `long:"address" env:"FILBERTHAVEN_ADDRESS" value-name:"URL" description:"an entry VM or the balancer, such as https://10.0.1.1:8443"`
-	Key     string `long:"key" env:"FILBERTHAVEN_KEY" value-name:"KEY" description:"an operator's or a team's key; better set in the environment" default-mask:"-"`
-	JSON    bool   `long:"json" description:"print JSON"`
-	Version bool   `long:"version" description:"print the version and exit"`
+	Address   string `long:"address" env:"FILBERTHAVEN_ADDRESS" value-name:"URL" description:"an entry VM or the balancer, such as https://10.0.1.1:8443"`
+	Key       string `long:"key" env:"FILBERTHAVEN_KEY" value-name:"KEY" description:"an operator's or a team's key; better set in the environment" default-mask:"-"`
+	Authority string `long:"authority" env:"FILBERTHAVEN_AUTHORITY" value-name:"FILE" description:"PEM certificates that sign the entry VMs, when they are not the system's"`
+	JSON      bool   `long:"json" description:"print JSON"`
+	Version   bool   `long:"version" description:"print the version and exit"`
 
 	out, err io.Writer
 }
--- a/commands/exit.go
+++ b/commands/exit.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"slices"
 
+	"filberthaven.example/configurer"
+	"filberthaven.example/keeper"
 	"filberthaven.example/loader"
 )
 
@@ -15,6 +18,7 @@
 	exitRaced
 	exitUnreachable
 	exitPartly
+	exitDiffers
 )
 
 // exitError carries an exit code.
@@ -36,12 +40,27 @@
 		return exitDone
 	case errors.As(err, &coded):
 		return coded.code
-	case errors.As(err, &faults):
+	case isAny(err, keeper.ErrUnknown, keeper.ErrUnavailable, configurer.ErrUnreachable):
+		return exitUnreachable
+	case errors.Is(err, configurer.ErrRaced):
+		return exitRaced
+	case errors.As(err, &faults), isAny(err, refusals...):
 		return exitRefused
 	}
 	return exitFailed
 }
 
+// refusals are errors after which nothing was changed.
+var refusals = []error{
+	configurer.ErrRefused, configurer.ErrRequest, configurer.ErrDenied, configurer.ErrNoRevision,
+	configurer.ErrNewer, keeper.ErrTooLarge,
+}
+
+// isAny reports whether err is one of the targets.
+func isAny(err error, targets ...error) bool {
+	return slices.ContainsFunc(targets, func(target error) bool { return errors.Is(err, target) })
+}
+
 // report prints the error of a command and returns the exit code.
 func (e *environment) report(err error) int {
 	if err != nil {
