configurer: Mount the operators' API under /v1/operate

Cause: the callers' API mounts it there and checks keys first; the reference page has to be checked against the keys and routes that the code knows. Change: the path; keys and routes can be listed; a refusal of the key by the callers' API is told as not permitted. Measured: unit tests only. Conclusion: the reference page can be tested.

--- a/configurer/document.go
+++ b/configurer/document.go
@@ -81,6 +81,18 @@
 	return d
 }
 
+// DeclarationKeys returns all keys that declarations may hold, such as "[team] share", by
+// name.
+func DeclarationKeys() []string {
+	var blocks []loader.Block
+	for _, kind := range []string{"centre", "vm", "team", "queue", "service", "key", "exception"} {
+		blocks = append(blocks, loader.NewBlock(kind, "name"))
+	}
+	decoder := loader.NewDecoder(loader.NewFile("", loader.Encode(blocks)))
+	decode(decoder)
+	return decoder.Asked()
+}
+
 func decodeTable[T any](decoder *loader.Decoder, kind string, decode func(*loader.Section) T) table[T] {
 	entities := map[string]T{}
 	for section := range decoder.Each(kind) {
--- a/configurer/handler.go
+++ b/configurer/handler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"filberthaven.example/loader"
@@ -14,7 +15,7 @@
 )
 
 // BasePath is where the operators' API is mounted.
-const BasePath = "/v1/config"
+const BasePath = "/v1/operate"
 
 // bodyLimit is the largest body of a request in bytes.
 const bodyLimit = 4 << 20
@@ -86,6 +87,19 @@
 // ServeHTTP answers a request. The handler is mounted at BasePath with chi.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
 
+// Routes returns the routes of the operators' API, such as "POST /v1/operate/plan", in
+// alphabetical order.
+func (h *Handler) Routes() []string {
+	var routes []string
+	walk := func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
+		routes = append(routes, method+" "+BasePath+route)
+		return nil
+	}
+	_ = chi.Walk(h.router, walk) // walk returns no error
+	slices.Sort(routes)
+	return routes
+}
+
 func (h *Handler) routes() chi.Router {
 	router := chi.NewRouter()
 	router.Get("/document", endpoint(h, Viewer, h.document))
--- a/configurer/problem.go
+++ b/configurer/problem.go
@@ -86,6 +86,10 @@
 			return &apiError{kind: kind.err, problem: p}
 		}
 	}
+	// The callers' API refused the key before the operators' API was asked.
+	if p.Status == http.StatusUnauthorized || p.Status == http.StatusForbidden || p.Status == http.StatusTooManyRequests {
+		return &apiError{kind: ErrDenied, problem: p}
+	}
 	return &apiError{kind: errors.New(p.Title), problem: p}
 }
 
--- a/loader/decoder.go
+++ b/loader/decoder.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"iter"
+	"maps"
+	"slices"
 
 	"gopkg.in/ini.v1"
 )
@@ -25,11 +27,12 @@
 	sections map[sectionKey]*Section
 	order    []*Section // as they stand in the files
 	faults   Errors
+	asked    map[string]bool // headers of kinds with the keys asked for
 }
 
 // NewDecoder reads the files. Faults are kept for Err.
 func NewDecoder(files ...File) *Decoder {
-	d := &Decoder{sections: map[sectionKey]*Section{}}
+	d := &Decoder{sections: map[sectionKey]*Section{}, asked: map[string]bool{}}
 	for _, file := range files {
 		d.read(file)
 	}
@@ -125,6 +128,10 @@
 	return faults.sorted()
 }
 
+// Asked returns the keys that were asked for, such as "[team] share", by name. It tells
+// what a format knows.
+func (d *Decoder) Asked() []string { return slices.Sorted(maps.Keys(d.asked)) }
+
 // Faults returns the faults collected so far, without the unknown sections and
 // keys, by file and line.
 func (d *Decoder) Faults() Errors { return d.faults.sorted() }
--- a/loader/section.go
+++ b/loader/section.go
@@ -57,6 +57,7 @@
 // Get returns the value of the key, or fallback when it is absent. A value that
 // doesn't parse or fails a check is a fault of the decoder; fallback is returned.
 func Get[T any](s *Section, key string, parse Parser[T], fallback T, checks ...Check[T]) T {
+	s.decoder.asked["["+s.kind+"] "+key] = true
 	entry, known := s.entries[key]
 	if !known {
 		return fallback
@@ -78,6 +79,7 @@
 // Require is Get for a key that has to be there and not be empty.
 func Require[T any](s *Section, key string, parse Parser[T], checks ...Check[T]) T {
 	var zero T
+	s.decoder.asked["["+s.kind+"] "+key] = true
 	entry, known := s.entries[key]
 	if !known || entry.value == "" {
 		if known {
--- a/server/settings_load.go
+++ b/server/settings_load.go
@@ -35,6 +35,13 @@
 	return settings, nil
 }
 
+// SettingKeys returns all keys that a settings file may hold, such as "[vm] id", by name.
+func SettingKeys() []string {
+	decoder := loader.NewDecoder(loader.NewFile("", []byte("[centre \"name\"]\n")))
+	defaultSettings().decode(decoder)
+	return decoder.Asked()
+}
+
 // decode reads all sections; values that are absent keep their defaults.
 func (s *Settings) decode(d *loader.Decoder) {
 	vm := d.One("vm")
