--- a/configurer/problem.go
+++ b/configurer/problem.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 
 	"filberthaven.example/keeper"
 	"filberthaven.example/loader"
@@ -127,3 +128,13 @@
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p) // the caller has gone if this fails
 }
+
+// ProblemTypes returns the types of errors that the operators' API answers, by name.
+func ProblemTypes() []string {
+	types := make([]string, 0, len(problemKinds))
+	for _, kind := range problemKinds {
+		types = append(types, kind.name)
+	}
+	slices.Sort(types)
+	return types
+}
