--- a/placer/decide.go
+++ b/placer/decide.go
@@ -257,16 +257,15 @@
 // expire drops urgent jobs whose deadline passed before they started.
 func (p *Placer) expire(r *round) {
 	for _, t := range p.teams {
-		if t.queues[urgentLane].Len() == 0 {
-			continue
-		}
 		var late []*job
-		t.queues[urgentLane].Ascend(func(j *job) bool {
-			if d := nanos(j.spec.deadline); d != 0 && d < r.now && j.active == 0 {
+		collect := func(j *job) bool {
+			if d := nanos(j.spec.deadline); j.spec.class == Urgent && d != 0 && d < r.now && j.active == 0 {
 				late = append(late, j)
 			}
 			return true
-		})
+		}
+		t.queues[urgentLane].Ascend(collect)
+		t.queues[gangLane].Ascend(collect)
 		for _, j := range late {
 			r.add(Decision{kind: Expire, task: NewTaskID(j.spec.id, 0), candidates: 1, reason: "its deadline has passed"})
 			p.withdraw(j)
--- a/placer/gangs.go
+++ b/placer/gangs.go
@@ -76,9 +76,21 @@
 		p.releaseHolds(j)
 		return
 	}
+	if j.spec.class == Urgent {
+		p.evictFor(r, j)
+	}
 	p.startGang(r, j)
 }
 
+// evictFor makes tasks yield wherever holds of the job wait.
+func (p *Placer) evictFor(r *round, j *job) {
+	for _, h := range j.holds {
+		if !h.ready {
+			p.evict(r, h.node, 1, "an urgent gang needs the room")
+		}
+	}
+}
+
 func (p *Placer) gangsHolding() int {
 	n := 0
 	for _, j := range p.holding {
--- a/placer/holds.go
+++ b/placer/holds.go
@@ -47,9 +47,14 @@
 }
 
 // startHeld starts the tasks whose held room is free: singly, or together for
-// a gang. It also gives back holds that are no longer needed.
+// a gang. It also gives back holds that are no longer needed, or that a lowered
+// allotment doesn't cover.
 func (p *Placer) startHeld(r *round) {
 	for _, j := range slices.Clone(p.holding) {
+		if !j.team.allows(0) {
+			p.releaseHolds(j)
+			continue
+		}
 		for len(j.holds) > int(j.pending) {
 			p.freeHold(j.holds[len(j.holds)-1])
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -91,10 +91,10 @@
 
 func (j *job) firstLane() lane {
 	switch {
-	case j.spec.class == Urgent:
-		return urgentLane
 	case j.spec.gang:
 		return gangLane
+	case j.spec.class == Urgent:
+		return urgentLane
 	case j.spec.class == Service:
 		return serviceLane
 	case j.spec.class == Deferred:
