--- a/configurer/copy_test.go
+++ b/configurer/copy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 
 	"filberthaven.example/keeper"
@@ -39,9 +40,17 @@
 	c.Run("older", func(c *qt.C) { c.Assert(copied.Offer(revisionOf(c, 1).Data()), qt.IsFalse) })
 	c.Run("same", func(c *qt.C) { c.Assert(copied.Offer(revisionOf(c, 2).Data()), qt.IsFalse) })
 	c.Run("damaged", func(c *qt.C) {
-		c.Assert(copied.Offer([]byte(`{"revision":9,"text":"[centre"}`)), qt.IsFalse)
-		c.Assert(copied.Offer([]byte(`{"text":"[centre \"a\"]"}`)), qt.IsFalse)
-		c.Assert(copied.Offer([]byte("{")), qt.IsFalse)
+		data := revisionOf(c, 9).Data()
+		for i := range data {
+			damaged := slices.Clone(data)
+			damaged[i] ^= 0x20
+			c.Assert(copied.Offer(damaged), qt.IsFalse, qt.Commentf("byte %d", i))
+			c.Assert(copied.Offer(data[:i]), qt.IsFalse, qt.Commentf("%d bytes", i))
+		}
+	})
+	c.Run("no number", func(c *qt.C) { c.Assert(copied.Offer(revisionOf(c, 0).Data()), qt.IsFalse) })
+	c.Run("empty", func(c *qt.C) {
+		c.Assert(copied.Offer(nil), qt.IsFalse)
 	})
 	c.Run("deleted", func(*qt.C) { copied.Observe(keeper.NewEntry(LiveKey, nil, 9, true)) })
 	c.Run("other key", func(c *qt.C) { copied.Observe(keeper.NewEntry("live/vm/1", revisionOf(c, 9).Data(), 9, false)) })
@@ -101,12 +110,18 @@
 		c.Assert(number, qt.Equals, uint64(4))
 		assertRevision(c, second.copied, 4)
 	})
+	c.Run("cut off from the service", func(c *qt.C) {
+		second.copied.Offer(revisionOf(c, 5).Data())
+		peers := func() []Peer { return []Peer{NewPeer("b", second.address)} }
+		NewSpreader("a", first.copied, m, peers).fetchOne(t.Context())
+		assertRevision(c, first.copied, 5)
+	})
 	c.Run("unreachable", func(c *qt.C) {
 		peers := func() []Peer { return []Peer{NewPeer("b", second.address), NewPeer("c", "127.0.0.1:1")} }
 		holdings := NewSpreader("a", first.copied, m, peers).Report(t.Context())
 		c.Assert(holdings, qt.HasLen, 3)
-		c.Assert(holdings[0].Revision(), qt.Equals, uint64(4))
-		c.Assert(holdings[1].Revision(), qt.Equals, uint64(4))
+		c.Assert(holdings[0].Revision(), qt.Equals, uint64(5))
+		c.Assert(holdings[1].Revision(), qt.Equals, uint64(5))
 		c.Assert(holdings[2].Err(), qt.IsNotNil)
 	})
 }
--- a/configurer/revision.go
+++ b/configurer/revision.go
@@ -1,9 +1,16 @@
 package configurer
 
 import (
-	"encoding/json"
+	"bytes"
+	"compress/gzip"
+	"encoding/binary"
+	"errors"
+	"io"
 	"time"
 
+	"filberthaven.example/loader"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 )
 
@@ -36,39 +43,65 @@
 // Data returns the revision as stored, not to be changed.
 func (r *Revision) Data() []byte { return r.data }
 
-// revisionRecord is a revision as stored.
+// revisionRecord is a revision as stored: CBOR after its checksum.
 type revisionRecord struct {
-	Revision uint64    `json:"revision"`
-	Author   string    `json:"author"`
-	Reason   string    `json:"reason"`
-	Time     time.Time `json:"time"`
-	ID       string    `json:"id"`
-	Text     string    `json:"text"` // the document as INI
+	Revision uint64    `cbor:"revision"`
+	Author   string    `cbor:"author"`
+	Reason   string    `cbor:"reason"`
+	Time     time.Time `cbor:"time"`
+	ID       string    `cbor:"id"`
+	Text     []byte    `cbor:"text"` // the document as INI, by gzip
 }
 
+// sumSize is the size of the checksum in bytes.
+const sumSize = 8
+
+// Reasons why a stored revision is refused.
+var (
+	// ErrDamaged means that the checksum is wrong.
+	ErrDamaged  = errors.New("revision is damaged")
+	errNoNumber = errors.New("revision has no number")
+)
+
 // encode sets the stored form.
 func (r *Revision) encode() error {
-	data, err := json.Marshal(revisionRecord{
-		Revision: r.number, Author: r.author, Reason: r.reason, Time: r.time.UTC(), ID: r.id, Text: string(r.document.Text()),
-	})
+	text, err := compress(r.document.Text())
 	if err != nil {
-		return oops.In("configurer").Wrapf(err, "revision %d can't be encoded", r.number)
+		return oops.In("configurer").Wrapf(err, "revision %d can't be compressed", r.number)
 	}
-	r.data = data
-	return nil
+	r.data, err = revisionRecord{
+		Revision: r.number, Author: r.author, Reason: r.reason, Time: r.time.UTC(), ID: r.id, Text: text,
+	}.encode()
+	return err
+}
+
+// encode returns the record after its checksum.
+func (r revisionRecord) encode() ([]byte, error) {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, oops.In("configurer").Wrapf(err, "revision %d can't be encoded", r.Revision)
+	}
+	return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(body)), body...), nil
 }
 
 // DecodeRevision reads a revision as stored. Keys that a newer version of the
 // program wrote are passed over.
 func DecodeRevision(data []byte) (*Revision, error) {
+	if len(data) < sumSize || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[sumSize:]) {
+		return nil, oops.In("configurer").Wrap(ErrDamaged)
+	}
 	var record revisionRecord
-	if err := json.Unmarshal(data, &record); err != nil {
+	if err := cbor.Unmarshal(data[sumSize:], &record); err != nil {
 		return nil, oops.In("configurer").Wrapf(err, "revision can't be decoded")
 	}
 	if record.Revision == 0 {
-		return nil, oops.In("configurer").Errorf("revision has no number")
+		return nil, oops.In("configurer").Wrap(errNoNumber)
+	}
+	text, err := decompress(record.Text)
+	if err != nil {
+		return nil, oops.In("configurer").Wrapf(err, "revision %d can't be decompressed", record.Revision)
 	}
-	document, err := parseAccepted([]byte(record.Text))
+	document, err := parseAccepted(text)
 	if err != nil {
 		return nil, oops.In("configurer").Wrapf(err, "revision %d can't be decoded", record.Revision)
 	}
@@ -77,3 +110,24 @@
 		id: record.ID, document: document, data: data,
 	}, nil
 }
+
+func compress(text []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	w := gzip.NewWriter(&buffer)
+	if _, err := w.Write(text); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// decompress returns the text, up to loader.FileLimit and a byte, which the loader refuses.
+func decompress(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, loader.FileLimit+1))
+}
--- a/configurer/spreader.go
+++ b/configurer/spreader.go
@@ -14,12 +14,15 @@
 
 // Times of the exchange between entry VMs.
 const (
-	pushTimeout  = time.Second
-	pushInterval = 100 * time.Millisecond
+	pushTimeout = time.Second
+	askInterval = 100 * time.Millisecond
+	// watchDelay is how long the watch has for bringing a change to an entry VM before
+	// the change is sent to it.
+	watchDelay = 300 * time.Millisecond
 	// SpreadTimeout is how long a change waits for entry VMs that don't answer.
 	SpreadTimeout = 3 * time.Second
 	// FetchInterval is the time between two questions to other entry VMs.
-	FetchInterval = time.Second
+	FetchInterval = 5 * time.Second
 )
 
 // Peer is another entry VM.
@@ -107,13 +110,10 @@
 func (s *Spreader) Report(ctx context.Context) []Holding {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	return s.each(func(peer Peer) Holding {
-		revision, err := s.copy.Fetch(ctx, s.messenger, peer.address)
-		return Holding{vm: peer.id, revision: revision, err: err}
-	})
+	return s.each(func(peer Peer) Holding { return s.ask(ctx, peer, false) })
 }
 
-// Spread offers the revision in force to all entry VMs until each has it, for
+// Spread waits until all entry VMs have the revision in force, for
 // SpreadTimeout at most, and returns what each has, by id.
 func (s *Spreader) Spread(ctx context.Context) []Holding {
 	ctx, cancel := context.WithTimeout(ctx, SpreadTimeout)
@@ -121,25 +121,32 @@
 	return s.each(func(peer Peer) Holding { return s.push(ctx, peer) })
 }
 
-// push offers the revision in force to one entry VM until it has it.
+// push waits until one entry VM has the revision in force. When its watch doesn't bring it,
+// the revision is sent.
 func (s *Spreader) push(ctx context.Context, peer Peer) Holding {
+	start := time.Now()
 	for {
-		holding := s.pushOnce(ctx, peer)
+		holding := s.ask(ctx, peer, time.Since(start) >= watchDelay)
 		if holding.err == nil && holding.revision >= s.copy.Revision() {
 			return holding
 		}
 		select {
 		case <-ctx.Done():
 			return holding
-		case <-time.After(pushInterval):
+		case <-time.After(askInterval):
 		}
 	}
 }
 
-func (s *Spreader) pushOnce(ctx context.Context, peer Peer) Holding {
+// ask returns what the entry VM has in force, and sends it the own revision first if send is set.
+func (s *Spreader) ask(ctx context.Context, peer Peer, send bool) Holding {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	revision, err := s.copy.Push(ctx, s.messenger, peer.address)
+	call := s.copy.Fetch
+	if send {
+		call = s.copy.Push
+	}
+	revision, err := call(ctx, s.messenger, peer.address)
 	return Holding{vm: peer.id, revision: revision, err: err}
 }
 
--- a/configurer/writer_test.go
+++ b/configurer/writer_test.go
@@ -12,7 +12,6 @@
 
 	"filberthaven.example/emulator"
 	"filberthaven.example/keeper"
-	"filberthaven.example/loader"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -131,7 +130,11 @@
 func TestWriterNewer(t *testing.T) {
 	c := qt.New(t)
 	store := emulator.NewStore().Seam()
-	_, err := store.Put(c.Context(), LiveKey, []byte(`{"revision":3,"text":"[centre \"a\"]\nheight = 3\n"}`), 0, 0)
+	text, err := compress([]byte("[centre \"a\"]\nheight = 3\n"))
+	c.Assert(err, qt.IsNil)
+	data, err := revisionRecord{Revision: 3, Text: text}.encode()
+	c.Assert(err, qt.IsNil)
+	_, err = store.Put(c.Context(), LiveKey, data, 0, 0)
 	c.Assert(err, qt.IsNil)
 	w := NewWriter(store, NewCopy())
 	_, err = w.Change(c.Context(), "ada", "drain", func(d *Document) (*Document, error) { return d.withVM("w", "old") })
@@ -313,19 +316,7 @@
 // TestSize holds that the declarations of the largest fleet fit into one value.
 func TestSize(t *testing.T) {
 	c := qt.New(t)
-	var blocks []loader.Block
-	for i := range 7 {
-		blocks = append(blocks, loader.NewBlock("centre", fmt.Sprintf("centre-%d", i), loader.NewPair("shards", "4")))
-	}
-	for i := range 590 {
-		team := fmt.Sprintf("team-%03d", i)
-		blocks = append(blocks, loader.NewBlock("team", team, loader.NewPair("share", "2.5"), loader.NewPair("limit", "400"), loader.NewPair("slots", "80")))
-		for j := range 3 {
-			blocks = append(blocks, loader.NewBlock("key", fmt.Sprintf("%012x", i*3+j),
-				loader.NewPair("hash", hashOfNothing), loader.NewPair("team", team), loader.NewPair("note", "the office of the team, second shift")))
-		}
-	}
-	document := parseText(c, string(loader.Encode(blocks)))
+	document := parseText(c, manyText())
 	w := NewWriter(emulator.NewStore().Seam(), NewCopy())
 	_, err := w.Apply(c.Context(), 0, document, "ada", "all teams")
 	c.Assert(err, qt.IsNil)
