commands: Wait for a key to lapse instead of sleeping

Cause: the overlap of two seconds in a script was cut to whole seconds, and could end before the script looked.

--- a/commands/change.go
+++ b/commands/change.go
@@ -63,12 +63,13 @@
 	return h.VM() + ": in force"
 }
 
-// after returns the time that lies d after now, or the zero time without d.
+// after returns the time that lies d after now, rounded up to a second, or the zero time
+// without d.
 func after(d time.Duration) time.Time {
 	if d == 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(d).UTC().Truncate(time.Second)
+	return time.Now().Add(d + time.Second - 1).UTC().Truncate(time.Second)
 }
 
 // background is the context of a command; a signal ends the process itself.
--- a/commands/script_test.go
+++ b/commands/script_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -50,6 +51,7 @@
 			"exits":    exits,
 			"readkey":  readKey,
 			"accepted": accepted,
+			"lapses":   lapses,
 			"state":    state,
 			"cut":      cut,
 			"store":    store,
@@ -112,6 +114,22 @@
 	}
 }
 
+// lapses KEY waits until no entry VM accepts the key.
+func lapses(ts *testscript.TestScript, _ bool, args []string) {
+	for _, vm := range fleetOf(ts).vms {
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(50 * time.Millisecond) {
+			ok, err := vm.accepts(args[0])
+			ts.Check(err)
+			if !ok {
+				break
+			}
+			if time.Now().After(deadline) {
+				ts.Fatalf("%s still accepts the key", vm.id)
+			}
+		}
+	}
+}
+
 // state CENTRE STATE holds the state of a data centre on all entry VMs.
 func state(ts *testscript.TestScript, _ bool, args []string) {
 	for _, vm := range fleetOf(ts).vms {
