--- a/placer/decide.go
+++ b/placer/decide.go
@@ -8,6 +8,9 @@
 // first on.
 const lookahead = 16
 
+// estimateLife is how long the estimate of a queued job's run time is kept.
+const estimateLife = 30 * time.Second
+
 // round is one call of Decide.
 type round struct {
 	now    int64
@@ -154,7 +157,17 @@
 func (p *Placer) sortLate(r *round, t *team) {
 	for {
 		j, ok := t.queues[deferredLane].Min()
-		if !ok || j.latest >= r.now {
+		if !ok {
+			return
+		}
+		if r.now-j.estimated >= int64(estimateLife) {
+			j.estimated = r.now
+			if latest := p.latestStart(j.spec); latest != j.latest {
+				t.move(j, deferredLane, latest)
+				continue
+			}
+		}
+		if j.latest >= r.now {
 			return
 		}
 		t.move(j, lateLane, 0)
--- a/placer/jobs.go
+++ b/placer/jobs.go
@@ -40,6 +40,7 @@
 	j := &job{spec: spec, team: t, serial: p.serial, pending: int32(spec.tasks)}
 	j.lane = j.firstLane()
 	j.latest = p.latestStart(spec)
+	j.estimated = nanos(spec.submitted)
 	p.jobs[spec.id] = j
 	t.addJob(j)
 	p.wait(j, spec.tasks)
--- a/placer/state.go
+++ b/placer/state.go
@@ -43,6 +43,7 @@
 	active    int32   // tasks on nodes
 	failed    int32   // tasks that ended without success
 	latest    int64   // latest start that meets the deadline; nanoseconds since 1970
+	estimated int64   // when latest was reckoned; nanoseconds since 1970
 	lane      lane
 	queued    bool // in the tree of its lane
 	paused    bool // must not start yet
