configurer: Tell the last use of keys

Cause: operators have to see whether a rotated key is still used. Change: entry VMs ask each other when they last accepted each key; GET /v1/operate/keys and the command keys list them.

--- a/commands/change.go
+++ b/commands/change.go
@@ -32,7 +32,10 @@
 	Reason string `long:"reason" required:"yes" value-name:"TEXT" description:"why; goes into the history"`
 }
 
-var errPartly = errors.New("not yet in force on all entry VMs")
+var (
+	errPartly     = errors.New("not yet in force on all entry VMs")
+	errIncomplete = errors.New("some entry VMs were not reached")
+)
 
 // printAccepted prints a change and where it is in force.
 func (e *environment) printAccepted(accepted configurer.Accepted, err error) error {
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -18,7 +18,7 @@
 	return []register{
 		addStatus,
 		addCheck, addPlan, addApply, addDiff, addExport, addHistory, addRollback,
-		addDrain, addReturn, addLimit, addGrant, addWithdraw,
+		addDrain, addReturn, addLimit, addKeys, addGrant, addWithdraw,
 	}
 }
 
--- a/commands/fleet_test.go
+++ b/commands/fleet_test.go
@@ -85,7 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
-	spreader := configurer.NewSpreader(id, vm.copied, m, func() []configurer.Peer { return f.peers(id) })
+	spreader := configurer.NewSpreader(id, vm.copied, m, func() []configurer.Peer { return f.peers(id) },
+		configurer.WithLastUse(keys.LastUse))
+	spreader.Handle(m, exchange)
 	writer := configurer.NewWriter(f.store.Client(id).Seam(), vm.copied)
 	router := chi.NewRouter()
 	router.Mount(configurer.BasePath, configurer.NewHandler(writer, vm.copied,
--- a/configurer/client.go
+++ b/configurer/client.go
@@ -111,6 +111,47 @@
 	return newHoldings(wire.Force), err
 }
 
+// KeyUse is a key with its last use.
+type KeyUse struct {
+	wire keyWire
+}
+
+// ID returns the public id of the key.
+func (k KeyUse) ID() string { return k.wire.Key }
+
+// Holder says whose key it is, such as "team cremona".
+func (k KeyUse) Holder() string { return Key{team: k.wire.Team, role: Role(k.wire.Role)}.holder() }
+
+// Active reports whether the key is valid.
+func (k KeyUse) Active() bool { return k.wire.Active }
+
+// Withdrawn reports whether an operator took the key back.
+func (k KeyUse) Withdrawn() bool { return k.wire.Withdrawn }
+
+// Expires returns when the key lapses; zero when it doesn't.
+func (k KeyUse) Expires() time.Time { return k.wire.Expires }
+
+// Used returns when the key was last accepted; zero when no entry VM has since it started.
+func (k KeyUse) Used() time.Time { return k.wire.Used }
+
+// Note returns who holds the key, or why it was withdrawn.
+func (k KeyUse) Note() string { return k.wire.Note }
+
+// MarshalJSON returns the key as the operators' API answers it.
+func (k KeyUse) MarshalJSON() ([]byte, error) { return json.Marshal(k.wire) }
+
+// Keys returns all keys by id, and whether all entry VMs told their uses.
+func (c *Client) Keys(ctx context.Context) (keys []KeyUse, complete bool, err error) {
+	var wire keysWire
+	if err := c.get(ctx, "/keys", &wire); err != nil {
+		return nil, false, err
+	}
+	for _, key := range wire.Keys {
+		keys = append(keys, KeyUse{wire: key})
+	}
+	return keys, wire.Complete, nil
+}
+
 // Plan returns what applying the files would change.
 func (c *Client) Plan(ctx context.Context, files []loader.File) (Plan, error) {
 	var wire planWire
--- a/configurer/handler.go
+++ b/configurer/handler.go
@@ -37,6 +37,7 @@
 	identify func(*http.Request) (Caller, error)
 	spread   func(context.Context) []Holding
 	report   func(context.Context) []Holding
+	uses     func(context.Context) (map[string]time.Time, error)
 	usage    func(context.Context) Usage
 	now      func() time.Time
 	log      hclog.Logger
@@ -52,7 +53,7 @@
 
 // WithSpreader sets what passes changes to the other entry VMs.
 func WithSpreader(s *Spreader) HandlerOption {
-	return func(h *Handler) { h.spread, h.report = s.Spread, s.Report }
+	return func(h *Handler) { h.spread, h.report, h.uses = s.Spread, s.Report, s.Uses }
 }
 
 // WithUsage sets what tells the usage that plans are weighed against.
@@ -72,6 +73,7 @@
 		copy:     c,
 		identify: func(*http.Request) (Caller, error) { return Caller{}, ErrDenied },
 		usage:    func(context.Context) Usage { return Usage{} },
+		uses:     func(context.Context) (map[string]time.Time, error) { return nil, nil },
 		now:      time.Now,
 		log:      hclog.NewNullLogger(),
 	}
@@ -106,6 +108,7 @@
 	router.Get("/history", endpoint(h, Viewer, h.history))
 	router.Get("/history/{revision}", endpoint(h, Viewer, h.former))
 	router.Get("/force", endpoint(h, Viewer, h.force))
+	router.Get("/keys", endpoint(h, Viewer, h.keys))
 	router.Post("/plan", endpoint(h, Viewer, h.plan))
 	router.Post("/apply", endpoint(h, Operator, h.apply))
 	router.Post("/rollback", endpoint(h, Operator, h.rollback))
--- a/configurer/handler_read.go
+++ b/configurer/handler_read.go
@@ -54,6 +54,22 @@
 	return forceWire{Revision: h.copy.Revision(), Force: newHoldingWires(holdings)}, nil
 }
 
+func (h *Handler) keys(c call[noBody]) (keysWire, error) {
+	uses, err := h.uses(c.ctx)
+	wire := keysWire{Complete: err == nil, Keys: []keyWire{}}
+	if err != nil {
+		h.log.Warn("uses of keys are incomplete", "error", err)
+	}
+	now := h.now()
+	for key := range h.copy.Current().Keys() {
+		wire.Keys = append(wire.Keys, keyWire{
+			Key: key.id, Team: key.team, Role: string(key.role), Active: key.Active(now), Withdrawn: key.withdrawn,
+			Expires: key.expires, Used: uses[key.id], Note: key.note,
+		})
+	}
+	return wire, nil
+}
+
 func (h *Handler) plan(c call[planRequest]) (planWire, error) {
 	document, err := c.request.Files.parse()
 	if err != nil {
--- a/configurer/spreader.go
+++ b/configurer/spreader.go
@@ -56,6 +56,7 @@
 	copy      *Copy
 	messenger *messenger.Messenger
 	peers     func() []Peer // the other entry VMs as known now
+	lastUse   func(id string) (time.Time, bool)
 	log       hclog.Logger
 }
 
@@ -71,6 +72,7 @@
 // Peers returns the other entry VMs as known at the time.
 func NewSpreader(id string, c *Copy, m *messenger.Messenger, peers func() []Peer, options ...SpreaderOption) *Spreader {
 	s := &Spreader{id: id, copy: c, messenger: m, peers: peers, log: hclog.NewNullLogger()}
+	s.lastUse = func(string) (time.Time, bool) { return time.Time{}, false }
 	for _, option := range options {
 		option(s)
 	}
--- a/configurer/wire.go
+++ b/configurer/wire.go
@@ -101,6 +101,22 @@
 	Force    []holdingWire `json:"force"`
 }
 
+type keysWire struct {
+	Complete bool      `json:"complete"` // all entry VMs told the uses
+	Keys     []keyWire `json:"keys"`     // by id
+}
+
+type keyWire struct {
+	Key       string    `json:"key"` // id
+	Team      string    `json:"team,omitempty"`
+	Role      string    `json:"role,omitempty"`
+	Active    bool      `json:"active"`
+	Withdrawn bool      `json:"withdrawn,omitempty"`
+	Expires   time.Time `json:"expires,omitzero"`
+	Used      time.Time `json:"used,omitzero"` // last accepted, since its entry VM started
+	Note      string    `json:"note,omitempty"`
+}
+
 func newRevisionWire(r *Revision, text bool) revisionWire {
 	wire := revisionWire{Revision: r.number, Author: r.author, Reason: r.reason, Time: r.time}
 	if text {
