scheduler: Fuzz the real code against a witness

Cause: The protocol of ownership, fences and records needs its proof. Change: Scenarios of faults run on real schedulers, placers and journals with stand-ins, on a simulated clock. Found and mended: a drained shard began a term undrained, a start held up by a pause ran after a drain, and Close took back a start that was under way.

--- a/dispatcher/guard.go
+++ b/dispatcher/guard.go
@@ -15,8 +15,8 @@
 	ErrStaleTerm = errors.New("term is lower than the highest seen")
 	// ErrLate means that the worker has seen a later batch of the term.
 	ErrLate = errors.New("batch is older than the last one seen")
-	// ErrLapsed means that an order needs a lease that has expired.
-	ErrLapsed = errors.New("lease has expired")
+	// ErrLapsed means that a start needs a lease, or is too late.
+	ErrLapsed = errors.New("start without a lease or too late")
 	// ErrRefused means that the worker can't carry out an order.
 	ErrRefused = errors.New("refused by the worker")
 	// ErrNotDelivered means that the batch surely did not reach the worker.
@@ -25,6 +25,10 @@
 	ErrUnknown = errors.New("outcome of the batch unknown")
 )
 
+// startLimit is the longest age of the token that a start echoes: a start that
+// was held up for longer is not what its owner wants any more.
+const startLimit = 1500 * time.Millisecond
+
 // tokensKept is the number of tokens that a worker remembers.
 const tokensKept = 8
 
@@ -93,7 +97,7 @@
 	}
 	g.sequence = batch.sequence
 	g.expire()
-	live := g.renew(batch)
+	live := g.renew(batch) && g.fresh(batch)
 	refused := make([]error, len(batch.orders))
 	for i, order := range batch.orders {
 		refused[i] = g.carryOut(order, live)
@@ -138,6 +142,16 @@
 	return false
 }
 
+// fresh reports whether the batch follows an answer of a short time ago.
+func (g *Guard) fresh(batch Batch) bool {
+	for _, known := range g.tokens {
+		if known.number == batch.token {
+			return time.Since(known.issued) <= startLimit
+		}
+	}
+	return false
+}
+
 func (g *Guard) prolong(until time.Time) {
 	g.until = until
 	g.agent.Renew(until)
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -119,6 +119,9 @@
 	orders   []Order
 }
 
+// Term returns the term of the owner that sent the batch.
+func (b Batch) Term() uint64 { return b.term }
+
 // Answer is a worker's answer to a batch.
 type Answer struct {
 	token   uint64  // to echo in the next batch
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -26,8 +26,9 @@
 	runTime    func(dispatcher.Attempt, dispatcher.Launch) (time.Duration, dispatcher.Outcome)
 
 	mu          sync.Mutex
-	guard       *dispatcher.Guard // replaced at a restart
-	incarnation int               // rises with each restart
+	guard       *dispatcher.Guard            // replaced at a restart
+	unfenced    map[uint64]*dispatcher.Guard // by term, while the fence is off
+	incarnation int                          // rises with each restart
 	running     map[dispatcher.Attempt]*workerRun
 	finished    map[dispatcher.Attempt]dispatcher.Outcome
 	booked      placer.Resources // the sum over running
@@ -115,6 +116,7 @@
 	w.running = map[dispatcher.Attempt]*workerRun{}
 	w.finished = map[dispatcher.Attempt]dispatcher.Outcome{}
 	w.booked = placer.Resources{}
+	w.unfenced = map[uint64]*dispatcher.Guard{}
 	w.guard = dispatcher.NewGuard(w.agent(w.incarnation))
 }
 
@@ -209,7 +211,7 @@
 	delete(w.running, attempt)
 	w.finished[attempt] = outcome
 	w.booked = w.booked.Sub(r.launch.Size())
-	w.witness.onEnd(w, attempt, r.launch)
+	w.witness.onEnd(w, attempt, r.launch, outcome)
 }
 
 func (w *Worker) checkpoint(attempt dispatcher.Attempt) {
--- a/emulator/worker_faults.go
+++ b/emulator/worker_faults.go
@@ -11,6 +11,7 @@
 type workerFaults struct {
 	dead    bool
 	failing bool          // every run fails at once
+	open    bool          // each term has a guard of its own: no fence
 	deaf    bool          // batches don't arrive
 	mute    bool          // answers don't arrive
 	delay   time.Duration // before a batch is taken
@@ -20,6 +21,16 @@
 // SetFailing makes every task that the worker starts fail at once.
 func (w *Worker) SetFailing(on bool) { w.change(func(f *workerFaults) { f.failing = on }) }
 
+// SetUnfenced makes the worker take each term for the highest, to show what the
+// fence is for.
+func (w *Worker) SetUnfenced(on bool) { w.change(func(f *workerFaults) { f.open = on }) }
+
+// Dead reports whether the worker was killed and not restarted.
+func (w *Worker) Dead() bool {
+	f, _ := w.state()
+	return f.dead
+}
+
 // SetUnreachable loses batches (deaf) or answers (mute).
 func (w *Worker) SetUnreachable(deaf, mute bool) {
 	w.change(func(f *workerFaults) { f.deaf, f.mute = deaf, mute })
@@ -58,6 +69,9 @@
 	}
 	w.faults.dead = true
 	w.guard.Close()
+	for _, guard := range w.unfenced {
+		guard.Close()
+	}
 }
 
 // Restart brings a killed worker back as a new incarnation that remembers
@@ -66,7 +80,7 @@
 	w.Kill()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = workerFaults{}
+	w.faults = workerFaults{open: w.faults.open}
 	w.reset()
 }
 
@@ -82,10 +96,25 @@
 	return w.faults, w.guard
 }
 
+// guardOf returns a guard that has seen one term only.
+func (w *Worker) guardOf(term uint64) *dispatcher.Guard {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	guard, ok := w.unfenced[term]
+	if !ok {
+		guard = dispatcher.NewGuard(w.agent(w.incarnation))
+		w.unfenced[term] = guard
+	}
+	return guard
+}
+
 // receive returns the guard once the batch has arrived. A batch that is held up
 // past its sender's timeout still arrives later.
 func (w *Worker) receive(ctx context.Context, batch dispatcher.Batch) (*dispatcher.Guard, error) {
 	f, guard := w.state()
+	if f.open {
+		guard = w.guardOf(batch.Term())
+	}
 	if f.dead {
 		return nil, dispatcher.ErrNotDelivered
 	}
--- a/emulator/worker_witness.go
+++ b/emulator/worker_witness.go
@@ -22,6 +22,8 @@
 	limits  map[string]int64     // of the teams that have one
 	drained map[string]time.Time // data centres, and since when no start is right
 	starts  int
+	named   map[string]int        // starts by job name
+	done    map[placer.TaskID]int // runs that ended as done
 	broken  []string
 }
 
@@ -30,6 +32,8 @@
 	return &Witness{
 		places:  map[placer.TaskID]string{},
 		runs:    map[placer.TaskID]int{},
+		named:   map[string]int{},
+		done:    map[placer.TaskID]int{},
 		saved:   map[placer.TaskID]time.Duration{},
 		teams:   map[string]int64{},
 		limits:  map[string]int64{},
@@ -79,11 +83,26 @@
 	return w.runs[task]
 }
 
+// StartsOf returns the number of starts of tasks of jobs with that name.
+func (w *Witness) StartsOf(name string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.named[name]
+}
+
+// Done returns how many runs of a task ended as done.
+func (w *Witness) Done(task placer.TaskID) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.done[task]
+}
+
 // onStart judges a start; the worker is locked and has booked it already.
 func (w *Witness) onStart(worker *Worker, attempt dispatcher.Attempt, launch dispatcher.Launch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
+	w.named[launch.Name()]++
 	task := attempt.Task()
 	if !worker.booked.Fits(worker.capacity) {
 		w.breach("worker %s overcommitted by %s: %s booked", worker.id, task, worker.booked)
@@ -95,7 +114,7 @@
 	if !launch.Idempotent() {
 		w.runs[task]++
 		if w.runs[task] > 1 {
-			w.breach("non-idempotent task %s started %d times", task, w.runs[task])
+			w.breach("non-idempotent task %s started %d times, now attempt %d on %s", task, w.runs[task], attempt.Number(), worker.id)
 		}
 	}
 	w.teams[launch.Team()] += launch.Size().CPU()
@@ -107,9 +126,12 @@
 	}
 }
 
-func (w *Witness) onEnd(worker *Worker, attempt dispatcher.Attempt, launch dispatcher.Launch) {
+func (w *Witness) onEnd(worker *Worker, attempt dispatcher.Attempt, launch dispatcher.Launch, outcome dispatcher.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if outcome == dispatcher.Done {
+		w.done[attempt.Task()]++
+	}
 	if w.places[attempt.Task()] == worker.id {
 		delete(w.places, attempt.Task())
 	}
@@ -131,6 +153,6 @@
 
 func (w *Witness) breach(format string, args ...any) {
 	if len(w.broken) < brokenLimit {
-		w.broken = append(w.broken, fmt.Sprintf(format, args...))
+		w.broken = append(w.broken, time.Now().Format(time.StampMilli)+": "+fmt.Sprintf(format, args...))
 	}
 }
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -35,7 +35,8 @@
 // order is an order on its way to a worker.
 type order struct {
 	dispatcher.Order
-	maybe bool // an earlier batch with it may have arrived
+	maybe  bool // an earlier batch with it may have arrived
+	flying bool // a batch with it is under way
 }
 
 // linkOf returns the link of a worker, making one that isn't listed; the lock is
@@ -151,6 +152,9 @@
 	answer, err := s.dispatcher.Deliver(ctx, l.id, s.term, lease, orders)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, o := range batch {
+		o.flying = false
+	}
 	if s.links[l.id] != l || s.stage == deposed || s.stage == closed {
 		return
 	}
@@ -181,6 +185,7 @@
 		if o.Kind() == dispatcher.Start && !s.mayStart(l, o) {
 			continue
 		}
+		o.flying = true
 		batch = append(batch, o)
 	}
 	return batch, s.lease, true
@@ -201,7 +206,7 @@
 		return true
 	}
 	l.drop(o)
-	if o.maybe {
+	if o.maybe || o.flying {
 		t.stage = taskRecovered
 		return false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -116,6 +116,7 @@
 	retention  time.Duration                         // of ended jobs and request ids
 	allotment  func(team string) int64               // thousandths of a processor; negative for none
 	share      func(team string) float64             // weight above 0
+	leaving    bool                                  // drained from the beginning
 	usage      func([]Usage)                         // told each second
 	target     func(placer.JobSpec) (string, bool)   // shard for a job that leaves
 	transfer   func(context.Context, Transfer) error // hands a job to its target
@@ -165,6 +166,9 @@
 // WithUsage sets what is told each second of what the teams have here.
 func WithUsage(f func([]Usage)) Option { return func(o *options) { o.usage = f } }
 
+// WithDrained begins with the shard drained, when the configuration says so.
+func WithDrained(on bool) Option { return func(o *options) { o.leaving = on } }
+
 // WithTransfer sets where jobs go when the shard is drained, and what hands one
 // over: nil and ErrNotRun are certain, any other error is not.
 func WithTransfer(target func(placer.JobSpec) (shard string, ok bool), transfer func(context.Context, Transfer) error) Option {
@@ -196,7 +200,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadOption, err)
 	}
+	planner.SetStarts(!o.leaving)
 	return &Scheduler{
+		drained: o.leaving,
 		shard:   shard,
 		term:    term,
 		options: o,
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -32,12 +32,9 @@
 func (s *Scheduler) Drain(context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.serves(); err != nil {
+	if err := s.lasts(); err != nil || s.drained {
 		return err
 	}
-	if s.drained {
-		return nil
-	}
 	s.drained = true
 	s.placer.SetStarts(false)
 	s.logger.Info("Shard drained.", "shard", s.shard, "running", s.placer.Running(), "pending", s.placer.Pending())
@@ -57,7 +54,7 @@
 func (s *Scheduler) Resume(context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.serves(); err != nil {
+	if err := s.lasts(); err != nil {
 		return err
 	}
 	if s.drained {
@@ -69,6 +66,14 @@
 	return nil
 }
 
+// lasts returns ErrNotOwner once the term has ended or is about to.
+func (s *Scheduler) lasts() error {
+	if s.stage == recovering {
+		return nil
+	}
+	return s.serves()
+}
+
 // Drained reports whether Drain is in force.
 func (s *Scheduler) Drained() bool {
 	s.mu.Lock()
