--- a/emulator/worker_faults.go
+++ b/emulator/worker_faults.go
@@ -62,16 +62,25 @@
 // Kill ends the worker with all that runs on it.
 func (w *Worker) Kill() {
 	w.Resume()
+	for _, guard := range w.die() {
+		guard.Close()
+	}
+}
+
+// die ends all runs and returns the guards, which are closed without the
+// worker's lock: a guard calls the worker under its own.
+func (w *Worker) die() []*dispatcher.Guard {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for attempt := range w.running {
 		w.end(attempt, dispatcher.Stopped)
 	}
 	w.faults.dead = true
-	w.guard.Close()
+	guards := []*dispatcher.Guard{w.guard}
 	for _, guard := range w.unfenced {
-		guard.Close()
+		guards = append(guards, guard)
 	}
+	return guards
 }
 
 // Restart brings a killed worker back as a new incarnation that remembers
