--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -8,6 +8,7 @@
 
 // book is the durable state of a shard: what replay of its records gives.
 type book struct {
+	shard    string
 	jobs     map[string]*job
 	requests map[requestKey]*request
 	places   map[place]*place
@@ -28,8 +29,8 @@
 	pending chan struct{} // closed when the first record has an outcome; nil after
 }
 
-func newBook() *book {
-	return &book{jobs: map[string]*job{}, requests: map[requestKey]*request{}, places: map[place]*place{}}
+func newBook(shard string) *book {
+	return &book{shard: shard, jobs: map[string]*job{}, requests: map[requestKey]*request{}, places: map[place]*place{}}
 }
 
 // place returns the shared value of a worker's incarnation.
@@ -100,7 +101,7 @@
 		j.end(t.Index, t.Attempt, t.Result)
 	}
 	b.jobs[r.Spec.ID] = j
-	if r.Request != "" {
+	if r.Request != "" && ShardOf(r.Spec.ID) == b.shard {
 		b.requests[requestKey{j.spec.Team(), r.Request}] = &request{job: r.Spec.ID, digest: r.Digest, at: timeOf(r.At)}
 	}
 	if r.Target != "" {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -206,7 +206,7 @@
 		shard:   shard,
 		term:    term,
 		options: o,
-		book:    newBook(),
+		book:    newBook(shard),
 		placer:  planner,
 		links:   map[string]*link{},
 		wake:    make(chan struct{}, 1),
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -434,7 +433,8 @@
 		case err != nil:
 			broken = append(broken, fmt.Sprintf("job %s lost: %v", id, err))
 		case !status.State().Final():
-			broken = append(broken, fmt.Sprintf("job %s did not end: %s, %d of %d tasks ended, %d run", id, status.State(), status.Ended(), status.Tasks(), status.Running()))
+			broken = append(broken, fmt.Sprintf("job %s did not end: %s, %d of %d tasks ended, %d run: %s",
+				id, status.State(), status.Ended(), status.Tasks(), status.Running(), w.explain(id)))
 		case status.State() == scheduler.Done:
 			broken = append(broken, w.undone(id, status)...)
 		}
@@ -447,6 +447,17 @@
 	return broken
 }
 
+// explain tells why a job waits, from whichever shard knows.
+func (w *world) explain(id string) string {
+	texts := make([]string, 0, len(w.names))
+	for _, name := range w.names {
+		if text, err := w.shards[name].newest().sched.Explain(id); err == nil {
+			texts = append(texts, name+": "+text)
+		}
+	}
+	return fmt.Sprint(texts)
+}
+
 // undone returns the tasks of a done job that no worker has done.
 func (w *world) undone(id string, status scheduler.Status) []string {
 	var broken []string
@@ -463,5 +474,3 @@
 		panic(err)
 	}
 }
-
-func (w *world) say(broken []string) string { return strings.Join(broken, "\n") }
