scheduler: Tell spec, failed and lost tasks in a status

Cause: the callers' API shows what a job asked for and how its tasks ended; the status had neither. Change: Status carries the JobSpec and the counts of failed and lost tasks. Conclusion: the router's job body can be filled.

--- a/scheduler/handler.go
+++ b/scheduler/handler.go
@@ -92,15 +92,14 @@
 }
 
 type statusMessage struct {
-	ID      string `cbor:"1,keyasint"`
-	Team    string `cbor:"2,keyasint"`
-	Name    string `cbor:"3,keyasint,omitempty"`
-	State   State  `cbor:"4,keyasint"`
-	Tasks   int    `cbor:"5,keyasint"`
-	Running int    `cbor:"6,keyasint,omitempty"`
-	Ended   int    `cbor:"7,keyasint,omitempty"`
-	Target  string `cbor:"8,keyasint,omitempty"`
-	Over    int64  `cbor:"9,keyasint,omitempty"` // milliseconds since 1970
+	Spec    *specRecord `cbor:"1,keyasint"`
+	State   State       `cbor:"2,keyasint"`
+	Running int         `cbor:"3,keyasint,omitempty"`
+	Ended   int         `cbor:"4,keyasint,omitempty"`
+	Failed  int         `cbor:"5,keyasint,omitempty"`
+	Lost    int         `cbor:"6,keyasint,omitempty"`
+	Target  string      `cbor:"7,keyasint,omitempty"`
+	Over    int64       `cbor:"8,keyasint,omitempty"` // milliseconds since 1970
 }
 
 // Handle registers the calls of other entry VMs; lookup returns the scheduler of
@@ -214,14 +213,18 @@
 
 func newStatusMessage(s Status) statusMessage {
 	return statusMessage{
-		ID: s.id, Team: s.team, Name: s.name, State: s.state, Tasks: s.tasks,
-		Running: s.running, Ended: s.ended, Target: s.target, Over: millis(s.over),
+		Spec: newSpecRecord(s.spec), State: s.state, Running: s.running, Ended: s.ended,
+		Failed: s.failed, Lost: s.lost, Target: s.target, Over: millis(s.over),
 	}
 }
 
 func (m statusMessage) status() Status {
-	return Status{
-		id: m.ID, team: m.Team, name: m.Name, state: m.State, tasks: m.Tasks,
-		running: m.Running, ended: m.Ended, target: m.Target, over: timeOf(m.Over),
+	status := Status{
+		state: m.State, running: m.Running, ended: m.Ended, failed: m.Failed, lost: m.Lost,
+		target: m.Target, over: timeOf(m.Over),
 	}
+	if m.Spec != nil {
+		status.spec = m.Spec.spec()
+	}
+	return status
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -42,31 +42,33 @@
 
 // Status is what a shard knows of a job.
 type Status struct {
-	id      string
-	team    string
-	name    string
+	spec    placer.JobSpec
 	state   State
-	tasks   int       // of the job
 	running int       // tasks that run
 	ended   int       // tasks that ended for good
+	failed  int       // of those ended, tasks that failed for good
+	lost    int       // of those ended, tasks whose outcome is unknown
 	target  string    // shard that has the job, with Moved
 	over    time.Time // when it ended; zero before
 }
 
+// Spec returns what the team asked for.
+func (s Status) Spec() placer.JobSpec { return s.spec }
+
 // ID returns the job's identifier.
-func (s Status) ID() string { return s.id }
+func (s Status) ID() string { return s.spec.ID() }
 
 // Team returns the team that pays for the job.
-func (s Status) Team() string { return s.team }
+func (s Status) Team() string { return s.spec.Team() }
 
 // Name returns the job's name.
-func (s Status) Name() string { return s.name }
+func (s Status) Name() string { return s.spec.Name() }
 
 // State returns the state.
 func (s Status) State() State { return s.state }
 
 // Tasks returns the number of tasks.
-func (s Status) Tasks() int { return s.tasks }
+func (s Status) Tasks() int { return s.spec.Tasks() }
 
 // Running returns the number of tasks that run.
 func (s Status) Running() int { return s.running }
@@ -74,6 +76,12 @@
 // Ended returns the number of tasks that ended for good.
 func (s Status) Ended() int { return s.ended }
 
+// Failed returns the number of tasks that failed for good.
+func (s Status) Failed() int { return s.failed }
+
+// Lost returns the number of tasks whose outcome is unknown for good.
+func (s Status) Lost() int { return s.lost }
+
 // Target returns the shard that has the job, with Moved.
 func (s Status) Target() string { return s.target }
 
@@ -86,8 +94,8 @@
 		ended += int(n)
 	}
 	status := Status{
-		id: j.spec.ID(), team: j.spec.Team(), name: j.spec.Name(),
-		state: j.state(), tasks: j.spec.Tasks(), running: j.running, ended: ended,
+		spec: j.spec, state: j.state(), running: j.running, ended: ended,
+		failed: int(j.results[resultFailed]), lost: int(j.results[resultUnknown]),
 	}
 	if j.moved {
 		status.target = j.target
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -246,7 +246,7 @@
 			list = append(list, j.status())
 		}
 	}
-	slices.SortFunc(list, func(a, b Status) int { return strings.Compare(a.id, b.id) })
+	slices.SortFunc(list, func(a, b Status) int { return strings.Compare(a.ID(), b.ID()) })
 	return list[:max(0, min(limit, ListLimit, len(list)))], nil
 }
 
