--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,7 +16,7 @@
 // registers lists the commands in the order of the help.
 func registers() []register {
 	return []register{
-		addStatus,
+		addServe, addDev, addStatus,
 		addCheck, addPlan, addApply, addDiff, addExport, addHistory, addRollback,
 		addDrain, addReturn, addLimit, addKeys, addGrant, addWithdraw,
 	}
--- /dev/null
+++ b/commands/dev.go
@@ -0,0 +1,68 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"filberthaven.example/launcher"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+)
+
+// devCommand starts a whole fleet in one process.
+type devCommand struct {
+	env     *environment
+	Check   bool   `long:"check" description:"run the main job from end to end and exit"`
+	Entries int    `long:"entries" default:"3" description:"entry VMs in each of three data centres"`
+	Level   string `long:"log" default:"warn" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level logged"`
+}
+
+func addDev(parser *flags.Parser, env *environment) error {
+	_, err := parser.AddCommand("dev", "start a fleet on this machine to try things out",
+		`Starts three data centres of entry VMs in one process on loopback, with stand-ins
+for the platform, workers and executors. Prints addresses, keys and calls to try.
+
+  filberthaven dev
+  filberthaven dev --check
+
+Exit codes: 0 all steps of the check passed, or the fleet was stopped; 1 failed.`, &devCommand{env: env})
+	return err
+}
+
+// Execute carries out the command.
+func (c *devCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	logger := hclog.New(&hclog.LoggerOptions{Name: "dev", Level: hclog.LevelFromString(c.Level), Output: c.env.err})
+	fleet, err := launcher.New(context.WithoutCancel(ctx), launcher.WithLogger(logger),
+		launcher.WithSize(c.Entries, launcher.DefaultWorkers, launcher.DefaultExecutors))
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	if c.Check {
+		return fleet.Check(ctx, c.env.out)
+	}
+	c.describe(fleet)
+	<-ctx.Done()
+	return nil
+}
+
+// describe prints how to reach the fleet.
+func (c *devCommand) describe(fleet *launcher.Fleet) {
+	out := c.env.out
+	printLine(out, "platform  ", fleet.Platform())
+	for _, vm := range fleet.VMs() {
+		printLine(out, "entry VM  ", vm.ID(), "http://"+vm.Address())
+	}
+	keys := fleet.Keys()
+	address := "http://" + fleet.VMs()[0].Address()
+	printLine(out, "team key  ", keys.Team())
+	printLine(out, "operator  ", keys.Operator())
+	fmt.Fprintf(out, "\ncurl -H 'Authorization: Bearer %s' -d 'one slot' %s/v1/services/echo/book\n", keys.Team(), address)
+	fmt.Fprintf(out, "curl -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"tasks\":4,\"cpu\":1,\"memory\":256,\"class\":\"deferred\",\"estimate\":\"2s\"}' %s/v1/jobs\n", keys.Team(), address)
+	printLine(out, "\nStop with Ctrl-C.")
+}
--- /dev/null
+++ b/launcher/endpoints.go
@@ -0,0 +1,75 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"filberthaven.example/dispatcher"
+	"filberthaven.example/emulator"
+	"filberthaven.example/messenger"
+	"filberthaven.example/placer"
+)
+
+// Sizes of the stand-ins.
+const (
+	workerCPU    = 16_000   // thousandths of a processor
+	workerMemory = 64 << 10 // MiB
+	rackSize     = 8        // workers
+)
+
+// startEndpoints starts the workers and executors of all data centres.
+func (f *Fleet) startEndpoints(context.Context) error {
+	calls, err := messenger.New()
+	if err != nil {
+		return err
+	}
+	for _, centre := range f.centreSet {
+		for i := range f.workers {
+			if err := f.startWorker(calls, centre, i); err != nil {
+				return err
+			}
+		}
+		for i := range f.executors {
+			if err := f.startExecutor(centre, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// startWorker starts one worker and puts it into the platform's list.
+func (f *Fleet) startWorker(calls *messenger.Messenger, centre string, i int) error {
+	id := fmt.Sprintf("%s-worker-%d", centre, i+1)
+	worker := emulator.NewWorker(id, placer.NewResources(workerCPU, workerMemory, 0),
+		emulator.WithDataCentre(centre), emulator.WithWitness(f.witness))
+	mux := http.NewServeMux()
+	dispatcher.Handle(calls, mux, worker.Guard())
+	address, err := f.serve(newServer(mux))
+	if err != nil {
+		return err
+	}
+	f.tasks = append(f.tasks, worker)
+	f.platform.SetVM(emulator.VM{
+		ID: id, Role: "worker", Address: address, Centre: centre, Rack: fmt.Sprintf("%s-rack-%d", centre, i/rackSize+1),
+		CPU: workerCPU, Memory: workerMemory, State: "live", Incarnation: 1,
+	})
+	return nil
+}
+
+// startExecutor starts one executor and puts it into the platform's list.
+func (f *Fleet) startExecutor(centre string, i int) error {
+	id := fmt.Sprintf("%s-executor-%d", centre, i+1)
+	executor := emulator.NewExecutor()
+	address, err := f.serve(executor.Server())
+	if err != nil {
+		return err
+	}
+	f.stands = append(f.stands, executor)
+	f.platform.SetVM(emulator.VM{
+		ID: id, Role: "endpoint", Address: address, Centre: centre, Service: demoService,
+		Slots: emulator.DefaultSlots, Connections: emulator.DefaultConnections, State: "live", Incarnation: 1,
+	})
+	return nil
+}
--- /dev/null
+++ b/server/jobs.go
@@ -0,0 +1,184 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+
+	"filberthaven.example/placer"
+	"filberthaven.example/router"
+	"filberthaven.example/scheduler"
+)
+
+// jobs binds the callers' calls on jobs to the owners of shards.
+func (s *Server) jobs() router.Jobs {
+	return router.Jobs{
+		Submit:  s.submitJob,
+		Get:     s.getJob,
+		List:    s.listJobs,
+		Cancel:  s.cancelJob,
+		Wait:    s.waitJob,
+		Explain: s.explainJob,
+	}
+}
+
+// submitJob sends a job to its home shard if it has a request id, otherwise to
+// the nearest data centre in service.
+func (s *Server) submitJob(ctx context.Context, spec placer.JobSpec, request string) (string, bool, error) {
+	if request != "" {
+		shard, ok := s.homeShard(spec.Team(), request)
+		if !ok {
+			return "", false, fmt.Errorf("%w: no shards are declared", router.ErrUnavailable)
+		}
+		return s.submitTo(ctx, shard, spec, request)
+	}
+	err := fmt.Errorf("%w: no data centre in service has an owner in reach", router.ErrUnavailable)
+	for _, shard := range s.nearShards(spec) {
+		var id string
+		id, _, err = s.submitTo(ctx, shard, spec, "")
+		if err == nil || !errors.Is(err, router.ErrUnavailable) {
+			return id, false, err
+		}
+	}
+	return "", false, err
+}
+
+// submitTo sends a job to one shard.
+func (s *Server) submitTo(ctx context.Context, shard string, spec placer.JobSpec, request string) (string, bool, error) {
+	receipt, err := s.client.Submit(ctx, shard, spec, request)
+	if err != nil {
+		s.decisions.Info("job not accepted", "shard", shard, "team", spec.Team(), "error", err)
+		return "", false, callError(err)
+	}
+	s.decisions.Info("job sent to shard", "job", receipt.Job(), "shard", shard, "home", request != "")
+	return receipt.Job(), !receipt.First(), nil
+}
+
+// nearShards returns the shards of data centres in service, those of the own one
+// first, and within each data centre in an order of the job's own.
+func (s *Server) nearShards(spec placer.JobSpec) []string {
+	var shards []string
+	for _, centre := range s.centreNames() {
+		if !s.inService(centre) {
+			continue
+		}
+		own := s.centreShards(centre)
+		if len(own) > 1 {
+			first := rackShard(spec.ID(), own)
+			sort.SliceStable(own, func(i, j int) bool { return own[i] == first && own[j] != first })
+		}
+		shards = append(shards, own...)
+	}
+	return shards
+}
+
+// transferTarget returns where a job goes that leaves a shard.
+func (s *Server) transferTarget(from string) func(placer.JobSpec) (string, bool) {
+	return func(spec placer.JobSpec) (string, bool) {
+		for _, shard := range s.nearShards(spec) {
+			if shard == from {
+				continue
+			}
+			if _, ok := s.elector.Owner(shard); ok {
+				return shard, true
+			}
+		}
+		return "", false
+	}
+}
+
+func (s *Server) getJob(ctx context.Context, team, id string) (router.Job, error) {
+	status, err := s.client.Job(ctx, id)
+	return teamJob(team, status, err)
+}
+
+func (s *Server) cancelJob(ctx context.Context, team, id string) (router.Job, error) {
+	if _, err := s.getJob(ctx, team, id); err != nil {
+		return router.Job{}, err
+	}
+	if err := s.client.Cancel(ctx, id); err != nil {
+		return router.Job{}, callError(err)
+	}
+	return s.getJob(ctx, team, id)
+}
+
+func (s *Server) waitJob(ctx context.Context, team, id string) (router.Job, error) {
+	if _, err := s.getJob(ctx, team, id); err != nil && !errors.Is(err, router.ErrUnavailable) {
+		return router.Job{}, err
+	}
+	status, err := s.client.Wait(ctx, id)
+	if err != nil && ctx.Err() != nil {
+		return s.getJob(context.WithoutCancel(ctx), team, id)
+	}
+	return teamJob(team, status, err)
+}
+
+func (s *Server) explainJob(ctx context.Context, team, id string) (string, error) {
+	if _, err := s.getJob(ctx, team, id); err != nil {
+		return "", err
+	}
+	reason, err := s.client.Explain(ctx, id)
+	return reason, callError(err)
+}
+
+// listJobs returns one page over all shards, in order of id.
+func (s *Server) listJobs(ctx context.Context, team, after string, limit int) ([]router.Job, string, error) {
+	var all []scheduler.Status
+	for _, shard := range s.allShards() {
+		page, err := s.client.List(ctx, shard, team, after, limit+1)
+		if err != nil {
+			return nil, "", callError(err)
+		}
+		all = append(all, page...)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID() < all[j].ID() })
+	next := ""
+	if len(all) > limit {
+		all = all[:limit]
+		next = all[limit-1].ID()
+	}
+	list := make([]router.Job, 0, len(all))
+	for _, status := range all {
+		list = append(list, callerJob(status))
+	}
+	return list, next, nil
+}
+
+// teamJob returns a job if it is the team's; another team's job is not found.
+func teamJob(team string, status scheduler.Status, err error) (router.Job, error) {
+	if err != nil {
+		return router.Job{}, callError(err)
+	}
+	if status.Team() != team {
+		return router.Job{}, router.ErrNotFound
+	}
+	return callerJob(status), nil
+}
+
+// callError returns the router's error for one of the scheduler.
+func callError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, scheduler.ErrNotFound):
+		return router.ErrNotFound
+	case errors.Is(err, scheduler.ErrMismatch):
+		return errors.Join(router.ErrConflict, err)
+	case errors.Is(err, scheduler.ErrRefused):
+		return errors.Join(router.ErrInvalid, err)
+	case errors.Is(err, scheduler.ErrNotRun), errors.Is(err, scheduler.ErrNotOwner):
+		return errors.Join(router.ErrUnavailable, err)
+	case errors.Is(err, scheduler.ErrUnknown):
+		return errors.Join(router.ErrUnknown, err)
+	}
+	return err
+}
+
+// callerJob returns a job as its team sees it.
+func callerJob(status scheduler.Status) router.Job {
+	done := status.Ended() - status.Failed() - status.Lost()
+	pending := max(status.Tasks()-status.Running()-status.Ended(), 0)
+	counts := router.NewCounts(pending, status.Running(), done, status.Failed(), status.Lost())
+	return router.NewJob(status.Spec(), status.State().String(), status.State().Final(), counts, "")
+}
--- /dev/null
+++ b/server/requests.go
@@ -0,0 +1,147 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"math"
+
+	"filberthaven.example/configurer"
+	"filberthaven.example/granter"
+	"filberthaven.example/router"
+	"filberthaven.example/scheduler"
+	"github.com/cespare/xxhash/v2"
+)
+
+// requests binds urgent requests to slots, claims and other data centres.
+func (s *Server) requests() router.Requests {
+	return router.Requests{
+		Acquire: s.acquire,
+		Admit:   s.admitter.Admit,
+		Claim:   s.claim,
+		Settle:  s.settle,
+		Forward: s.forward,
+	}
+}
+
+// acquire returns a slot of an executor of the own data centre.
+func (s *Server) acquire(ctx context.Context, service string, avoid func(string) bool) (router.Slot, error) {
+	if !s.inService(s.settings.Centre()) {
+		return router.Slot{}, router.ErrNoSlot
+	}
+	slot, err := s.holder.Acquire(ctx, service, avoid)
+	if errors.Is(err, granter.ErrNoSlot) {
+		return router.Slot{}, errors.Join(router.ErrNoSlot, err)
+	}
+	if err != nil {
+		return router.Slot{}, err
+	}
+	return router.NewSlot(slot.Executor(), slot.Address(), slot.Connections(), slot.Release), nil
+}
+
+// claimDigest ties a claim to its service, so that a request id isn't reused.
+func claimDigest(service string) uint64 { return xxhash.Sum64String(service) }
+
+// claim records a request id in its home shard.
+func (s *Server) claim(ctx context.Context, team, service, request string) (bool, router.Outcome, error) {
+	shard, ok := s.homeShard(team, request)
+	if !ok {
+		return false, "", router.ErrUnavailable
+	}
+	claim, err := s.client.Claim(ctx, shard, team, request, s.process(), claimDigest(service))
+	if err != nil {
+		return false, "", callError(err)
+	}
+	if claim.Granted() {
+		return true, "", nil
+	}
+	return false, claimOutcome(claim.Outcome()), nil
+}
+
+// settle records what became of a claimed request.
+func (s *Server) settle(ctx context.Context, team, _, request string, outcome router.Outcome) {
+	shard, ok := s.homeShard(team, request)
+	if !ok {
+		return
+	}
+	if err := s.client.Settle(ctx, shard, team, request, s.process(), settleOutcome(outcome)); err != nil {
+		s.decisions.Warn("outcome of request not recorded", "team", team, "request", request, "outcome", string(outcome), "error", err)
+	}
+}
+
+// claimOutcome returns the router's word for a recorded outcome.
+func claimOutcome(outcome scheduler.Outcome) router.Outcome {
+	if outcome == scheduler.Ran {
+		return router.Ran
+	}
+	return router.Unknown
+}
+
+// settleOutcome returns the scheduler's word for an outcome.
+func settleOutcome(outcome router.Outcome) scheduler.Outcome {
+	switch outcome {
+	case router.Ran:
+		return scheduler.Ran
+	case router.NotRun:
+		return scheduler.NotRun
+	}
+	return scheduler.MayHaveRun
+}
+
+// forward returns an entry VM of another data centre in service that offers the
+// service, and wasn't tried.
+func (s *Server) forward(service string, tried []string) (string, bool) {
+	avoid := map[string]bool{}
+	for _, address := range tried {
+		avoid[address] = true
+	}
+	for _, centre := range s.centreNames()[1:] {
+		if !s.inService(centre) || !s.offers(service, centre) {
+			continue
+		}
+		for _, peer := range s.peersIn(centre) {
+			if !avoid[peer] {
+				return peer, true
+			}
+		}
+	}
+	return "", false
+}
+
+// servicePolicy returns what is declared of a service.
+func (s *Server) servicePolicy(name string) (router.Policy, bool) {
+	document := s.copy.Current()
+	if document == nil {
+		return router.Policy{}, false
+	}
+	if _, ok := document.Service(name); !ok {
+		return router.Policy{}, false
+	}
+	resolver, _ := s.resolver()
+	timeout := resolver.Timeout("", name, s.settings.Centre())
+	return router.NewPolicy(false, timeout, 0), true
+}
+
+// queuePolicy returns whether a queue is declared, and open to all.
+func (s *Server) queuePolicy(name string) (open, ok bool) {
+	document := s.copy.Current()
+	if document == nil {
+		return false, false
+	}
+	queue, ok := document.Queue(name)
+	return queue.Open(), ok
+}
+
+// teamSlots returns how many urgent requests of a team may be in flight on this
+// entry VM: an even part of the fleet's; 0 when there is no limit.
+func (s *Server) teamSlots(team string) int {
+	resolver, ok := s.resolver()
+	if !ok {
+		return 1
+	}
+	slots := resolver.Slots(team)
+	if slots >= configurer.Unlimited {
+		return 0
+	}
+	entries := int64(max(len(s.tracker.Entries("")), 1))
+	return int(max(min(slots/entries, math.MaxInt32), 1))
+}
--- /dev/null
+++ b/server/run.go
@@ -0,0 +1,177 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"filberthaven.example/admitter"
+	"filberthaven.example/configurer"
+	"filberthaven.example/placer"
+	"filberthaven.example/router"
+	"filberthaven.example/scheduler"
+	"filberthaven.example/tracker"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// candidateInterval is the time between two looks at which shards this entry
+	// VM may own.
+	candidateInterval = 500 * time.Millisecond
+	// fetchTimeout bounds one fetch of the declarations from a peer.
+	fetchTimeout = time.Second
+)
+
+// Run serves until ctx is done; then it stops in order: readiness goes false,
+// shards are handed over, requests under way end. It returns the first error.
+func (s *Server) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	s.base = base
+	group, running := errgroup.WithContext(base)
+	for _, part := range []func(context.Context) error{s.mirror.Run, s.tracker.Run, s.elector.Run, s.holder.Run, s.chooseCandidates} {
+		group.Go(func() error { return part(running) })
+	}
+	group.Go(func() error { s.spreader.Run(running); return nil })
+	callers := router.NewServer(http.HandlerFunc(s.serveCaller), nil, s.logger)
+	peers := router.NewServer(s.internalHandler(), nil, s.logger)
+	group.Go(func() error { return router.Serve(callers, s.listener) })
+	group.Go(func() error { return router.Serve(peers, s.internal) })
+	s.decisions.Info("serving", "vm", s.settings.ID(), "centre", s.settings.Centre(), "callers", s.Address(), "internal", s.Internal())
+	select {
+	case <-ctx.Done():
+		s.stop(callers, peers)
+	case <-running.Done():
+		s.closeListeners()
+	}
+	cancel()
+	err := group.Wait()
+	s.group.Wait()
+	return err
+}
+
+// stop ends in order. It cuts no request: shards go first, then callers' requests
+// end, and calls of peers are answered until the last.
+func (s *Server) stop(callers, peers *http.Server) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.base), s.settings.Drain())
+	defer cancel()
+	s.router.Drain()
+	s.resign(ctx, s.decisions)
+	if err := s.router.Shutdown(ctx); err != nil {
+		s.decisions.Warn("requests under way at the end of the drain time", "error", err)
+	}
+	for _, server := range []*http.Server{callers, peers} {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	}
+	s.decisions.Info("stopped", "vm", s.settings.ID())
+}
+
+// serveCaller serves operators and callers.
+func (s *Server) serveCaller(w http.ResponseWriter, request *http.Request) {
+	if isOperatorPath(request.URL.Path) {
+		http.StripPrefix(configurer.BasePath, s.operators).ServeHTTP(w, request)
+		return
+	}
+	s.router.ServeHTTP(w, request)
+}
+
+// internalHandler serves the calls of other entry VMs, and requests that they
+// pass on.
+func (s *Server) internalHandler() http.Handler {
+	mux := http.NewServeMux()
+	s.tracker.Register(mux)
+	s.copy.Handle(s.messenger, mux)
+	s.slotter.Register(s.messenger, mux)
+	scheduler.Handle(s.messenger, mux, s.tenures.scheduler)
+	mux.Handle("/v1/services/", s.router)
+	return mux
+}
+
+// chooseCandidates keeps the elector told of the shards this entry VM may own:
+// those of its data centre, and those of data centres declared lost.
+func (s *Server) chooseCandidates(ctx context.Context) error {
+	ticker := time.NewTicker(candidateInterval)
+	defer ticker.Stop()
+	for {
+		s.elector.Candidates(s.candidates()...)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// candidates returns the shards that this entry VM may own.
+func (s *Server) candidates() []string {
+	own := s.settings.Centre()
+	shards := append([]string{}, s.centreShards(own)...)
+	if s.centreState(own) == configurer.Lost {
+		return nil
+	}
+	for _, centre := range s.centreNames()[1:] {
+		if s.centreState(centre) == configurer.Lost {
+			shards = append(shards, s.centreShards(centre)...)
+		}
+	}
+	return shards
+}
+
+// ownerAddress returns where the owner of a shard is reached.
+func (s *Server) ownerAddress(shard string) (string, bool) {
+	owner, ok := s.elector.Owner(shard)
+	return owner.Address(), ok && owner.Address() != ""
+}
+
+// catchUp fetches the declarations from a peer that has newer ones.
+func (s *Server) catchUp(_, address string, revision uint64) {
+	if revision <= s.copy.Revision() || s.base == nil {
+		return
+	}
+	s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(s.base, fetchTimeout)
+		defer cancel()
+		if _, err := s.copy.Fetch(ctx, s.messenger, address); err != nil {
+			s.decisions.Debug("declarations not fetched", "address", address, "error", err)
+		}
+	})
+}
+
+// configurerPeers returns the other entry VMs.
+func (s *Server) configurerPeers() []configurer.Peer {
+	var peers []configurer.Peer
+	for _, vm := range s.tracker.Entries("") {
+		if vm.ID() != s.settings.ID() {
+			peers = append(peers, configurer.NewPeer(vm.ID(), vm.Address()))
+		}
+	}
+	return peers
+}
+
+// peersIn returns the addresses of the entry VMs of a data centre that answer.
+func (s *Server) peersIn(centre string) []string {
+	var addresses []string
+	for _, vm := range s.tracker.Entries(centre) {
+		if !s.leaves(vm) && s.tracker.State(vm.ID()) == tracker.Alive {
+			addresses = append(addresses, vm.Address())
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// checkJob refuses what can never run, from what is known here.
+func (s *Server) checkJob(spec placer.JobSpec) error {
+	var sizes []placer.Resources
+	for _, vm := range s.tracker.Workers("") {
+		sizes = append(sizes, vm.Size())
+	}
+	limit := int64(0)
+	if resolver, ok := s.resolver(); ok {
+		limit = resolver.Limit(spec.Team())
+	}
+	return admitter.CheckJob(spec, admitter.NewFleet(sizes, limit), time.Now())
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,271 @@
+// Package server runs one entry VM: it puts the parts together, starts and stops
+// them.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filberthaven.example/admitter"
+	"filberthaven.example/authenticator"
+	"filberthaven.example/configurer"
+	"filberthaven.example/elector"
+	"filberthaven.example/granter"
+	"filberthaven.example/keeper"
+	"filberthaven.example/messenger"
+	"filberthaven.example/router"
+	"filberthaven.example/scheduler"
+	"filberthaven.example/tracker"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+)
+
+// livePrefix is the prefix of the keys that each entry VM watches.
+const livePrefix = "live/"
+
+// Server is one entry VM.
+type Server struct {
+	settings    *Settings
+	logger      hclog.Logger
+	decisions   hclog.Logger // a line for each decision on where a job goes
+	registry    metrics.Registry
+	incarnation uint64 // larger than that of any earlier process of the VM
+	listener    net.Listener
+	internal    net.Listener
+
+	store     keeper.Store
+	mirror    *keeper.Mirror
+	messenger *messenger.Messenger
+	copy      *configurer.Copy
+	spreader  *configurer.Spreader
+	tracker   *tracker.Tracker
+	keys      *authenticator.Authenticator
+	admitter  *admitter.Admitter
+	holder    *granter.Holder
+	slotter   *granter.Slotter
+	elector   *elector.Elector
+	client    *scheduler.Client
+	router    *router.Router
+	operators *configurer.Handler
+
+	base     context.Context // of everything that outlives a request; set by Run
+	tenures  tenures
+	slotting sync.Mutex                  // held by the tenure that divides slots
+	slots    atomic.Pointer[slotRecords] // nil while no slots are divided here
+	group    sync.WaitGroup
+	started  time.Time
+}
+
+// Dependency changes what a Server is built on.
+type Dependency func(*Server)
+
+// WithLogger sets the logger. Each part adds its own name.
+func WithLogger(logger hclog.Logger) Dependency { return func(s *Server) { s.logger = logger } }
+
+// WithRegistry sets where metrics are kept.
+func WithRegistry(registry metrics.Registry) Dependency {
+	return func(s *Server) { s.registry = registry }
+}
+
+// WithIncarnation sets the number of the process, which has to be larger than
+// that of any earlier process of the VM; by default it is the time.
+func WithIncarnation(n uint64) Dependency { return func(s *Server) { s.incarnation = n } }
+
+// New puts an entry VM together and opens its listeners.
+func New(settings *Settings, dependencies ...Dependency) (*Server, error) {
+	s := &Server{
+		settings:    settings,
+		logger:      hclog.NewNullLogger(),
+		registry:    metrics.NewRegistry(),
+		incarnation: uint64(time.Now().UnixNano()),
+		tenures:     tenures{shards: map[string]*tenure{}},
+		started:     time.Now(),
+	}
+	for _, dependency := range dependencies {
+		dependency(s)
+	}
+	s.decisions = s.logger.Named("server")
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	if err := s.build(); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
+	return s, nil
+}
+
+// listen opens both listeners, so that their ports are known to all parts.
+func (s *Server) listen() error {
+	var err error
+	if s.listener, err = net.Listen("tcp", s.settings.Listen()); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if s.internal, err = net.Listen("tcp", s.settings.Internal()); err != nil {
+		_ = s.listener.Close()
+		return fmt.Errorf("listen for entry VMs: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) closeListeners() {
+	_ = s.listener.Close()
+	_ = s.internal.Close()
+}
+
+// Address returns host:port for callers and operators.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Internal returns host:port for entry VMs.
+func (s *Server) Internal() string {
+	if _, port, err := net.SplitHostPort(s.settings.Advertise()); err == nil && port != "0" {
+		return s.settings.Advertise()
+	}
+	return s.internal.Addr().String()
+}
+
+// process names this process among all of the fleet.
+func (s *Server) process() string { return fmt.Sprintf("%s@%d", s.settings.ID(), s.incarnation) }
+
+// build puts the parts together, from the platform's side to the callers'.
+func (s *Server) build() error {
+	steps := []func() error{s.buildPlatform, s.buildConfiguration, s.buildMembership, s.buildShards, s.buildCallers}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// buildPlatform makes the ways to the key-value service and to other processes.
+func (s *Server) buildPlatform() error {
+	transport := messenger.NewTransport(nil)
+	client, err := keeper.New(s.settings.Platform(),
+		keeper.WithName(s.settings.ID()),
+		keeper.WithRegistry(s.registry),
+		keeper.WithTimeout(s.settings.Limits().Call()),
+		keeper.WithHTTPClient(&http.Client{Transport: transport}))
+	if err != nil {
+		return err
+	}
+	s.store = client.Store()
+	s.mirror = keeper.NewMirror(s.store, livePrefix, keeper.WithLogger(s.logger))
+	s.messenger, err = messenger.New(messenger.WithTimeout(s.settings.Limits().Call()))
+	return err
+}
+
+// buildConfiguration makes the copy of the declarations and its exchange.
+func (s *Server) buildConfiguration() error {
+	s.copy = configurer.NewCopy(configurer.WithCopyLogger(s.logger))
+	s.mirror.Subscribe(configurer.LiveKey, s.copy.Observe)
+	s.spreader = configurer.NewSpreader(s.settings.ID(), s.copy, s.messenger, s.configurerPeers,
+		configurer.WithSpreaderLogger(s.logger))
+	var err error
+	s.keys, err = authenticator.New(authenticator.WithLookup(s.lookupKey), authenticator.WithLogger(s.logger))
+	return err
+}
+
+// buildMembership makes the tracker of VMs.
+func (s *Server) buildMembership() error {
+	var err error
+	s.tracker, err = tracker.New(
+		tracker.WithPlatform(s.settings.Platform(), &http.Client{Transport: messenger.NewTransport(nil)}),
+		tracker.WithMessenger(s.messenger),
+		tracker.WithSelf(s.settings.ID(), s.incarnation, s.settings.Centre()),
+		tracker.WithRevision(s.copy.Revision),
+		tracker.WithOnRevision(s.catchUp),
+		tracker.WithLogger(s.logger),
+	)
+	return err
+}
+
+// buildShards makes what owns shards, and what calls their owners.
+func (s *Server) buildShards() error {
+	var err error
+	vm := elector.NewVM(s.settings.ID(), s.incarnation, s.Internal(), s.settings.Centre())
+	s.elector, err = elector.New(s.store, s.mirror, vm,
+		elector.WithLogger(s.logger), elector.OnElected(s.elected), elector.OnDeposed(s.deposed))
+	if err != nil {
+		return err
+	}
+	s.client = scheduler.NewClient(s.messenger, s.ownerAddress)
+	s.slotter, err = granter.NewSlotter(
+		granter.WithExecutors(s.executors),
+		granter.WithIsOver(s.tracker.IsOver),
+		granter.WithSlotJournal(s.journalSlots),
+		granter.WithSlotLogger(s.logger))
+	if err != nil {
+		return err
+	}
+	s.holder, err = granter.NewHolder(
+		granter.WithHolder(s.settings.ID(), s.incarnation),
+		granter.WithOwner(s.slotOwner),
+		granter.WithHolderMessenger(s.messenger),
+		granter.WithHolderLogger(s.logger))
+	return err
+}
+
+// buildCallers makes the APIs of callers and operators.
+func (s *Server) buildCallers() error {
+	var err error
+	s.admitter, err = admitter.New(admitter.WithTeamLimit(s.teamSlots), admitter.WithShare(s.share))
+	if err != nil {
+		return err
+	}
+	writer := configurer.NewWriter(s.store, s.copy, configurer.WithWriterLogger(s.logger))
+	s.operators = configurer.NewHandler(writer, s.copy,
+		configurer.WithIdentify(s.identify),
+		configurer.WithSpreader(s.spreader),
+		configurer.WithHandlerLogger(s.logger))
+	s.router, err = router.New(
+		router.WithLogger(s.logger),
+		router.WithJobs(s.jobs()),
+		router.WithRequests(s.requests()),
+		router.WithAuthenticate(s.keys.Authenticate),
+		router.WithServices(s.servicePolicy),
+		router.WithQueues(s.queuePolicy),
+		router.WithCheck(s.checkJob),
+		router.WithReady(s.ready),
+		router.WithCentre(s.settings.Centre()),
+		router.WithMetrics(metricsHandler(s.registry)),
+		router.WithStatus(http.HandlerFunc(s.serveStatus)),
+	)
+	return err
+}
+
+// ErrNotReady means that the entry VM has no declarations yet.
+var ErrNotReady = errors.New("no declarations are in force here yet")
+
+// ready reports why requests aren't welcome yet.
+func (s *Server) ready() error {
+	if s.copy.Current() == nil {
+		return ErrNotReady
+	}
+	return nil
+}
+
+// Ready returns why requests aren't welcome yet, nil when they are.
+func (s *Server) Ready() error { return s.ready() }
+
+// Incarnation returns the number of the process.
+func (s *Server) Incarnation() uint64 { return s.incarnation }
+
+// Serving returns the shards that this entry VM owns and has recovered.
+func (s *Server) Serving() []string {
+	var shards []string
+	for _, t := range s.tenures.all() {
+		select {
+		case <-t.scheduler.Ready():
+			shards = append(shards, t.shard)
+		default:
+		}
+	}
+	return shards
+}
--- /dev/null
+++ b/server/tenure.go
@@ -0,0 +1,258 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"filberthaven.example/configurer"
+	"filberthaven.example/dispatcher"
+	"filberthaven.example/journaler"
+	"filberthaven.example/placer"
+	"filberthaven.example/scheduler"
+	"github.com/hashicorp/go-hclog"
+)
+
+// resignTimeout bounds the hand-over of one shard.
+const resignTimeout = 5 * time.Second
+
+// tenure is the ownership of one shard during one term.
+type tenure struct {
+	shard     string
+	term      uint64
+	scheduler *scheduler.Scheduler
+	journal   *journaler.Journaler
+	cancel    context.CancelFunc
+	done      chan struct{} // closed when all of its parts have ended
+}
+
+// tenures holds the shards that this entry VM owns.
+type tenures struct {
+	mu     sync.Mutex
+	shards map[string]*tenure // by shard; one term each at a time
+}
+
+// get returns the tenure of a shard.
+func (t *tenures) get(shard string) (*tenure, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, ok := t.shards[shard]
+	return found, ok
+}
+
+// all returns all tenures.
+func (t *tenures) all() []*tenure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*tenure, 0, len(t.shards))
+	for _, each := range t.shards {
+		list = append(list, each)
+	}
+	return list
+}
+
+// put replaces the tenure of a shard and returns the former one, or nil.
+func (t *tenures) put(next *tenure) *tenure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	former := t.shards[next.shard]
+	t.shards[next.shard] = next
+	return former
+}
+
+// drop removes the tenure of a shard, if term is zero or its own, and returns it.
+func (t *tenures) drop(shard string, term uint64) (*tenure, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, ok := t.shards[shard]
+	if !ok || term != 0 && found.term != term {
+		return nil, false
+	}
+	delete(t.shards, shard)
+	return found, true
+}
+
+// scheduler returns the scheduler of a shard that this entry VM owns.
+func (t *tenures) scheduler(shard string) (*scheduler.Scheduler, bool) {
+	found, ok := t.get(shard)
+	if !ok {
+		return nil, false
+	}
+	return found.scheduler, true
+}
+
+// elected begins the tenure of a shard. It doesn't block.
+func (s *Server) elected(shard string, term uint64) {
+	next, err := s.newTenure(shard, term)
+	if err != nil {
+		s.logger.Error("tenure not begun", "shard", shard, "term", term, "error", err)
+		return
+	}
+	ctx, cancel := context.WithCancel(s.base)
+	next.cancel = cancel
+	former := s.tenures.put(next)
+	s.group.Go(func() { s.runTenure(ctx, next, former) })
+}
+
+// deposed ends the tenure of a shard. It doesn't block.
+func (s *Server) deposed(shard string) {
+	if former, ok := s.tenures.drop(shard, 0); ok {
+		former.cancel()
+	}
+}
+
+// newTenure puts the parts of a shard's owner together.
+func (s *Server) newTenure(shard string, term uint64) (*tenure, error) {
+	journal, err := journaler.New(s.store, shard, journaler.WithLogger(s.logger), journaler.WithRegistry(s.registry))
+	if err != nil {
+		return nil, err
+	}
+	owner, err := scheduler.New(shard, term,
+		scheduler.WithJournal(journalSeam(journal)),
+		scheduler.WithDispatcher(dispatcher.New(dispatcher.WithAddresses(s.messenger, s.workerAddress))),
+		scheduler.WithLogger(s.logger),
+		scheduler.WithAllotment(s.evenAllotment),
+		scheduler.WithShare(s.share),
+		scheduler.WithTransfer(s.transferTarget(shard), s.client.Transfer),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return &tenure{shard: shard, term: term, scheduler: owner, journal: journal, done: make(chan struct{})}, nil
+}
+
+// runTenure runs the owner's parts until the term is over. The former tenure of
+// the shard in this process ends first.
+func (s *Server) runTenure(ctx context.Context, t *tenure, former *tenure) {
+	defer close(t.done)
+	if former != nil {
+		former.cancel()
+		<-former.done
+	}
+	var group sync.WaitGroup
+	group.Go(func() { s.feed(ctx, t) })
+	if s.dividesSlots(t.shard) {
+		group.Go(func() { s.divideSlots(ctx, t) })
+	}
+	err := t.scheduler.Run(ctx)
+	if err != nil && ctx.Err() == nil {
+		s.logger.Warn("tenure over", "shard", t.shard, "term", t.term, "error", err)
+	}
+	t.cancel()
+	group.Wait()
+	s.tenures.drop(t.shard, t.term)
+}
+
+// feedInterval is the time between two comparisons of the owner's workers and
+// teams with what the list and the declarations say.
+const feedInterval = 500 * time.Millisecond
+
+// feed tells the owner its workers, limits and whether its data centre is out.
+func (s *Server) feed(ctx context.Context, t *tenure) {
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
+	changed := make(chan struct{}, 1)
+	cancel := s.copy.Subscribe(func(*configurer.Revision) { notify(changed) })
+	defer cancel()
+	for {
+		s.feedOnce(ctx, t)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// feedOnce tells the owner all that it takes from elsewhere.
+func (s *Server) feedOnce(ctx context.Context, t *tenure) {
+	centre := centreOf(t.shard)
+	if !s.tracker.Fetched().IsZero() {
+		t.scheduler.SetWorkers(s.shardWorkers(t.shard))
+	}
+	var err error
+	if s.inService(centre) {
+		err = t.scheduler.Resume(ctx)
+	} else {
+		err = t.scheduler.Drain(ctx)
+	}
+	if err != nil && !errors.Is(err, scheduler.ErrNotOwner) && !errors.Is(err, scheduler.ErrNotRun) {
+		s.logger.Warn("state of data centre not passed on", "shard", t.shard, "error", err)
+	}
+}
+
+// journalSeam binds a journal to what a scheduler needs of it.
+func journalSeam(journal *journaler.Journaler) scheduler.Journal {
+	return scheduler.Journal{
+		Open: func(ctx context.Context, term uint64) ([]byte, [][]byte, error) {
+			recovery, err := journal.Open(ctx, term)
+			if err != nil {
+				return nil, nil, journalError(err)
+			}
+			return recovery.Snapshot(), recovery.Records(), nil
+		},
+		Enqueue: func(record []byte, kept bool, done func(error)) {
+			enqueue := journal.Enqueue
+			if kept {
+				enqueue = journal.EnqueueKept
+			}
+			tell := func(err error) { done(journalError(err)) }
+			if err := enqueue(record, tell); err != nil {
+				go tell(err)
+			}
+		},
+		SetSnapshotter: journal.SetSnapshotter,
+	}
+}
+
+// journalError returns the scheduler's error for one of the journal.
+func journalError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, journaler.ErrDeposed):
+		return errors.Join(scheduler.ErrDeposed, err)
+	case errors.Is(err, journaler.ErrUnknown):
+		return errors.Join(scheduler.ErrJournalUnknown, err)
+	}
+	return errors.Join(scheduler.ErrJournalUnavailable, err)
+}
+
+// shardWorkers returns the workers of a shard: those of its data centre whose rack
+// falls to it.
+func (s *Server) shardWorkers(shard string) []placer.Worker {
+	shards := s.centreShards(centreOf(shard))
+	var workers []placer.Worker
+	for _, vm := range s.tracker.Workers(centreOf(shard)) {
+		if rackShard(vm.Rack(), shards) != shard {
+			continue
+		}
+		workers = append(workers, s.placerWorker(vm))
+	}
+	return workers
+}
+
+// resign stops the tenures in order and hands the shards over.
+func (s *Server) resign(ctx context.Context, logger hclog.Logger) {
+	s.elector.Leave()
+	var group sync.WaitGroup
+	for _, t := range s.tenures.all() {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+			defer cancel()
+			if err := t.scheduler.Close(ctx); err != nil {
+				logger.Warn("shard not closed in order", "shard", t.shard, "error", err)
+			}
+			if err := t.journal.Close(ctx); err != nil {
+				logger.Warn("journal not closed in order", "shard", t.shard, "error", err)
+			}
+			if err := s.elector.Resign(ctx, t.shard); err != nil {
+				logger.Warn("shard not handed over", "shard", t.shard, "error", err)
+			}
+			t.cancel()
+		})
+	}
+	group.Wait()
+}
