--- /dev/null
+++ b/filberthaven/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package main_test
+
+const raceEnabled = true
--- a/launcher/endpoints.go
+++ b/launcher/endpoints.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"filberthaven.example/dispatcher"
 	"filberthaven.example/emulator"
@@ -15,7 +16,8 @@
 const (
 	workerCPU    = 16_000   // thousandths of a processor
 	workerMemory = 64 << 10 // MiB
-	rackSize     = 8        // workers
+	leastRunTime = 100 * time.Millisecond
+	rackSize     = 8 // workers
 )
 
 // startEndpoints starts the workers and executors of all data centres.
@@ -43,7 +45,7 @@
 func (f *Fleet) startWorker(calls *messenger.Messenger, centre string, i int) error {
 	id := fmt.Sprintf("%s-worker-%d", centre, i+1)
 	worker := emulator.NewWorker(id, placer.NewResources(workerCPU, workerMemory, 0),
-		emulator.WithDataCentre(centre), emulator.WithWitness(f.witness))
+		emulator.WithDataCentre(centre), emulator.WithWitness(f.witness), emulator.WithRunTime(f.countStart(centre)))
 	mux := http.NewServeMux()
 	dispatcher.Handle(calls, mux, worker.Guard())
 	address, err := f.serve(newServer(mux))
@@ -58,6 +60,16 @@
 	return nil
 }
 
+// countStart returns the run time of tasks in a data centre, which is the declared
+// one, and counts their starts.
+func (f *Fleet) countStart(centre string) func(dispatcher.Attempt, dispatcher.Launch) (time.Duration, dispatcher.Outcome) {
+	starts := f.starts[centre]
+	return func(_ dispatcher.Attempt, launch dispatcher.Launch) (time.Duration, dispatcher.Outcome) {
+		starts.Add(1)
+		return max(launch.Estimate(), leastRunTime), dispatcher.Done
+	}
+}
+
 // startExecutor starts one executor and puts it into the platform's list.
 func (f *Fleet) startExecutor(centre string, i int) error {
 	id := fmt.Sprintf("%s-executor-%d", centre, i+1)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filberthaven.example/configurer"
@@ -35,10 +36,10 @@
 // Fleet is a running fleet.
 type Fleet struct {
 	logger    hclog.Logger
-	entries   int // in a data centre, at least 1
-	workers   int // in a data centre
-	executors int // in a data centre
-	lag       time.Duration
+	entries   int                      // in a data centre, at least 1
+	workers   int                      // in a data centre
+	executors int                      // in a data centre
+	starts    map[string]*atomic.Int64 // of tasks, by data centre
 
 	store     *emulator.Store
 	platform  *emulator.Platform
@@ -102,6 +103,10 @@
 	return func(f *Fleet) { f.entries, f.workers, f.executors = entries, workers, executors }
 }
 
+// WithoutEntries makes the fleet's entry VMs processes of their own: it has none until
+// SetEntry names them.
+func WithoutEntries() Option { return func(f *Fleet) { f.entries = 0 } }
+
 // WithCentres sets the data centres.
 func WithCentres(names ...string) Option { return func(f *Fleet) { f.centreSet = names } }
 
@@ -114,6 +119,10 @@
 	for _, option := range options {
 		option(f)
 	}
+	f.starts = map[string]*atomic.Int64{}
+	for _, centre := range f.centreSet {
+		f.starts[centre] = &atomic.Int64{}
+	}
 	ctx, f.cancel = context.WithCancel(ctx)
 	steps := []func(context.Context) error{f.startPlatform, f.declare, f.startEndpoints, f.startEntries, f.waitReady}
 	for _, step := range steps {
@@ -151,6 +160,9 @@
 // Witness returns what counts broken promises of tasks.
 func (f *Fleet) Witness() *emulator.Witness { return f.witness }
 
+// StartsIn returns the number of tasks that have started in a data centre.
+func (f *Fleet) StartsIn(centre string) int64 { return f.starts[centre].Load() }
+
 // Executors returns the stand-ins of executors.
 func (f *Fleet) Executors() []*emulator.Executor { return f.stands }
 
@@ -234,9 +246,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	vm := &VM{id: id, centre: centre, server: each, cancel: cancel, stopped: make(chan error, 1)}
 	f.vms = append(f.vms, vm)
-	f.platform.SetVM(emulator.VM{
-		ID: id, Role: "entry", Address: each.Internal(), Centre: centre, State: "live", Incarnation: each.Incarnation(),
-	})
+	f.SetEntry(id, centre, each.Internal(), "live", each.Incarnation())
 	f.group.Go(func() { vm.stopped <- each.Run(ctx) })
 	return nil
 }
@@ -244,6 +254,9 @@
 // waitReady waits until all entry VMs are ready and all shards have owners that
 // serve.
 func (f *Fleet) waitReady(ctx context.Context) error {
+	if f.entries == 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
@@ -258,6 +271,11 @@
 	}
 }
 
+// SetEntry puts an entry VM, or what has become of it, into the platform's list.
+func (f *Fleet) SetEntry(id, centre, address, state string, incarnation uint64) {
+	f.platform.SetVM(emulator.VM{ID: id, Role: "entry", Address: address, Centre: centre, State: state, Incarnation: incarnation})
+}
+
 // ready reports whether each entry VM has the declarations, and each data centre an
 // owner that serves.
 func (f *Fleet) ready() bool {
--- a/server/run.go
+++ b/server/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -48,6 +49,9 @@
 	cancel()
 	err := group.Wait()
 	s.group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	return err
 }
 
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -111,7 +111,7 @@
 	owner, err := scheduler.New(shard, term,
 		scheduler.WithJournal(journalSeam(journal)),
 		scheduler.WithDispatcher(dispatcher.New(dispatcher.WithAddresses(s.messenger, s.workerAddress))),
-		scheduler.WithLogger(s.logger),
+		scheduler.WithLogger(s.logger.Named("scheduler")),
 		scheduler.WithAllotment(s.evenAllotment),
 		scheduler.WithShare(s.share),
 		scheduler.WithTransfer(s.transferTarget(shard), s.client.Transfer),
