commands: Submit, wait for, cancel and explain jobs; write first declarations

Cause: jobs had no command line, and a new fleet no way to its first operator's key. Change: submit, wait, cancel and explain over the callers' API, with request ids so that a repeat is safe; init writes the first revision past the entry VMs and refuses once there is one; the status page is mounted. Measured: nothing yet. Conclusion: none beyond the change.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,7 +16,8 @@
 // registers lists the commands in the order of the help.
 func registers() []register {
 	return []register{
-		addServe, addDev, addStatus,
+		addServe, addDev, addInit, addStatus,
+		addSubmit, addWait, addCancel, addExplain,
 		addCheck, addPlan, addApply, addDiff, addExport, addHistory, addRollback,
 		addDrain, addReturn, addLimit, addKeys, addGrant, addWithdraw,
 	}
--- /dev/null
+++ b/commands/jobcall.go
@@ -0,0 +1,107 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"filberthaven.example/configurer"
+	"filberthaven.example/router"
+)
+
+// answerLimit is the largest answer that is read, in bytes.
+const answerLimit = 16 << 20
+
+// errRefused means that the fleet refused a call on jobs.
+var errRefused = errors.New("refused")
+
+// job is a job as the callers' API answers it.
+type job struct {
+	ID        string    `json:"id"`
+	Name      string    `json:"name"`
+	Team      string    `json:"team"`
+	Class     string    `json:"class"`
+	State     string    `json:"state"`
+	Terminal  bool      `json:"terminal"`
+	Tasks     int       `json:"tasks"`
+	Pending   int       `json:"pending"`
+	Running   int       `json:"running"`
+	Done      int       `json:"done"`
+	Failed    int       `json:"failed"`
+	Unknown   int       `json:"unknown"`
+	Deadline  time.Time `json:"deadline,omitzero"`
+	Submitted time.Time `json:"submitted,omitzero"`
+}
+
+// write writes the job as one line.
+func (j job) write(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%s %s: %d tasks, %d pending, %d running, %d done, %d failed, %d unknown\n",
+		j.ID, j.State, j.Tasks, j.Pending, j.Running, j.Done, j.Failed, j.Unknown)
+	return err
+}
+
+// problem is a refusal of the callers' API.
+type problem struct {
+	Code    string `json:"code"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+}
+
+// jobCall calls the callers' API and decodes its answer into result.
+func (e *environment) jobCall(ctx context.Context, method, path string, body, result any) error {
+	if e.Address == "" {
+		return &exitError{exitUsage, errNoAddress}
+	}
+	client, err := e.httpClient()
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(e.Address, "/")+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+e.Key)
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := client.Do(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", configurer.ErrUnreachable, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return decodeAnswer(answer, result)
+}
+
+// decodeAnswer returns the refusal of an answer, or decodes its body.
+func decodeAnswer(answer *http.Response, result any) error {
+	body := io.LimitReader(answer.Body, answerLimit)
+	if answer.StatusCode < http.StatusMultipleChoices {
+		return json.NewDecoder(body).Decode(result)
+	}
+	refusal := problem{Code: "http", Detail: answer.Status}
+	_ = json.NewDecoder(body).Decode(&refusal) // what isn't a problem document is told by its status
+	err := fmt.Errorf("%w: %s: %s", errRefused, refusal.Code, refusal.Detail)
+	if refusal.Outcome == string(router.Unknown) {
+		return &exitError{exitUnreachable, err}
+	}
+	return &exitError{exitRefused, err}
+}
+
+// jobPath returns the path of a job in the callers' API.
+func jobPath(id string) string { return "/v1/jobs/" + url.PathEscape(id) }
+
+// jobArgument names a job.
+type jobArgument struct {
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"identifier of the job"`
+	} `positional-args:"yes" required:"yes"`
+}
--- a/server/report.go
+++ b/server/report.go
@@ -1,15 +1,14 @@
 package server
 
 import (
-	"encoding/json"
-	"net/http"
+	"context"
 	"time"
 
 	"filberthaven.example/tracker"
 )
 
 // status puts together what this entry VM knows.
-func (s *Server) status() Status {
+func (s *Server) status(context.Context) Status {
 	return Status{
 		Time:     time.Now(),
 		VM:       s.settings.ID(),
@@ -24,14 +23,6 @@
 	}
 }
 
-// serveStatus answers with the status as JSON.
-func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s.status()); err != nil {
-		s.decisions.Debug("status not sent", "error", err)
-	}
-}
-
 func (s *Server) fleetStatus() FleetStatus {
 	fleet := FleetStatus{Executors: len(s.tracker.Endpoints("", ""))}
 	for _, vm := range s.tracker.Workers("") {
--- a/server/server.go
+++ b/server/server.go
@@ -224,6 +224,10 @@
 		configurer.WithIdentify(s.identify),
 		configurer.WithSpreader(s.spreader),
 		configurer.WithHandlerLogger(s.logger))
+	page, err := NewPage(s.status)
+	if err != nil {
+		return err
+	}
 	s.router, err = router.New(
 		router.WithLogger(s.logger),
 		router.WithJobs(s.jobs()),
@@ -235,7 +239,8 @@
 		router.WithReady(s.ready),
 		router.WithCentre(s.settings.Centre()),
 		router.WithMetrics(metricsHandler(s.registry)),
-		router.WithStatus(http.HandlerFunc(s.serveStatus)),
+		router.WithStatus(NewStatusHandler(s.status)),
+		router.WithPage(page),
 	)
 	return err
 }
