--- a/launcher/check.go
+++ b/launcher/check.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"filberthaven.example/configurer"
 	"github.com/samber/oops"
 )
 
@@ -186,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := f.call(ctx, f.vms[0], f.keys.operator, http.MethodPost, "/v1/config/"+verb, body)
+	answer, err := f.call(ctx, f.vms[0], f.keys.operator, http.MethodPost, configurer.BasePath+"/"+verb, body)
 	if err != nil {
 		return err
 	}
--- a/server/keys.go
+++ b/server/keys.go
@@ -1,12 +1,11 @@
 package server
 
 import (
-	"errors"
 	"net/http"
-	"strings"
 
 	"filberthaven.example/authenticator"
 	"filberthaven.example/configurer"
+	"filberthaven.example/router"
 )
 
 // lookupKey returns a key of the declarations in force.
@@ -34,10 +33,10 @@
 }
 
 // identify returns who calls the operators' API, or configurer.ErrDenied.
-func (s *Server) identify(request *http.Request) (configurer.Caller, error) {
-	principal, err := s.keys.Authenticate(request)
-	if err != nil {
-		return configurer.Caller{}, errors.Join(configurer.ErrDenied, err)
+func identify(request *http.Request) (configurer.Caller, error) {
+	principal, ok := router.PrincipalFrom(request.Context())
+	if !ok {
+		return configurer.Caller{}, configurer.ErrDenied
 	}
 	switch principal.Role() {
 	case authenticator.OperatorRole:
@@ -47,8 +46,3 @@
 	}
 	return configurer.Caller{}, configurer.ErrDenied
 }
-
-// isOperatorPath reports whether a path belongs to the operators' API.
-func isOperatorPath(path string) bool {
-	return path == configurer.BasePath || strings.HasPrefix(path, configurer.BasePath+"/")
-}
--- a/server/run.go
+++ b/server/run.go
@@ -35,7 +35,7 @@
 		group.Go(func() error { return part(running) })
 	}
 	group.Go(func() error { s.spreader.Run(running); return nil })
-	callers := router.NewServer(http.HandlerFunc(s.serveCaller), nil, s.logger)
+	callers := router.NewServer(s.router, nil, s.logger)
 	peers := router.NewServer(s.internalHandler(), nil, s.logger)
 	group.Go(func() error { return router.Serve(callers, s.listener) })
 	group.Go(func() error { return router.Serve(peers, s.internal) })
@@ -73,15 +73,6 @@
 	s.decisions.Info("stopped", "vm", s.settings.ID())
 }
 
-// serveCaller serves operators and callers.
-func (s *Server) serveCaller(w http.ResponseWriter, request *http.Request) {
-	if isOperatorPath(request.URL.Path) {
-		http.StripPrefix(configurer.BasePath, s.operators).ServeHTTP(w, request)
-		return
-	}
-	s.router.ServeHTTP(w, request)
-}
-
 // internalHandler serves the calls of other entry VMs, and requests that they
 // pass on.
 func (s *Server) internalHandler() http.Handler {
--- a/server/server.go
+++ b/server/server.go
@@ -52,7 +52,6 @@
 	elector   *elector.Elector
 	client    *scheduler.Client
 	router    *router.Router
-	operators *configurer.Handler
 
 	base     context.Context // of everything that outlives a request; set by Run
 	tenures  tenures
@@ -220,8 +219,8 @@
 		return err
 	}
 	writer := configurer.NewWriter(s.store, s.copy, configurer.WithWriterLogger(s.logger))
-	s.operators = configurer.NewHandler(writer, s.copy,
-		configurer.WithIdentify(s.identify),
+	operators := configurer.NewHandler(writer, s.copy,
+		configurer.WithIdentify(identify),
 		configurer.WithSpreader(s.spreader),
 		configurer.WithHandlerLogger(s.logger))
 	page, err := NewPage(s.status)
@@ -241,6 +240,7 @@
 		router.WithMetrics(metricsHandler(s.registry)),
 		router.WithStatus(NewStatusHandler(s.status)),
 		router.WithPage(page),
+		router.WithOperators(operators),
 	)
 	return err
 }
