launcher: Wait for slots of executors before a fleet is ready

Ruled out: a lost grant; the owner answers the first report within 200 ms. Change: a fleet counts as started once each entry VM holds slots. Conclusion: the start order was the cause, not the division of slots.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -276,12 +276,12 @@
 	f.platform.SetVM(emulator.VM{ID: id, Role: "entry", Address: address, Centre: centre, State: state, Incarnation: incarnation})
 }
 
-// ready reports whether each entry VM has the declarations, and each data centre an
-// owner that serves.
+// ready reports whether each entry VM has the declarations and slots of executors,
+// and each data centre an owner that serves.
 func (f *Fleet) ready() bool {
 	serving := map[string]bool{}
 	for _, vm := range f.vms {
-		if vm.server.Ready() != nil {
+		if vm.server.Ready() != nil || f.executors > 0 && vm.server.Slots(demoService) == 0 {
 			return false
 		}
 		for _, shard := range vm.server.Serving() {
--- a/server/server.go
+++ b/server/server.go
@@ -274,3 +274,9 @@
 	}
 	return shards
 }
+
+// Slots returns how many slots of a service's executors this entry VM was granted.
+func (s *Server) Slots(service string) int {
+	granted, _, _ := s.holder.Load(service)
+	return granted
+}
