--- a/launcher/check.go
+++ b/launcher/check.go
@@ -221,7 +221,7 @@
 	if err != nil {
 		return answer{}, err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	return answer{what: method + " " + path + " at " + vm.id, status: response.StatusCode, body: data}, err
 }
--- a/server/run.go
+++ b/server/run.go
@@ -42,7 +42,7 @@
 	s.decisions.Info("serving", "vm", s.settings.ID(), "centre", s.settings.Centre(), "callers", s.Address(), "internal", s.Internal())
 	select {
 	case <-ctx.Done():
-		s.stop(callers, peers)
+		s.stop(base, callers, peers)
 	case <-running.Done():
 		s.closeListeners()
 	}
@@ -57,8 +57,8 @@
 
 // stop ends in order. It cuts no request: shards go first, then callers' requests
 // end, and calls of peers are answered until the last.
-func (s *Server) stop(callers, peers *http.Server) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.base), s.settings.Drain())
+func (s *Server) stop(ctx context.Context, callers, peers *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Drain())
 	defer cancel()
 	s.router.Drain()
 	s.resign(ctx, s.decisions)
