--- a/scheduler/answer.go
+++ b/scheduler/answer.go
@@ -120,7 +120,8 @@
 }
 
 // onFinished takes an ended run off the books, and lets the worker forget it
-// once the journal has the outcome.
+// once the journal has the outcome: a run of which neither journal nor worker
+// knows an end counts as never started.
 func (s *Scheduler) onFinished(l *link, f dispatcher.Finished) {
 	attempt := f.Attempt()
 	id := attempt.Task()
@@ -132,7 +133,9 @@
 		l.dropStart(attempt)
 	}
 	if !t.here(l, attempt) {
-		l.send(dispatcher.AcknowledgeOrder(attempt))
+		if j == nil || j.unrecorded == 0 {
+			l.send(dispatcher.AcknowledgeOrder(attempt))
+		}
 		return
 	}
 	l.settling[attempt] = struct{}{}
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -134,3 +134,25 @@
 	w.takeOver(s).cut(busy, true, true)
 	time.Sleep(3 * fillTime)
 }
+
+// TestAcknowledgement pauses an owner until its workers have given up, lets it
+// read them back while its journal hangs, and has another take over: what the
+// journal lacks the workers must still remember.
+func TestAcknowledgement(t *testing.T) {
+	broken := runDirected(t, guards{}, func(w *world, s *shardWorld) {
+		w.one(s, "job", 1, time.Minute, placer.WithNonIdempotent())
+		old := s.newest()
+		old.client.SetFaults(emulator.Down())
+		for _, worker := range s.workers {
+			old.cut(worker.ID(), true, true)
+		}
+		time.Sleep(2 * fillTime)
+		for _, worker := range s.workers {
+			old.cut(worker.ID(), false, false)
+		}
+		time.Sleep(fillTime)
+		w.takeOver(s)
+		time.Sleep(fillTime)
+	})
+	qt.New(t).Assert(broken, qt.HasLen, 0)
+}
