--- a/server/settings_test.go
+++ b/server/settings_test.go
@@ -50,3 +50,28 @@
 	_, err := LoadSettings(filepath.Join(c.TempDir(), "none.ini"))
 	c.Assert(err, qt.ErrorMatches, `.*none\.ini.*`)
 }
+
+// FuzzSettings holds that settings which load don't contradict each other.
+func FuzzSettings(f *testing.F) {
+	paths, err := filepath.Glob("testdata/settings/*.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, path := range paths {
+		archive, err := txtar.ParseFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(string(archive.Files[0].Data))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		settings, err := decodeSettings(loader.NewFile("vm.ini", []byte(text)))
+		if err != nil {
+			return
+		}
+		c := qt.New(t)
+		c.Assert(settings.check(), qt.HasLen, 0)
+		c.Assert(settings.ID(), qt.Not(qt.Equals), "")
+		c.Assert(settings.Drain() > 0, qt.IsTrue)
+	})
+}
