--- a/commands/fleet_test.go
+++ b/commands/fleet_test.go
@@ -105,8 +105,8 @@
 // lookup finds keys in a copy, and the operator's before the first revision.
 func (f *fleet) lookup(c *configurer.Copy) func(string) (authenticator.Key, bool) {
 	return func(id string) (authenticator.Key, bool) {
-		if c.Revision() == 0 && id == f.operator.ID() {
-			return f.operator, true
+		if c.Current() == nil {
+			return f.operator, id == f.operator.ID()
 		}
 		key, known := c.Current().Key(id)
 		role := authenticator.TeamRole
@@ -157,7 +157,11 @@
 // status tells only what the entry VM has in force.
 func (vm *entryVM) status(context.Context) server.Status {
 	status := server.Status{VM: vm.id, Centre: "pianura-a", Revision: vm.copied.Revision(), Platform: server.PlatformStatus{Contact: true}}
-	for centre := range vm.copied.Current().Centres() {
+	document := vm.copied.Current()
+	if document == nil {
+		return status
+	}
+	for centre := range document.Centres() {
 		status.Centres = append(status.Centres, server.CentreStatus{Name: centre.Name(), State: string(centre.State()), Reason: centre.Reason()})
 	}
 	return status
--- a/configurer/copy.go
+++ b/configurer/copy.go
@@ -40,15 +40,22 @@
 	return c
 }
 
-// emptyDocument is in force before the first revision: it declares nothing.
+// emptyDocument declares nothing.
 var emptyDocument = &Document{}
 
-// Current returns the document in force, never nil. Before the first revision it
-// declares nothing, so that no key is valid.
+// Current returns the document in force, or nil before the first revision.
 func (c *Copy) Current() *Document {
 	if revision := c.revision.Load(); revision != nil {
 		return revision.document
 	}
+	return nil
+}
+
+// document returns the document in force, or one that declares nothing.
+func (c *Copy) document() *Document {
+	if document := c.Current(); document != nil {
+		return document
+	}
 	return emptyDocument
 }
 
--- a/configurer/copy_test.go
+++ b/configurer/copy_test.go
@@ -32,7 +32,7 @@
 	c := qt.New(t)
 	copied := NewCopy()
 	c.Assert(copied.Revision(), qt.Equals, uint64(0))
-	c.Assert(copied.Current().Shards(), qt.HasLen, 0)
+	c.Assert(copied.Current(), qt.IsNil)
 	var seen []uint64
 	cancel := copied.Subscribe(func(r *Revision) { seen = append(seen, r.Number()) })
 
--- a/configurer/handler_read.go
+++ b/configurer/handler_read.go
@@ -61,7 +61,7 @@
 		h.log.Warn("uses of keys are incomplete", "error", err)
 	}
 	now := h.now()
-	for key := range h.copy.Current().Keys() {
+	for key := range h.copy.document().Keys() {
 		wire.Keys = append(wire.Keys, keyWire{
 			Key: key.id, Team: key.team, Role: string(key.role), Active: key.Active(now), Withdrawn: key.withdrawn,
 			Expires: key.expires, Used: uses[key.id], Note: key.note,
--- a/configurer/uses.go
+++ b/configurer/uses.go
@@ -33,7 +33,7 @@
 // ownUses returns when this entry VM last accepted each key that it has seen.
 func (s *Spreader) ownUses() map[string]time.Time {
 	uses := map[string]time.Time{}
-	for key := range s.copy.Current().Keys() {
+	for key := range s.copy.document().Keys() {
 		if used, ok := s.lastUse(key.id); ok {
 			uses[key.id] = used
 		}
--- a/server/settings.go
+++ b/server/settings.go
@@ -40,23 +40,9 @@
 	logging   Logging
 	limits    Limits
 	tls       TLS
-	bootstrap Bootstrap
 	drain     time.Duration // above 0
 }
 
-// Bootstrap is an operator's key that is valid until the first revision of the
-// declarations is in force. Both parts are empty without one.
-type Bootstrap struct {
-	key  string // id
-	hash string // SHA-256 of the secret in hexadecimal digits
-}
-
-// Key returns the id of the key.
-func (b Bootstrap) Key() string { return b.key }
-
-// Hash returns the SHA-256 of the secret in hexadecimal digits.
-func (b Bootstrap) Hash() string { return b.hash }
-
 // Centre is a data centre as known at the start, until a document is in force.
 type Centre struct {
 	name   string
@@ -173,12 +159,6 @@
 	return func(s *Settings) { s.logging = Logging{level: level, json: json} }
 }
 
-// WithBootstrap sets the operator's key that is valid until the first revision of the
-// declarations is in force.
-func WithBootstrap(key, hash string) Option {
-	return func(s *Settings) { s.bootstrap = Bootstrap{key: key, hash: hash} }
-}
-
 // WithDrain sets how long a planned stop waits for requests under way.
 func WithDrain(d time.Duration) Option { return func(s *Settings) { s.drain = d } }
 
@@ -231,9 +211,6 @@
 			refuse("vm", "advertise", errors.New("others can't reach an unspecified address"))
 		}
 	}
-	if (s.bootstrap.key == "") != (s.bootstrap.hash == "") {
-		refuse("bootstrap", "key", errors.New("key and hash go together"))
-	}
 	files := []string{s.tls.certificate, s.tls.key, s.tls.authority}
 	if slices.Contains(files, "") && slices.ContainsFunc(files, func(f string) bool { return f != "" }) {
 		refuse("tls", "certificate", errors.New("certificate, key and authority go together"))
@@ -294,8 +271,5 @@
 // TLS returns the certificate files.
 func (s *Settings) TLS() TLS { return s.tls }
 
-// Bootstrap returns the operator's key for the first declarations.
-func (s *Settings) Bootstrap() Bootstrap { return s.bootstrap }
-
 // Drain returns how long a planned stop waits for requests under way.
 func (s *Settings) Drain() time.Duration { return s.drain }
--- a/server/settings_load.go
+++ b/server/settings_load.go
@@ -62,9 +62,6 @@
 	s.decodeLogging(d.One("log"))
 	s.decodeLimits(d.One("limits"))
 	s.decodeTLS(d.One("tls"))
-	bootstrap := d.One("bootstrap")
-	s.bootstrap.key = loader.Get(bootstrap, "key", loader.Word, "")
-	s.bootstrap.hash = loader.Get(bootstrap, "hash", loader.SHA256, "")
 }
 
 // maxShards is the largest number of shards of a data centre.
