scheduler: Keep the teams' limits over all shards

Cause: each shard took an even part of a team's limit, so a team could use no more than a third of it in one data centre; and the placer refused a gang that the present allotment did not hold, though allotments follow demand. Feasible no longer weighs the allotment, which is a part that moves; what exceeds the whole limit is refused on arrival by the admitter, and Stuck and Explain still tell when today's allotment is too small.

--- a/filberthaven/load_test.go
+++ b/filberthaven/load_test.go
@@ -88,7 +88,7 @@
 func (l *load) submit(ctx context.Context) {
 	for ctx.Err() == nil {
 		idempotent := l.number.Add(1)%3 != 0
-		body := fmt.Sprintf(`{"name":"load","tasks":2,"cpu":1,"memory":256,"class":"deferred","estimate":"200ms","idempotent":%v,"request":"job-%d"}`,
+		body := fmt.Sprintf(`{"name":"load","tasks":8,"cpu":2,"memory":256,"class":"deferred","estimate":"400ms","idempotent":%v,"request":"job-%d"}`,
 			idempotent, l.number.Add(1))
 		for ctx.Err() == nil && !l.submitOnce(body) {
 			time.Sleep(retryPause)
--- a/filberthaven/process_test.go
+++ b/filberthaven/process_test.go
@@ -15,6 +15,9 @@
 	// settleTimeout bounds each wait for the fleet; it is no verdict on speed.
 	settleTimeout = 90 * time.Second
 	settlePause   = 20 * time.Millisecond
+	// demoLimit is the declared limit of the demo team in thousandths of a processor,
+	// half of what the workers offer.
+	demoLimit = 96_000
 	// longPause is longer than the leases of owners and workers.
 	longPause = 12 * time.Second
 )
@@ -27,6 +30,7 @@
 	}
 	p := newProcesses(t)
 	p.awaitOwners()
+	p.fleet.Witness().SetLimit("demo", demoLimit)
 	load := p.startLoad(4, 4)
 	p.awaitStarts(10)
 
--- a/placer/explain.go
+++ b/placer/explain.go
@@ -96,8 +96,8 @@
 		return "Starts are off: the data centre is drained."
 	case e.pending == 0:
 		return fmt.Sprintf("%d tasks failed and wait for their next try.", e.delayed)
-	case p.Feasible(j.spec) != nil:
-		return fmt.Sprintf("The job can't run any more: %v.", p.Feasible(j.spec))
+	case p.feasibleNow(j.spec) != nil:
+		return fmt.Sprintf("The job can't run any more: %v.", p.feasibleNow(j.spec))
 	case j.spec.gang && e.held > 0:
 		return fmt.Sprintf("The gang has set room aside for %d of %d tasks and waits until all of it is free.", e.held, e.pending)
 	case j.spec.gang && !t.allows(size.cpu*int64(j.pending)), !t.allows(size.cpu):
@@ -144,7 +144,7 @@
 	var stuck []Explanation
 	for _, t := range p.teams {
 		for _, j := range t.jobs {
-			if j.pending+j.delayed > 0 && p.Feasible(j.spec) != nil {
+			if j.pending+j.delayed > 0 && p.feasibleNow(j.spec) != nil {
 				stuck = append(stuck, p.Explain(j.spec.id, now))
 			}
 		}
--- a/placer/jobs.go
+++ b/placer/jobs.go
@@ -73,19 +73,13 @@
 	j.team.demand = j.team.demand.Add(j.spec.size.Scale(int64(tasks)))
 }
 
-// Feasible returns nil when the job could run on an otherwise empty fleet under
-// today's allotment, else ErrInvalidJob or ErrNeverFits with the reason.
+// Feasible returns nil when the job could run on an otherwise empty fleet, else
+// ErrInvalidJob or ErrNeverFits with the reason. The allotment isn't weighed: it
+// follows demand.
 func (p *Placer) Feasible(spec JobSpec) error {
 	if err := valid(spec); err != nil {
 		return err
 	}
-	need := spec.size.cpu
-	if spec.gang {
-		need *= int64(spec.tasks)
-	}
-	if t := p.byTeam[spec.team]; t != nil && t.allotment >= 0 && need > t.allotment {
-		return fmt.Errorf("%w: needs %dm processors together, limit of team %q here is %dm", ErrNeverFits, need, spec.team, t.allotment)
-	}
 	together := 1
 	if spec.gang {
 		together = spec.tasks
@@ -96,6 +90,18 @@
 	return nil
 }
 
+// feasibleNow is Feasible under today's allotment as well.
+func (p *Placer) feasibleNow(spec JobSpec) error {
+	need := spec.size.cpu
+	if spec.gang {
+		need *= int64(spec.tasks)
+	}
+	if t := p.byTeam[spec.team]; t != nil && t.allotment >= 0 && need > t.allotment {
+		return fmt.Errorf("%w: needs %dm processors together, limit of team %q here is %dm", ErrNeverFits, need, spec.team, t.allotment)
+	}
+	return p.Feasible(spec)
+}
+
 func valid(spec JobSpec) error {
 	switch {
 	case spec.id == "" || spec.team == "" || spec.queue == "":
--- a/placer/teams.go
+++ b/placer/teams.go
@@ -51,6 +51,7 @@
 	pending   int       // tasks that wait
 	running   int       // tasks on workers
 	used      Resources // by tasks on workers
+	demand    Resources // of the tasks that wait and may start
 	allotment int64     // thousandths of a processor; negative for none
 	share     float64   // dominant share that it uses
 	ideal     float64   // dominant share due to it at the last reckoning
@@ -68,6 +69,9 @@
 // Used returns what the tasks on workers hold.
 func (t Team) Used() Resources { return t.used }
 
+// Demand returns what the tasks that wait and may start ask for.
+func (t Team) Demand() Resources { return t.demand }
+
 // Allotment returns the upper limit here in thousandths of a processor,
 // negative for none.
 func (t Team) Allotment() int64 { return t.allotment }
@@ -84,7 +88,7 @@
 	if t == nil {
 		return Team{}
 	}
-	return Team{t.name, t.pending, t.active, t.used, t.allotment, t.share, t.ideal}
+	return Team{t.name, t.pending, t.active, t.used, t.demand, t.allotment, t.share, t.ideal}
 }
 
 // Teams returns how all teams stand, in order of arrival.
--- /dev/null
+++ b/scheduler/limits.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import "filberthaven.example/placer"
+
+// Limits keeps the teams' upper limits over all shards. All fields are set. Amounts
+// are thousandths of processors.
+type Limits struct {
+	// Use tells what a team uses here with what is about to start, and what it would
+	// use more if it could. When it returns false nothing more may start.
+	Use func(team string, running, wanted int64) bool
+	// Recover tells the same of what runs already, whatever the limit.
+	Recover func(team string, running, wanted int64)
+}
+
+// noLimits returns limits that let everything start.
+func noLimits() Limits {
+	return Limits{
+		Use:     func(string, int64, int64) bool { return true },
+		Recover: func(string, int64, int64) {},
+	}
+}
+
+// teamOf returns the team of a decision's task, empty when the task is unknown.
+func (s *Scheduler) teamOf(d placer.Decision) string {
+	j, t := s.book.taskOf(d.Task())
+	if t == nil {
+		return ""
+	}
+	return j.spec.Team()
+}
+
+// overLimit tells the limits what is about to start, and returns the teams of
+// which nothing more may start: a part of their limit has gone to another shard
+// since the placer was told.
+func (s *Scheduler) overLimit(decisions []placer.Decision) map[string]bool {
+	asked := map[string]bool{}
+	unfenced := s.unfenced()
+	for _, d := range decisions {
+		name := s.teamOf(d)
+		if _, known := asked[name]; known || d.Kind() != placer.Start {
+			continue
+		}
+		team := s.placer.Team(name)
+		asked[name] = !s.limits.Use(name, team.Used().CPU()+unfenced, team.Demand().CPU())
+	}
+	return asked
+}
+
+// takeBack undoes the placement of a task that was not started, and tells the
+// placer the team's limit anew.
+func (s *Scheduler) takeBack(d placer.Decision) {
+	s.logger.Info("Start taken back.", "shard", s.shard, "task", d.Task().String(), "worker", d.Worker(), "reason", "the limit has moved")
+	s.check(s.placer.Unplace(d.Task()))
+	s.limit(s.teamOf(d), s.unfenced())
+}
+
+// followLimits passes on allotments that have changed for teams with tasks that
+// wait, and tells what such teams lack.
+func (s *Scheduler) followLimits() {
+	unfenced := s.unfenced()
+	for _, team := range s.placer.Teams() {
+		if team.Demand().CPU() == 0 {
+			continue
+		}
+		if allotment := s.part(team.Name(), unfenced); allotment != team.Allotment() {
+			s.limit(team.Name(), unfenced)
+			s.kick()
+		}
+		if team.Allotment() >= 0 && team.Used().CPU()+team.Demand().CPU() > team.Allotment() {
+			s.limits.Use(team.Name(), team.Used().CPU()+unfenced, team.Demand().CPU())
+		}
+	}
+}
+
+// part returns the team's part of its limit here, less what may run on workers that
+// have not been read back yet; negative when there is no limit.
+func (s *Scheduler) part(team string, unfenced int64) int64 {
+	allotment := s.allotment(team)
+	if allotment < 0 {
+		return allotment
+	}
+	return max(0, allotment-unfenced)
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -20,6 +20,7 @@
 		s.prove()
 	}
 	s.startStalled(s.journalDown(now))
+	s.followLimits()
 	s.every(&s.reckoned, reckonPeriod, now, s.reckon)
 	s.every(&s.trimmed, trimPeriod, now, func() { s.book.trim(now.Add(-s.retention)) })
 	if s.drained {
@@ -42,6 +43,7 @@
 	list := make([]Usage, 0, len(teams))
 	for _, team := range teams {
 		s.limit(team.Name(), unfenced)
+		s.limits.Recover(team.Name(), team.Used().CPU()+unfenced, team.Demand().CPU())
 		list = append(list, Usage{team: team.Name(), running: team.Used(), pending: team.Pending()})
 	}
 	s.usage(list)
@@ -59,14 +61,9 @@
 	return cpu
 }
 
-// limit tells the placer the share and the limit of a team. What may run on
-// workers that have not been read back yet counts against it.
+// limit tells the placer the share and the limit of a team.
 func (s *Scheduler) limit(team string, unfenced int64) {
-	allotment := s.allotment(team)
-	if allotment >= 0 {
-		allotment = max(0, allotment-unfenced)
-	}
-	if err := s.placer.SetTeam(team, s.share(team), placer.WithAllotment(allotment)); err != nil {
+	if err := s.placer.SetTeam(team, s.share(team), placer.WithAllotment(s.part(team, unfenced))); err != nil {
 		s.check(err)
 	}
 }
@@ -79,7 +76,12 @@
 		return
 	}
 	decisions := s.placer.Decide(now, decideLimit)
+	over := s.overLimit(decisions)
 	for _, d := range decisions {
+		if over[s.teamOf(d)] && d.Kind() == placer.Start {
+			s.takeBack(d)
+			continue
+		}
 		s.carryOut(d)
 	}
 	if len(decisions) >= decideLimit {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -108,16 +108,17 @@
 	dispatcher *dispatcher.Dispatcher
 	planner    []placer.Option
 	logger     hclog.Logger
-	lease      time.Duration                         // of workers; above contact
-	margin     time.Duration                         // for clocks that differ
-	contact    time.Duration                         // longest age of the proof that no other owner has taken over
-	heartbeat  time.Duration                         // between calls to a worker
-	timeout    time.Duration                         // of a call to a worker
-	retention  time.Duration                         // of ended jobs and request ids
-	allotment  func(team string) int64               // thousandths of a processor; negative for none
-	share      func(team string) float64             // weight above 0
-	leaving    bool                                  // drained from the beginning
-	usage      func([]Usage)                         // told each second
+	lease      time.Duration             // of workers; above contact
+	margin     time.Duration             // for clocks that differ
+	contact    time.Duration             // longest age of the proof that no other owner has taken over
+	heartbeat  time.Duration             // between calls to a worker
+	timeout    time.Duration             // of a call to a worker
+	retention  time.Duration             // of ended jobs and request ids
+	allotment  func(team string) int64   // thousandths of a processor; negative for none
+	share      func(team string) float64 // weight above 0
+	leaving    bool                      // drained from the beginning
+	usage      func([]Usage)             // told each second
+	limits     Limits
 	target     func(placer.JobSpec) (string, bool)   // shard for a job that leaves
 	transfer   func(context.Context, Transfer) error // hands a job to its target
 }
@@ -169,6 +170,9 @@
 // WithDrained begins with the shard drained, when the configuration says so.
 func WithDrained(on bool) Option { return func(o *options) { o.leaving = on } }
 
+// WithLimits sets what keeps the teams' upper limits over the fleet.
+func WithLimits(limits Limits) Option { return func(o *options) { o.limits = limits } }
+
 // WithTransfer sets where jobs go when the shard is drained, and what hands one
 // over: nil and ErrNotRun are certain, any other error is not.
 func WithTransfer(target func(placer.JobSpec) (shard string, ok bool), transfer func(context.Context, Transfer) error) Option {
@@ -188,6 +192,7 @@
 		allotment: func(string) int64 { return -1 },
 		share:     func(string) float64 { return 1 },
 		usage:     func([]Usage) {},
+		limits:    noLimits(),
 		target:    func(placer.JobSpec) (string, bool) { return "", false },
 	}
 	for _, option := range list {
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -8,6 +8,7 @@
 	"filberthaven.example/configurer"
 	"filberthaven.example/granter"
 	"filberthaven.example/placer"
+	"filberthaven.example/scheduler"
 	"filberthaven.example/tracker"
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
@@ -192,16 +193,42 @@
 // minShare is the weight of a team that is declared to have none.
 const minShare = 1e-6
 
-// evenAllotment returns an even part of a team's limit for one shard, in thousandths
-// of a processor; negative when there is no limit.
-func (s *Server) evenAllotment(team string) int64 {
+// allotment returns a shard's part of a team's limit, in thousandths of a
+// processor; negative when there is no limit.
+func (s *Server) allotment(allotter *granter.Allotter, team string) int64 {
 	resolver, ok := s.resolver()
 	if !ok {
 		return 0
 	}
-	limit := resolver.Limit(team)
-	if limit >= configurer.Unlimited {
+	if resolver.Limit(team) >= configurer.Unlimited {
 		return -1
 	}
-	return limit / int64(max(len(s.allShards()), 1))
+	return allotter.Allotment(team, granter.CPU)
+}
+
+// setLimits tells the declared limits.
+func (s *Server) setLimits(allotter *granter.Allotter) {
+	latest := s.copy.Latest()
+	if latest == nil {
+		return
+	}
+	resolver := latest.Document().At(time.Now())
+	for team := range latest.Document().Teams() {
+		if limit := resolver.Limit(team.Name()); limit < configurer.Unlimited {
+			allotter.SetLimit(team.Name(), granter.CPU, limit, latest.Number())
+		}
+	}
+}
+
+// limits binds an allotter to what a scheduler needs of it.
+func (s *Server) limits(allotter *granter.Allotter) scheduler.Limits {
+	return scheduler.Limits{
+		Use: func(team string, running, wanted int64) bool {
+			return s.allotment(allotter, team) < 0 || allotter.SetUsage(team, granter.CPU, running, wanted)
+		},
+		Recover: func(team string, running, wanted int64) {
+			allotter.Recover(team, granter.CPU, running)
+			allotter.SetUsage(team, granter.CPU, running, wanted)
+		},
+	}
 }
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -8,6 +8,7 @@
 
 	"filberthaven.example/configurer"
 	"filberthaven.example/dispatcher"
+	"filberthaven.example/granter"
 	"filberthaven.example/journaler"
 	"filberthaven.example/placer"
 	"filberthaven.example/scheduler"
@@ -23,6 +24,7 @@
 	term      uint64
 	scheduler *scheduler.Scheduler
 	journal   *journaler.Journaler
+	allotter  *granter.Allotter
 	cancel    context.CancelFunc
 	done      chan struct{} // closed when all of its parts have ended
 }
@@ -104,6 +106,11 @@
 
 // newTenure puts the parts of a shard's owner together.
 func (s *Server) newTenure(shard string, term uint64) (*tenure, error) {
+	allotter, err := granter.NewAllotter(s.store, s.mirror, shard,
+		granter.WithTerm(term), granter.WithAllotterLogger(s.logger))
+	if err != nil {
+		return nil, err
+	}
 	journal, err := journaler.New(s.store, shard, journaler.WithLogger(s.logger), journaler.WithRegistry(s.registry))
 	if err != nil {
 		return nil, err
@@ -112,14 +119,15 @@
 		scheduler.WithJournal(journalSeam(journal)),
 		scheduler.WithDispatcher(dispatcher.New(dispatcher.WithAddresses(s.messenger, s.workerAddress))),
 		scheduler.WithLogger(s.logger.Named("scheduler")),
-		scheduler.WithAllotment(s.evenAllotment),
+		scheduler.WithAllotment(func(team string) int64 { return s.allotment(allotter, team) }),
+		scheduler.WithLimits(s.limits(allotter)),
 		scheduler.WithShare(s.share),
 		scheduler.WithTransfer(s.transferTarget(shard), s.client.Transfer),
 	)
 	if err != nil {
 		return nil, err
 	}
-	return &tenure{shard: shard, term: term, scheduler: owner, journal: journal, done: make(chan struct{})}, nil
+	return &tenure{shard: shard, term: term, scheduler: owner, journal: journal, allotter: allotter, done: make(chan struct{})}, nil
 }
 
 // runTenure runs the owner's parts until the term is over. The former tenure of
@@ -132,6 +140,11 @@
 	}
 	var group sync.WaitGroup
 	group.Go(func() { s.feed(ctx, t) })
+	group.Go(func() {
+		if err := t.allotter.Run(ctx); err != nil && ctx.Err() == nil {
+			s.logger.Warn("limits not kept any more", "shard", t.shard, "term", t.term, "error", err)
+		}
+	})
 	if s.dividesSlots(t.shard) {
 		group.Go(func() { s.divideSlots(ctx, t) })
 	}
@@ -172,6 +185,7 @@
 	if !s.tracker.Fetched().IsZero() {
 		t.scheduler.SetWorkers(s.shardWorkers(t.shard))
 	}
+	s.setLimits(t.allotter)
 	var err error
 	if s.inService(centre) {
 		err = t.scheduler.Resume(ctx)
