--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	gatherDelay  = 2 * time.Millisecond // before a call, for more orders
+	gatherDelay  = 2 * time.Millisecond // before a decision or a call, for more news
 	suspendAfter = 2                    // failed calls in a row
 )
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -254,6 +254,7 @@
 		case <-s.over:
 			return s.cause
 		case <-s.wake:
+			time.Sleep(gatherDelay)
 		case <-tick.C:
 			s.tick(time.Now())
 		}
