server: Say whether the status knows all that runs

Change: Status.Complete; the wait goes on, or fails after 30 answers without it; page and table say that the figures are incomplete. Conclusion: owners' figures have to be gathered before the wait is of use.

--- a/commands/drain.go
+++ b/commands/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -67,44 +68,54 @@
 	return c.env.waitEmpty(background(), c.Args.Name, statusInterval)
 }
 
+// silentLimit is how many answers in a row may lack what runs before a wait gives up.
+const silentLimit = 30
+
+// errNotTold means that the owners of a data centre's shards weren't reached.
+var errNotTold = errors.New("what runs in the data centre is not known")
+
 // waitEmpty shows how work leaves a data centre until nothing is left.
 func (e *environment) waitEmpty(ctx context.Context, centre string, interval time.Duration) error {
-	var bar *progressbar.ProgressBar
-	most := 0
+	bar := progressbar.NewOptions(1, progressbar.OptionSetWriter(e.err), progressbar.OptionSetDescription("tasks gone from "+centre))
+	most, silent := 1, 0
 	for {
-		left, err := e.left(ctx, centre)
-		if err != nil {
+		left, complete, err := e.left(ctx, centre)
+		switch {
+		case err != nil:
 			return err
+		case !complete:
+			silent++
+		default:
+			silent, most = 0, max(most, left)
+			bar.ChangeMax(most)
+			if err := bar.Set(most - left); err != nil {
+				return err
+			}
 		}
-		if bar == nil || left > most {
-			most = max(left, 1)
-			bar = progressbar.NewOptions(most, progressbar.OptionSetWriter(e.err), progressbar.OptionSetDescription("tasks gone from "+centre))
-		}
-		if err := bar.Set(most - left); err != nil {
-			return err
-		}
-		if left == 0 {
+		if complete && left == 0 {
 			printLine(e.err)
 			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(interval):
+		if silent == silentLimit {
+			return errNotTold
+		}
+		if err := pause(ctx, interval); err != nil {
+			return err
 		}
 	}
 }
 
-// left returns the number of tasks that a data centre runs or holds.
-func (e *environment) left(ctx context.Context, centre string) (int, error) {
+// left returns the number of tasks that a data centre runs or holds, and whether all owners of
+// shards told theirs.
+func (e *environment) left(ctx context.Context, centre string) (tasks int, complete bool, err error) {
 	status, err := e.status(ctx)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	for _, known := range status.Centres {
 		if known.Name == centre {
-			return known.Running + known.Pending, nil
+			return known.Running + known.Pending, status.Complete, nil
 		}
 	}
-	return 0, fmt.Errorf("data centre %s is not in the status", centre)
+	return 0, false, fmt.Errorf("data centre %s is not in the status", centre)
 }
--- a/commands/fleet_test.go
+++ b/commands/fleet_test.go
@@ -156,7 +156,7 @@
 
 // status tells only what the entry VM has in force.
 func (vm *entryVM) status(context.Context) server.Status {
-	status := server.Status{VM: vm.id, Centre: "pianura-a", Revision: vm.copied.Revision(), Platform: server.PlatformStatus{Contact: true}}
+	status := server.Status{VM: vm.id, Complete: true, Centre: "pianura-a", Revision: vm.copied.Revision(), Platform: server.PlatformStatus{Contact: true}}
 	document := vm.copied.Current()
 	if document == nil {
 		return status
--- a/commands/status.go
+++ b/commands/status.go
@@ -69,6 +69,9 @@
 	printLine(w, fmt.Sprintf("%d workers, %s of %s processors used; tasks: %d running, %d pending; %d urgent requests in flight on %d executors",
 		fleet.Workers, configurer.FormatProcessors(fleet.Used), configurer.FormatProcessors(fleet.Processors),
 		fleet.Running, fleet.Pending, fleet.Flight, fleet.Executors))
+	if !s.Complete {
+		printLine(w, "not all owners of shards told what runs: processors used and tasks are incomplete")
+	}
 	if !s.Platform.Contact {
 		printLine(w, "the key-value service does not answer")
 	}
--- a/commands/status_test.go
+++ b/commands/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -30,6 +31,7 @@
 	c.Assert(out.String(), qt.Equals, strings.TrimPrefix(`
 1970-01-01T00:00:00Z  entry VM entry-1 in pianura-a, revision 7
 50 workers, 120.5 of 800 processors used; tasks: 90 running, 4 pending; 12 urgent requests in flight on 48 executors
+not all owners of shards told what runs: processors used and tasks are incomplete
 the key-value service does not answer
 
 TEAM     SHARE  PART   PROCESSORS  LIMIT  FLIGHT  SLOTS  PENDING
@@ -55,8 +57,12 @@
 	c := qt.New(t)
 	var asked atomic.Int64
 	fleet := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		left := max(0, 4-int(asked.Add(1)))
-		_ = json.NewEncoder(w).Encode(server.Status{Centres: []server.CentreStatus{{Name: "pianura-b", Running: left, Pending: left}}})
+		n := int(asked.Add(1))
+		left := max(0, 4-n)
+		if n == 2 {
+			left = 0 // its owner wasn't reached
+		}
+		_ = json.NewEncoder(w).Encode(server.Status{Complete: n != 2, Centres: []server.CentreStatus{{Name: "pianura-b", Running: left, Pending: left}}})
 	}))
 	c.Cleanup(fleet.Close)
 	var bar bytes.Buffer
@@ -64,6 +70,12 @@
 	c.Assert(env.waitEmpty(t.Context(), "pianura-b", time.Millisecond), qt.IsNil)
 	c.Assert(asked.Load(), qt.Equals, int64(4))
 	c.Assert(bar.String(), qt.Contains, "100%")
+	incomplete := httptest.NewServer(server.NewStatusHandler(func(context.Context) server.Status {
+		return server.Status{Centres: []server.CentreStatus{{Name: "pianura-b"}}}
+	}))
+	c.Cleanup(incomplete.Close)
+	err := (&environment{Address: incomplete.URL, err: &bar}).waitEmpty(t.Context(), "pianura-b", time.Millisecond)
+	c.Assert(err, qt.ErrorIs, errNotTold)
 	c.Assert(env.waitEmpty(t.Context(), "pianura-z", time.Millisecond), qt.ErrorMatches, "data centre pianura-z is not in the status")
 }
 
--- a/server/page_test.go
+++ b/server/page_test.go
@@ -44,7 +44,7 @@
 		"declarations at revision 7",
 		"<td>cremona</td><td class=\"n\">2.5</td>", "25.1 %", "<td class=\"n\">none</td>", "<td class=\"n\">120.5</td>",
 		"<td class=\"bad\">out</td><td>&lt;script&gt;",
-		"The key-value service does not answer.",
+		"The key-value service does not answer.", "Not all owners of shards told what runs",
 		"<td class=\"n\">7</td>", "<td class=\"n bad\">6</td>", "<td class=\"n bad\">not reached</td>",
 		"<span class=\"bad\">none</span>",
 	} {
--- a/server/status.go
+++ b/server/status.go
@@ -10,6 +10,7 @@
 	Centre   string         `json:"centre"`   // its data centre
 	Version  string         `json:"version"`  // of the program
 	Revision uint64         `json:"revision"` // of the declarations in force there
+	Complete bool           `json:"complete"` // the owners of all shards told what runs; otherwise used, running and pending lack theirs
 	Fleet    FleetStatus    `json:"fleet"`
 	Teams    []TeamStatus   `json:"teams"`   // by name
 	Centres  []CentreStatus `json:"centres"` // by name
