server: Show usage, learn run times, and protect calls with TLS

Cause: the status had no usage, plans no effects, shares no view of other shards, estimates were declared only, and certificates were not used. Each owner learns run times by team and name. With certificates, callers get TLS and calls between entry VMs mutual TLS, reloaded without a restart; workers likewise unless [tls] workers = no.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -47,7 +47,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	vm, err := server.New(settings, server.WithLogger(server.NewLogger(settings.Logging(), c.env.err)))
+	vm, err := server.New(settings, server.WithLogger(server.NewLogger(settings.Logging(), c.env.err)), server.WithVersion(version()))
 	if err != nil {
 		return err
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -44,9 +44,10 @@
 	for _, team := range teams {
 		s.limit(team.Name(), unfenced)
 		s.limits.Recover(team.Name(), team.Used().CPU()+unfenced, team.Demand().CPU())
-		list = append(list, Usage{team: team.Name(), running: team.Used(), pending: team.Pending()})
+		list = append(list, Usage{team: team.Name(), running: team.Used(), tasks: team.Running(), pending: team.Pending()})
 	}
 	s.usage(list)
+	s.placer.SetFleetUsage(s.elsewhere())
 }
 
 // unfenced returns the thousandths of processors on which tasks may run that
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 type Usage struct {
 	team    string
 	running placer.Resources // held by running tasks
+	tasks   int              // that run
 	pending int              // tasks that wait
 }
 
@@ -68,6 +69,9 @@
 // Running returns what running tasks hold.
 func (u Usage) Running() placer.Resources { return u.running }
 
+// Tasks returns the number of tasks that run.
+func (u Usage) Tasks() int { return u.tasks }
+
 // Pending returns the number of tasks that wait.
 func (u Usage) Pending() int { return u.pending }
 
@@ -108,16 +112,17 @@
 	dispatcher *dispatcher.Dispatcher
 	planner    []placer.Option
 	logger     hclog.Logger
-	lease      time.Duration             // of workers; above contact
-	margin     time.Duration             // for clocks that differ
-	contact    time.Duration             // longest age of the proof that no other owner has taken over
-	heartbeat  time.Duration             // between calls to a worker
-	timeout    time.Duration             // of a call to a worker
-	retention  time.Duration             // of ended jobs and request ids
-	allotment  func(team string) int64   // thousandths of a processor; negative for none
-	share      func(team string) float64 // weight above 0
-	leaving    bool                      // drained from the beginning
-	usage      func([]Usage)             // told each second
+	lease      time.Duration                      // of workers; above contact
+	margin     time.Duration                      // for clocks that differ
+	contact    time.Duration                      // longest age of the proof that no other owner has taken over
+	heartbeat  time.Duration                      // between calls to a worker
+	timeout    time.Duration                      // of a call to a worker
+	retention  time.Duration                      // of ended jobs and request ids
+	allotment  func(team string) int64            // thousandths of a processor; negative for none
+	share      func(team string) float64          // weight above 0
+	leaving    bool                               // drained from the beginning
+	usage      func([]Usage)                      // told each second
+	elsewhere  func() map[string]placer.Resources // what teams use in other shards
 	limits     Limits
 	target     func(placer.JobSpec) (string, bool)   // shard for a job that leaves
 	transfer   func(context.Context, Transfer) error // hands a job to its target
@@ -170,6 +175,12 @@
 // WithDrained begins with the shard drained, when the configuration says so.
 func WithDrained(on bool) Option { return func(o *options) { o.leaving = on } }
 
+// WithElsewhere sets the source of what the teams use in other shards, so that
+// shares are fair over all of them.
+func WithElsewhere(f func() map[string]placer.Resources) Option {
+	return func(o *options) { o.elsewhere = f }
+}
+
 // WithLimits sets what keeps the teams' upper limits over the fleet.
 func WithLimits(limits Limits) Option { return func(o *options) { o.limits = limits } }
 
@@ -192,6 +203,7 @@
 		allotment: func(string) int64 { return -1 },
 		share:     func(string) float64 { return 1 },
 		usage:     func([]Usage) {},
+		elsewhere: func() map[string]placer.Resources { return nil },
 		limits:    noLimits(),
 		target:    func(placer.JobSpec) (string, bool) { return "", false },
 	}
--- /dev/null
+++ b/server/calls.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// callsInterval is the time between two readings of the counters of calls; rates
+// are averages over a minute.
+const callsInterval = 5 * time.Second
+
+// callKinds are the kinds of calls to the key-value service that are counted.
+var callKinds = []string{"reads", "writes", "errors"}
+
+// callRates turns the counters of calls into rates.
+type callRates struct {
+	registry metrics.Registry
+	rates    map[string]metrics.EWMA // by kind; fixed after newCallRates
+}
+
+func newCallRates(registry metrics.Registry) *callRates {
+	c := &callRates{registry: registry, rates: map[string]metrics.EWMA{}}
+	for _, kind := range callKinds {
+		c.rates[kind] = metrics.NewEWMA1()
+	}
+	return c
+}
+
+// run reads the counters until ctx is done.
+func (c *callRates) run(ctx context.Context) error {
+	last := map[string]int64{}
+	ticker := time.NewTicker(callsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for kind, rate := range c.rates {
+			count := metrics.GetOrRegisterCounter("store."+kind, c.registry).Count()
+			rate.Update(count - last[kind])
+			rate.Tick()
+			last[kind] = count
+		}
+	}
+}
+
+// rate returns calls of a kind a second over the last minute.
+func (c *callRates) rate(kind string) float64 { return c.rates[kind].Rate() }
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -89,6 +89,15 @@
 	return configurer.In
 }
 
+// centreReason returns why a data centre is out, empty when it isn't.
+func (s *Server) centreReason(centre string) string {
+	if document := s.copy.Current(); document != nil {
+		declared, _ := document.Centre(centre)
+		return declared.Reason()
+	}
+	return ""
+}
+
 // inService reports whether tasks and requests may start in a data centre.
 func (s *Server) inService(centre string) bool { return s.centreState(centre) == configurer.In }
 
--- a/server/run.go
+++ b/server/run.go
@@ -9,6 +9,7 @@
 
 	"filberthaven.example/admitter"
 	"filberthaven.example/configurer"
+	"filberthaven.example/messenger"
 	"filberthaven.example/placer"
 	"filberthaven.example/router"
 	"filberthaven.example/scheduler"
@@ -31,12 +32,12 @@
 	defer cancel()
 	s.base = base
 	group, running := errgroup.WithContext(base)
-	for _, part := range []func(context.Context) error{s.mirror.Run, s.tracker.Run, s.elector.Run, s.holder.Run, s.chooseCandidates} {
+	for _, part := range []func(context.Context) error{s.mirror.Run, s.tracker.Run, s.elector.Run, s.holder.Run, s.chooseCandidates, s.gatherUsage, s.calls.run, s.watchCertificates, s.serveDebug} {
 		group.Go(func() error { return part(running) })
 	}
 	group.Go(func() error { s.spreader.Run(running); return nil })
-	callers := router.NewServer(s.router, nil, s.logger)
-	peers := router.NewServer(s.internalHandler(), nil, s.logger)
+	callers := router.NewServer(s.router, s.security.callers(), s.logger)
+	peers := router.NewServer(s.internalHandler(), s.security.peers(), s.logger)
 	group.Go(func() error { return router.Serve(callers, s.listener) })
 	group.Go(func() error { return router.Serve(peers, s.internal) })
 	s.decisions.Info("serving", "vm", s.settings.ID(), "centre", s.settings.Centre(), "callers", s.Address(), "internal", s.Internal())
@@ -81,6 +82,7 @@
 	s.copy.Handle(s.messenger, mux)
 	s.slotter.Register(s.messenger, mux)
 	scheduler.Handle(s.messenger, mux, s.tenures.scheduler)
+	messenger.Handle(s.messenger, mux, usageProcedure, s.answerUsage)
 	mux.Handle("/v1/services/", s.router)
 	return mux
 }
--- /dev/null
+++ b/server/secure.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"filberthaven.example/authenticator"
+	"filberthaven.example/messenger"
+	"filberthaven.example/router"
+)
+
+// debugTimeout bounds the header of a request to the debug address.
+const debugTimeout = 5 * time.Second
+
+// security is how calls are protected.
+type security struct {
+	certificates *authenticator.Certificates // nil: plaintext
+}
+
+// newSecurity reads the certificate files, if any are set.
+func (s *Server) newSecurity() (security, error) {
+	files := s.settings.TLS()
+	if !files.Enabled() {
+		return security{}, nil
+	}
+	certificates, err := authenticator.NewCertificates(files.Certificate(), files.Key(), files.Authority(), s.logger)
+	return security{certificates: certificates}, err
+}
+
+// callers returns the TLS settings of the callers' API, nil for plaintext.
+func (s security) callers() *tls.Config {
+	if s.certificates == nil {
+		return nil
+	}
+	return s.certificates.CallerSettings()
+}
+
+// peers returns the TLS settings for calls of entry VMs, nil for plaintext.
+func (s security) peers() *tls.Config {
+	if s.certificates == nil {
+		return nil
+	}
+	return s.certificates.PeerSettings()
+}
+
+// client returns the TLS settings for calls to entry VMs, nil for plaintext.
+func (s security) client() *tls.Config {
+	if s.certificates == nil {
+		return nil
+	}
+	return s.certificates.ClientSettings()
+}
+
+// scheme returns the scheme of calls to entry VMs.
+func (s security) scheme() string {
+	if s.certificates == nil {
+		return "http"
+	}
+	return "https"
+}
+
+// messengers returns what calls entry VMs, and what calls workers.
+func (s *Server) messengers() (peers, workers *messenger.Messenger, err error) {
+	timeout := messenger.WithTimeout(s.settings.Limits().Call())
+	secure := &http.Client{Transport: messenger.NewTransport(s.security.client())}
+	peers, err = messenger.New(timeout, messenger.WithClient(secure, s.security.scheme()))
+	if err != nil {
+		return nil, nil, err
+	}
+	if s.settings.TLS().Workers() {
+		return peers, peers, nil
+	}
+	workers, err = messenger.New(timeout)
+	return peers, workers, err
+}
+
+// watchCertificates reads changed files until ctx is done.
+func (s *Server) watchCertificates(ctx context.Context) error {
+	if s.security.certificates != nil {
+		s.security.certificates.Watch(ctx, s.settings.TLS().Reload())
+	}
+	return nil
+}
+
+// serveDebug serves profiles on the debug address until ctx is done.
+func (s *Server) serveDebug(ctx context.Context) error {
+	if s.debug == nil {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: debugTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return router.Serve(server, s.debug)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -38,10 +38,13 @@
 	incarnation uint64 // larger than that of any earlier process of the VM
 	listener    net.Listener
 	internal    net.Listener
+	debug       net.Listener // nil: no profiles are served
+	security    security
 
 	store     keeper.Store
 	mirror    *keeper.Mirror
-	messenger *messenger.Messenger
+	messenger *messenger.Messenger // to entry VMs
+	workers   *messenger.Messenger // to workers
 	copy      *configurer.Copy
 	spreader  *configurer.Spreader
 	tracker   *tracker.Tracker
@@ -55,6 +58,9 @@
 
 	base     context.Context // of everything that outlives a request; set by Run
 	tenures  tenures
+	usages   usages
+	calls    *callRates
+	version  string                      // of the program, for the status
 	slotting sync.Mutex                  // held by the tenure that divides slots
 	slots    atomic.Pointer[slotRecords] // nil while no slots are divided here
 	group    sync.WaitGroup
@@ -76,6 +82,9 @@
 // that of any earlier process of the VM; by default it is the time.
 func WithIncarnation(n uint64) Dependency { return func(s *Server) { s.incarnation = n } }
 
+// WithVersion sets the version of the program that the status tells.
+func WithVersion(version string) Dependency { return func(s *Server) { s.version = version } }
+
 // New puts an entry VM together and opens its listeners.
 func New(settings *Settings, dependencies ...Dependency) (*Server, error) {
 	s := &Server{
@@ -84,11 +93,13 @@
 		registry:    metrics.NewRegistry(),
 		incarnation: uint64(time.Now().UnixNano()),
 		tenures:     tenures{shards: map[string]*tenure{}},
+		usages:      usages{shards: map[string]seenUsage{}},
 		started:     time.Now(),
 	}
 	for _, dependency := range dependencies {
 		dependency(s)
 	}
+	s.calls = newCallRates(s.registry)
 	s.decisions = s.logger.Named("server")
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -110,10 +121,20 @@
 		_ = s.listener.Close()
 		return fmt.Errorf("listen for entry VMs: %w", err)
 	}
+	if s.settings.Debug() == "" {
+		return nil
+	}
+	if s.debug, err = net.Listen("tcp", s.settings.Debug()); err != nil {
+		s.closeListeners()
+		return fmt.Errorf("listen for debugging: %w", err)
+	}
 	return nil
 }
 
 func (s *Server) closeListeners() {
+	if s.debug != nil {
+		_ = s.debug.Close()
+	}
 	_ = s.listener.Close()
 	_ = s.internal.Close()
 }
@@ -156,7 +177,10 @@
 	}
 	s.store = client.Store()
 	s.mirror = keeper.NewMirror(s.store, livePrefix, keeper.WithLogger(s.logger))
-	s.messenger, err = messenger.New(messenger.WithTimeout(s.settings.Limits().Call()))
+	if s.security, err = s.newSecurity(); err != nil {
+		return err
+	}
+	s.messenger, s.workers, err = s.messengers()
 	return err
 }
 
@@ -222,6 +246,7 @@
 	operators := configurer.NewHandler(writer, s.copy,
 		configurer.WithIdentify(identify),
 		configurer.WithSpreader(s.spreader),
+		configurer.WithUsage(s.planUsage),
 		configurer.WithHandlerLogger(s.logger))
 	page, err := NewPage(s.status)
 	if err != nil {
@@ -237,6 +262,7 @@
 		router.WithCheck(s.checkJob),
 		router.WithReady(s.ready),
 		router.WithCentre(s.settings.Centre()),
+		router.WithPeers(router.NewPeerTransport(s.security.client()), s.security.scheme()),
 		router.WithMetrics(metricsHandler(s.registry)),
 		router.WithStatus(NewStatusHandler(s.status)),
 		router.WithPage(page),
--- a/server/settings.go
+++ b/server/settings.go
@@ -107,6 +107,7 @@
 	authority   string
 	reload      time.Duration // between looks at the files
 	plaintext   bool          // permission to serve beyond loopback without TLS
+	workers     bool          // workers are called over TLS as well
 }
 
 // Certificate returns the path of the PEM certificate, empty without TLS.
@@ -124,6 +125,10 @@
 // Plaintext reports whether serving beyond loopback without TLS is permitted.
 func (t TLS) Plaintext() bool { return t.plaintext }
 
+// Workers reports whether workers are called over TLS, with the certificate of the
+// entry VM.
+func (t TLS) Workers() bool { return t.Enabled() && t.workers }
+
 // Enabled reports whether certificate files are set.
 func (t TLS) Enabled() bool { return t.certificate != "" }
 
@@ -192,7 +197,7 @@
 		internal: "127.0.0.1:0",
 		logging:  Logging{level: "info"},
 		limits:   Limits{body: defaultBody, header: defaultHeader, read: defaultRead, idle: defaultIdle, call: defaultCall},
-		tls:      TLS{reload: defaultReload},
+		tls:      TLS{reload: defaultReload, workers: true},
 		drain:    defaultDrain,
 	}
 }
--- a/server/settings_load.go
+++ b/server/settings_load.go
@@ -87,5 +87,6 @@
 	s.tls.key = loader.Get(section, "key", loader.Text, "")
 	s.tls.authority = loader.Get(section, "authority", loader.Text, "")
 	s.tls.reload = loader.Get(section, "reload", loader.Duration, s.tls.reload, loader.Between(time.Second, time.Hour))
+	s.tls.workers = loader.Get(section, "workers", loader.Bool, s.tls.workers)
 	s.tls.plaintext = loader.Get(section, "plaintext", loader.Bool, false)
 }
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filberthaven.example/configurer"
 	"filberthaven.example/dispatcher"
+	"filberthaven.example/estimator"
 	"filberthaven.example/granter"
 	"filberthaven.example/journaler"
 	"filberthaven.example/placer"
@@ -25,6 +27,7 @@
 	scheduler *scheduler.Scheduler
 	journal   *journaler.Journaler
 	allotter  *granter.Allotter
+	usage     atomic.Pointer[shardUsage] // nil until the owner has told of it
 	cancel    context.CancelFunc
 	done      chan struct{} // closed when all of its parts have ended
 }
@@ -115,19 +118,42 @@
 	if err != nil {
 		return nil, err
 	}
-	owner, err := scheduler.New(shard, term,
+	times, err := estimator.New()
+	if err != nil {
+		return nil, err
+	}
+	next := &tenure{shard: shard, term: term, journal: journal, allotter: allotter, done: make(chan struct{})}
+	next.scheduler, err = scheduler.New(shard, term,
 		scheduler.WithJournal(journalSeam(journal)),
-		scheduler.WithDispatcher(dispatcher.New(dispatcher.WithAddresses(s.messenger, s.workerAddress))),
+		scheduler.WithDispatcher(dispatcher.New(dispatcher.WithAddresses(s.workers, s.workerAddress))),
 		scheduler.WithLogger(s.logger.Named("scheduler")),
 		scheduler.WithAllotment(func(team string) int64 { return s.allotment(allotter, team) }),
 		scheduler.WithLimits(s.limits(allotter)),
 		scheduler.WithShare(s.share),
+		scheduler.WithUsage(next.noteUsage),
+		scheduler.WithElsewhere(func() map[string]placer.Resources { return s.usedElsewhere(shard) }),
+		scheduler.WithPlacer(estimates(times, s.logger)...),
 		scheduler.WithTransfer(s.transferTarget(shard), s.client.Transfer),
 	)
-	if err != nil {
-		return nil, err
+	return next, err
+}
+
+// estimateQuantile is the part of runs that an estimate of the run time covers.
+const estimateQuantile = 0.9
+
+// estimates makes a placer learn run times and use what it has learnt. The
+// scheduler calls both under its lock.
+func estimates(times *estimator.Estimator, logger hclog.Logger) []placer.Option {
+	return []placer.Option{
+		placer.WithRunTime(func(spec placer.JobSpec) time.Duration {
+			return times.RunTime(spec.Team(), spec.Name(), estimateQuantile, spec.Estimate())
+		}),
+		placer.WithFinished(func(spec placer.JobSpec, took time.Duration) {
+			if err := times.ObserveRunTime(spec.Team(), spec.Name(), took, spec.Estimate()); err != nil {
+				logger.Debug("run time not learnt", "job", spec.ID(), "error", err)
+			}
+		}),
 	}
-	return &tenure{shard: shard, term: term, scheduler: owner, journal: journal, allotter: allotter, done: make(chan struct{})}, nil
 }
 
 // runTenure runs the owner's parts until the term is over. The former tenure of
