--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -40,6 +40,7 @@
 	running bool      // started, or about to be, and not known to have ended
 	stage   taskStage // how far its start has come
 	final   result    // 0 while the task may still run
+	losses  uint8     // runs lost with their workers in a row, as this owner saw it
 }
 
 // job is an accepted job.
@@ -85,7 +86,7 @@
 	if !t.running {
 		j.running++
 	}
-	*t = task{place: at, attempt: attempt, running: true}
+	*t = task{place: at, attempt: attempt, running: true, losses: t.losses}
 	return true
 }
 
@@ -98,7 +99,7 @@
 	if t.running {
 		j.running--
 	}
-	*t = task{attempt: attempt}
+	*t = task{attempt: attempt, losses: t.losses}
 	if r != resultAgain {
 		t.final = r
 		j.results[r]++
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -16,6 +16,7 @@
 	}
 	s.expireLeases(now)
 	s.release(now)
+	s.wakeResting(now)
 	if !s.proven(now.Add(s.contact / 2)) {
 		s.prove()
 	}
@@ -213,13 +214,11 @@
 
 // resumeWaiting lets the jobs go on that had to wait for the journal.
 func (s *Scheduler) resumeWaiting() {
-	for _, id := range s.waiting {
-		j, ok := s.book.jobs[id]
-		if ok && j.over.IsZero() && !j.gone() && !j.withdrawn() {
-			s.check(s.placer.SetHold(id, s.holding && j.spec.Idempotent()))
-		}
-	}
+	waiting := s.waiting
 	s.waiting = nil
+	for _, id := range waiting {
+		s.unhold(id)
+	}
 }
 
 // unstartAttempt takes back a run that surely did not start.
@@ -246,24 +245,39 @@
 		s.unstart(l, j, index, reason)
 		return
 	}
+	t.losses++
+	losses := t.losses
 	id := placer.NewTaskID(j.spec.ID(), index)
-	settlement, err := s.placer.Finish(id, placer.Lost, time.Now())
+	outcome, r := lost(j, losses)
+	settlement, err := s.placer.Finish(id, outcome, time.Now())
 	s.check(err)
-	r := resultUnknown
+	s.logger.Warn("Run lost.", "shard", s.shard, "task", id.String(), "worker", l.id,
+		"losses", losses, "again", settlement.Again(), "reason", reason)
+	s.close(l, j, index, r, nil)
+	if r == resultAgain {
+		s.rest(j, losses, time.Now())
+	}
+}
+
+// lost returns what the loss of a run means to the placer and to the job.
+func lost(j *job, losses uint8) (placer.Outcome, result) {
 	switch {
-	case settlement.Again():
-		r = resultAgain
-	case j.withdrawn() && j.spec.Idempotent():
-		r = resultCancelled
+	case !j.spec.Idempotent():
+		return placer.Lost, resultUnknown
+	case j.withdrawn():
+		return placer.Cancelled, resultCancelled
+	case losses >= maxLosses && j.spec.Class() != placer.Service:
+		return placer.Cancelled, resultFailed
+	default:
+		return placer.Lost, resultAgain
 	}
-	s.logger.Warn("Run lost.", "shard", s.shard, "task", id.String(), "worker", l.id, "again", settlement.Again(), "reason", reason)
-	s.close(l, j, index, r, nil)
 }
 
 // finish ends a run with the outcome that its worker reports.
 func (s *Scheduler) finish(l *link, j *job, index int, outcome dispatcher.Outcome, done func(error)) {
 	id := placer.NewTaskID(j.spec.ID(), index)
 	planned, r := s.judge(j, outcome)
+	j.tasks[index].losses = 0
 	settlement, err := s.placer.Finish(id, planned, time.Now())
 	s.check(err)
 	switch {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"filberthaven.example/dispatcher"
 	"filberthaven.example/placer"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 )
 
 // Defaults of the options.
@@ -95,6 +96,8 @@
 	outbox   outbox
 	stalled  []stalledStart  // idempotent starts whose records have no outcome
 	waiting  []string        // jobs that wait until the journal is back
+	resting  []resting       // jobs that wait before a retry
+	retries  *rate.Limiter   // of lost tasks that start again at once
 	reckoned time.Time       // last reckon
 	trimmed  time.Time       // last trim
 	group    sync.WaitGroup  // of goroutines of Run
@@ -226,6 +229,7 @@
 		book:    newBook(shard),
 		placer:  planner,
 		links:   map[string]*link{},
+		retries: newBudget(),
 		wake:    make(chan struct{}, 1),
 		open:    make(chan struct{}),
 		over:    make(chan struct{}),
