server: Gather loads in one place

Cause: two pieces gathered the usage of shards: one for status and plans that was not wired, one for shares. Change: the Collector serves status, plans and shares; the other one goes. The status tells whether it is complete, requests in flight by team, last use of keys. Conclusion: none beyond the change.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -319,6 +319,19 @@
 	return a.running, a.waiting
 }
 
+// Flight returns the number of requests that run, by team.
+func (a *Admitter) Flight() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	flight := make(map[string]int, len(a.teams))
+	for name, t := range a.teams {
+		if t.running > 0 {
+			flight[name] = t.running
+		}
+	}
+	return flight
+}
+
 // retryAfter returns a time to wait that is spread, so that refused callers
 // don't come back together.
 func retryAfter(estimate time.Duration) time.Duration {
--- a/server/collector.go
+++ b/server/collector.go
@@ -8,6 +8,7 @@
 
 	"filberthaven.example/configurer"
 	"filberthaven.example/messenger"
+	"filberthaven.example/placer"
 )
 
 const (
@@ -21,8 +22,10 @@
 
 // TeamLoad is what a team runs and holds on some shards.
 type TeamLoad struct {
-	Used    int64 `cbor:"used"`    // thousandths of processors running
-	Pending int   `cbor:"pending"` // tasks
+	Used         int64 `cbor:"used"`                   // thousandths of processors running
+	Memory       int64 `cbor:"memory"`                 // MiB of running tasks
+	Accelerators int64 `cbor:"accelerators,omitempty"` // of running tasks
+	Pending      int   `cbor:"pending"`                // tasks
 }
 
 // ShardLoad is what the owner of a shard runs and holds.
@@ -48,7 +51,9 @@
 	now       func() time.Time // clock
 	messenger *messenger.Messenger
 
-	mu   sync.Mutex // held while loads are gathered, so that questions aren't doubled
+	gathering sync.Mutex // held while loads are gathered, so that questions aren't doubled
+
+	mu   sync.Mutex
 	last Loads
 	at   time.Time // when last was gathered; zero: never
 }
@@ -79,13 +84,33 @@
 
 // Collect returns the loads of all entry VMs, at most a second old.
 func (c *Collector) Collect(ctx context.Context) Loads {
+	c.gathering.Lock()
+	defer c.gathering.Unlock()
+	if loads, fresh := c.known(loadAge); fresh {
+		return loads
+	}
+	loads := c.gather(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.at.IsZero() && c.now().Sub(c.at) < loadAge {
-		return c.last
+	c.last, c.at = loads, c.now()
+	return loads
+}
+
+// Last returns the loads gathered last without asking anyone; none when they are
+// older than age.
+func (c *Collector) Last(age time.Duration) Loads {
+	loads, _ := c.known(age)
+	return loads
+}
+
+// known returns the loads gathered last if they are younger than age.
+func (c *Collector) known(age time.Duration) (Loads, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at.IsZero() || c.now().Sub(c.at) >= age {
+		return Loads{}, false
 	}
-	c.last, c.at = c.gather(ctx), c.now()
-	return c.last
+	return c.last, true
 }
 
 // gather asks all entry VMs at once.
@@ -165,6 +190,20 @@
 	return configurer.NewUsage(used, loads)
 }
 
+// usedElsewhere returns what the teams use in all shards but one.
+func (l Loads) usedElsewhere(shard string) map[string]placer.Resources {
+	used := map[string]placer.Resources{}
+	for name, load := range l.shards {
+		if name == shard {
+			continue
+		}
+		for team, its := range load.Teams {
+			used[team] = used[team].Add(placer.NewResources(its.Used, its.Memory, its.Accelerators))
+		}
+	}
+	return used
+}
+
 // teams sums up the shards by team.
 func (l Loads) teams() map[string]TeamLoad {
 	teams := map[string]TeamLoad{}
--- a/server/keys.go
+++ b/server/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"filberthaven.example/authenticator"
 	"filberthaven.example/configurer"
@@ -46,3 +47,6 @@
 	}
 	return configurer.Caller{}, configurer.ErrDenied
 }
+
+// lastUse returns when a key was last used on this entry VM.
+func (s *Server) lastUse(id string) (time.Time, bool) { return s.keys.LastUse(id) }
--- a/server/report.go
+++ b/server/report.go
@@ -6,82 +6,38 @@
 	"slices"
 	"time"
 
-	"filberthaven.example/placer"
 	"filberthaven.example/tracker"
 )
 
-// totals sums up the usage of all shards.
-type totals struct {
-	teams    map[string]teamUsage // by team; Size and counts over the fleet
-	centres  map[string]teamUsage // by data centre
-	fleet    teamUsage
-	capacity placer.Resources // of all workers
-}
-
-// totals returns the sums of what the owners told lately.
-func (s *Server) totals() totals {
-	sums := totals{teams: map[string]teamUsage{}, centres: map[string]teamUsage{}}
-	for _, vm := range s.tracker.Workers("") {
-		sums.capacity = sums.capacity.Add(vm.Size())
-	}
-	for _, usage := range s.usages.fresh(time.Now()) {
-		centre := centreOf(usage.Shard)
-		for _, team := range usage.Teams {
-			sums.teams[team.Team] = sums.teams[team.Team].plus(team)
-			sums.centres[centre] = sums.centres[centre].plus(team)
-			sums.fleet = sums.fleet.plus(team)
-		}
-	}
-	return sums
-}
-
-// plus returns the sum of two usages.
-func (u teamUsage) plus(o teamUsage) teamUsage {
-	for i := range u.Size {
-		u.Size[i] += o.Size[i]
-	}
-	u.Running += o.Running
-	u.Pending += o.Pending
-	return u
-}
-
-// resources returns what the usage holds.
-func (u teamUsage) resources() placer.Resources {
-	return placer.NewResources(u.Size[0], u.Size[1], u.Size[2])
-}
-
 // status puts together what this entry VM knows.
-func (s *Server) status(context.Context) Status {
-	sums := s.totals()
-	return Status{
+func (s *Server) status(ctx context.Context) Status {
+	status := Status{
 		Time:     time.Now(),
 		VM:       s.settings.ID(),
 		Centre:   s.settings.Centre(),
 		Version:  s.version,
 		Revision: s.copy.Revision(),
-		Fleet:    s.fleetStatus(sums),
-		Teams:    s.teamStatuses(sums),
-		Centres:  s.centreStatuses(sums),
+		Fleet:    s.fleetStatus(),
+		Teams:    s.teamStatuses(),
+		Centres:  s.centreStatuses(),
 		Shards:   s.shardStatuses(),
 		VMs:      s.vmStatuses(),
 		Platform: s.platformStatus(),
 	}
+	s.collector.Collect(ctx).Fill(&status)
+	return status
 }
 
-func (s *Server) fleetStatus(sums totals) FleetStatus {
-	flight, _ := s.admitter.Load()
-	return FleetStatus{
-		Workers:    len(s.tracker.Workers("")),
-		Executors:  len(s.tracker.Endpoints("", "")),
-		Processors: sums.capacity.CPU(),
-		Used:       sums.fleet.Size[0],
-		Running:    sums.fleet.Running,
-		Pending:    sums.fleet.Pending,
-		Flight:     flight,
+func (s *Server) fleetStatus() FleetStatus {
+	workers := s.tracker.Workers("")
+	fleet := FleetStatus{Workers: len(workers), Executors: len(s.tracker.Endpoints("", ""))}
+	for _, vm := range workers {
+		fleet.Processors += vm.Size().CPU()
 	}
+	return fleet
 }
 
-func (s *Server) teamStatuses(sums totals) []TeamStatus {
+func (s *Server) teamStatuses() []TeamStatus {
 	document := s.copy.Current()
 	if document == nil {
 		return nil
@@ -90,23 +46,19 @@
 	var list []TeamStatus
 	for team := range document.Teams() {
 		name := team.Name()
-		usage := sums.teams[name]
 		list = append(list, TeamStatus{
-			Name: name, Share: resolver.Share(name), Part: usage.resources().DominantShare(sums.capacity),
-			Limit: resolver.Limit(name), Used: usage.Size[0], Slots: resolver.Slots(name), Pending: usage.Pending,
+			Name: name, Share: resolver.Share(name), Limit: resolver.Limit(name), Slots: resolver.Slots(name),
 		})
 	}
 	return list
 }
 
-func (s *Server) centreStatuses(sums totals) []CentreStatus {
+func (s *Server) centreStatuses() []CentreStatus {
 	list := make([]CentreStatus, 0, len(s.centreNames()))
 	for _, name := range s.centreNames() {
-		usage := sums.centres[name]
 		list = append(list, CentreStatus{
 			Name: name, State: string(s.centreState(name)), Reason: s.centreReason(name),
 			Entries: len(s.tracker.Entries(name)), Workers: len(s.tracker.Workers(name)),
-			Running: usage.Running, Pending: usage.Pending,
 		})
 	}
 	slices.SortFunc(list, func(a, b CentreStatus) int { return cmp.Compare(a.Name, b.Name) })
--- a/server/run.go
+++ b/server/run.go
@@ -9,7 +9,6 @@
 
 	"filberthaven.example/admitter"
 	"filberthaven.example/configurer"
-	"filberthaven.example/messenger"
 	"filberthaven.example/placer"
 	"filberthaven.example/router"
 	"filberthaven.example/scheduler"
@@ -32,7 +31,7 @@
 	defer cancel()
 	s.base = base
 	group, running := errgroup.WithContext(base)
-	for _, part := range []func(context.Context) error{s.mirror.Run, s.tracker.Run, s.elector.Run, s.holder.Run, s.chooseCandidates, s.gatherUsage, s.calls.run, s.watchCertificates, s.serveDebug} {
+	for _, part := range []func(context.Context) error{s.mirror.Run, s.tracker.Run, s.elector.Run, s.holder.Run, s.chooseCandidates, s.collect, s.calls.run, s.watchCertificates, s.serveDebug} {
 		group.Go(func() error { return part(running) })
 	}
 	group.Go(func() error { s.spreader.Run(running); return nil })
@@ -82,7 +81,8 @@
 	s.copy.Handle(s.messenger, mux)
 	s.slotter.Register(s.messenger, mux)
 	scheduler.Handle(s.messenger, mux, s.tenures.scheduler)
-	messenger.Handle(s.messenger, mux, usageProcedure, s.answerUsage)
+	s.collector.Handle(s.messenger, mux)
+	s.spreader.Handle(s.messenger, mux)
 	mux.Handle("/v1/services/", s.router)
 	return mux
 }
--- a/server/server.go
+++ b/server/server.go
@@ -47,6 +47,7 @@
 	workers   *messenger.Messenger // to workers
 	copy      *configurer.Copy
 	spreader  *configurer.Spreader
+	collector *Collector
 	tracker   *tracker.Tracker
 	keys      *authenticator.Authenticator
 	admitter  *admitter.Admitter
@@ -58,7 +59,6 @@
 
 	base     context.Context // of everything that outlives a request; set by Run
 	tenures  tenures
-	usages   usages
 	calls    *callRates
 	version  string                      // of the program, for the status
 	slotting sync.Mutex                  // held by the tenure that divides slots
@@ -93,7 +93,6 @@
 		registry:    metrics.NewRegistry(),
 		incarnation: uint64(time.Now().UnixNano()),
 		tenures:     tenures{shards: map[string]*tenure{}},
-		usages:      usages{shards: map[string]seenUsage{}},
 		started:     time.Now(),
 	}
 	for _, dependency := range dependencies {
@@ -189,7 +188,8 @@
 	s.copy = configurer.NewCopy(configurer.WithCopyLogger(s.logger))
 	s.mirror.Subscribe(configurer.LiveKey, s.copy.Observe)
 	s.spreader = configurer.NewSpreader(s.settings.ID(), s.copy, s.messenger, s.configurerPeers,
-		configurer.WithSpreaderLogger(s.logger))
+		configurer.WithSpreaderLogger(s.logger), configurer.WithLastUse(s.lastUse))
+	s.collector = NewCollector(s.messenger, s.ownLoad, s.peerAddresses, s.allShards)
 	var err error
 	s.keys, err = authenticator.New(authenticator.WithLookup(s.lookupKey), authenticator.WithLogger(s.logger))
 	return err
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -27,7 +27,7 @@
 	scheduler *scheduler.Scheduler
 	journal   *journaler.Journaler
 	allotter  *granter.Allotter
-	usage     atomic.Pointer[shardUsage] // nil until the owner has told of it
+	load      atomic.Pointer[ShardLoad] // nil until the owner has told of it
 	cancel    context.CancelFunc
 	done      chan struct{} // closed when all of its parts have ended
 }
@@ -130,7 +130,7 @@
 		scheduler.WithAllotment(func(team string) int64 { return s.allotment(allotter, team) }),
 		scheduler.WithLimits(s.limits(allotter)),
 		scheduler.WithShare(s.share),
-		scheduler.WithUsage(next.noteUsage),
+		scheduler.WithUsage(next.noteLoad),
 		scheduler.WithElsewhere(func() map[string]placer.Resources { return s.usedElsewhere(shard) }),
 		scheduler.WithPlacer(estimates(times, s.logger)...),
 		scheduler.WithTransfer(s.transferTarget(shard), s.client.Transfer),
