placer: Remember sizes that no worker has room for

Cause: with thousands of jobs in a lane each pass looked at all of them, and a full fleet was searched anew for each. Change: the smallest sizes without room are kept until a worker has room for them; a pass looks at 64 jobs of a lane from its head and goes on behind them next time. Conclusion: the cost of a pass no longer grows with the length of the queue.

--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -22,11 +22,12 @@
 	placer  *placer.Placer
 	random  *rand.Rand
 	running []placer.TaskID
+	teams   int
 	jobs    int
 	now     time.Time
 }
 
-func newBench(c *qt.C, workers, tasks int) *bench {
+func newBench(c *qt.C, workers, tasks, teams int) *bench {
 	p, err := placer.New()
 	c.Assert(err, qt.IsNil)
 	for i := range workers {
@@ -36,7 +37,7 @@
 		}
 		p.SetWorker(placer.NewWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i/8), total))
 	}
-	b := &bench{placer: p, random: rand.New(rand.NewPCG(1, 2)), now: begin}
+	b := &bench{placer: p, random: rand.New(rand.NewPCG(1, 2)), teams: teams, now: begin}
 	for b.placer.Pending()+b.placer.Running() < tasks {
 		b.submit(c)
 	}
@@ -55,7 +56,7 @@
 	case 1, 2:
 		options = append(options, placer.WithClass(placer.Deferred), placer.WithDeadline(b.now.Add(time.Duration(b.random.IntN(300))*time.Minute)))
 	}
-	team := fmt.Sprintf("t%d", b.random.IntN(teamsAtTwoYears))
+	team := fmt.Sprintf("t%d", b.random.IntN(b.teams))
 	c.Assert(b.placer.Submit(placer.NewJobSpec(fmt.Sprintf("j%d", b.jobs), team, size, options...)), qt.IsNil)
 }
 
@@ -80,17 +81,20 @@
 func BenchmarkDecide(b *testing.B) {
 	for _, workers := range []int{240, 2400} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			benchDecide(b, workers, workers*tasksPerWorker)
+			benchDecide(b, workers, workers*tasksPerWorker, teamsAtTwoYears)
 		})
 		b.Run(fmt.Sprintf("workers=%d,backlog", workers), func(b *testing.B) {
-			benchDecide(b, workers, 3*workers*tasksPerWorker)
+			benchDecide(b, workers, 3*workers*tasksPerWorker, teamsAtTwoYears)
+		})
+		b.Run(fmt.Sprintf("workers=%d,backlog,teams=6", workers), func(b *testing.B) {
+			benchDecide(b, workers, 3*workers*tasksPerWorker, 6)
 		})
 	}
 }
 
-func benchDecide(b *testing.B, workers, tasks int) {
+func benchDecide(b *testing.B, workers, tasks, teams int) {
 	c := qt.New(b)
-	bench := newBench(c, workers, tasks)
+	bench := newBench(c, workers, tasks, teams)
 	times := hdrhistogram.New(1, int64(time.Minute), 3)
 	placed := 0
 	var spent time.Duration
@@ -119,7 +123,7 @@
 			placed := 0
 			for b.Loop() {
 				b.StopTimer()
-				bench := newBench(qt.New(b), 1, 1)
+				bench := newBench(qt.New(b), 1, 1, teamsAtTwoYears)
 				for i := 1; i < workers; i++ {
 					bench.placer.SetWorker(placer.NewWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i/8), vm))
 				}
--- a/placer/decide.go
+++ b/placer/decide.go
@@ -4,9 +4,12 @@
 	"time"
 )
 
-// lookahead is how many jobs of a team's lane are searched a worker for, from the
-// first on.
-const lookahead = 16
+// Bounds of the search in one lane of a team, from its first job on and from
+// where the search before stopped.
+const (
+	lookahead = 16 // jobs that a worker is searched for
+	glances   = 64 // jobs looked at
+)
 
 // estimateLife is how long the estimate of a queued job's run time is kept.
 const estimateLife = 30 * time.Second
@@ -18,29 +21,18 @@
 	out    []Decision
 	teams  []*team // with jobs that wait
 	serial uint64  // distinguishes rounds in marks on teams
-	failed []Resources
 }
 
 func (r *round) left() bool { return len(r.out) < r.most }
 
 func (r *round) add(d Decision) { r.out = append(r.out, d) }
 
-// hopeless reports whether a smaller or equal size found no room in this round.
-func (r *round) hopeless(size Resources) bool {
-	for _, f := range r.failed {
-		if f.Fits(size) {
-			return true
-		}
-	}
-	return false
-}
-
 // Decide returns what to do at that time, at most that many decisions unless a
 // gang or an order to make room needs more. Each Start is on the books from
 // now on: call Unplace when it can't be carried out, Finish when it has ended.
 func (p *Placer) Decide(now time.Time, most int) []Decision {
 	r := &p.round
-	*r = round{now: nanos(now), most: most, teams: r.teams[:0], failed: r.failed[:0], serial: r.serial + 1}
+	*r = round{now: nanos(now), most: most, teams: r.teams[:0], serial: r.serial + 1}
 	p.wake(r.now)
 	p.trial(r.now)
 	p.reckon(r.now)
@@ -185,35 +177,61 @@
 
 // startFrom starts one task of a lane of the team and reports whether it did.
 func (p *Placer) startFrom(r *round, t *team, of lane) bool {
-	var chosen *job
-	var on *node
-	tries, seen := 0, 0
-	t.queues[of].Ascend(func(j *job) bool {
-		if !r.hopeless(j.spec.size) {
-			tries++
-		}
-		on, seen = p.choose(r, j)
-		if on != nil {
-			chosen = j
-		}
-		return on == nil && tries < lookahead
-	})
-	if chosen == nil {
+	s := search{placer: p, round: r}
+	t.queues[of].Ascend(s.look)
+	if s.job == nil && s.looked > glances && t.resume[of] != nil {
+		s.looked, s.tried = 0, 0
+		t.queues[of].AscendGreaterOrEqual(t.resume[of], s.look)
+	}
+	t.resume[of] = s.last
+	if s.job == nil {
 		return false
 	}
-	if len(chosen.holds) > 0 {
-		p.freeHold(chosen.holds[len(chosen.holds)-1])
+	if len(s.job.holds) > 0 {
+		p.freeHold(s.job.holds[len(s.job.holds)-1])
 	}
-	p.start(r, chosen, on, seen, chosen.lane.reason())
+	p.start(r, s.job, s.node, s.seen, s.job.lane.reason())
 	return true
 }
 
+// search looks for the first job of a lane that can start.
+type search struct {
+	placer *Placer
+	round  *round
+	looked int  // jobs looked at
+	tried  int  // of these, jobs that a worker was searched for
+	last   *job // the last one when the search stopped early, else nil
+	job    *job // what was found, else nil
+	node   *node
+	seen   int
+}
+
+// look tries one job and reports whether to go on.
+func (s *search) look(j *job) bool {
+	s.looked++
+	if s.looked > glances || s.tried == lookahead {
+		s.last, s.looked = j, glances+1
+		return false
+	}
+	s.last = nil
+	if j.spec.class != Urgent && s.placer.full.rules(j.spec.size) {
+		return true
+	}
+	s.tried++
+	s.node, s.seen = s.placer.choose(s.round, j)
+	if s.node == nil {
+		return true
+	}
+	s.job = j
+	return false
+}
+
 // choose returns the worker for a task of the job, nil when it has to wait.
 func (p *Placer) choose(r *round, j *job) (*node, int) {
 	if !p.permits(j) {
 		return nil, 0
 	}
-	n, seen := p.find(r, j)
+	n, seen := p.find(j)
 	if n == nil && j.spec.class == Urgent {
 		p.claim(r, j)
 	}
--- a/placer/find.go
+++ b/placer/find.go
@@ -5,15 +5,14 @@
 
 // find returns the worker for the next task of a job, nil when there is none,
 // and how many it looked at.
-func (p *Placer) find(r *round, j *job) (*node, int) {
+func (p *Placer) find(j *job) (*node, int) {
 	c := j.spec.constraints
+	if p.full.rules(j.spec.size) {
+		return nil, 0
+	}
 	if c.rack != "" {
 		return p.findInRack(j, p.byRack[c.rack])
 	}
-	plain := !c.apart && len(j.again) == 0
-	if plain && r.hopeless(j.spec.size) {
-		return nil, 0
-	}
 	seen := 0
 	if c.near != "" {
 		n, tried := p.findNear(j, c.near)
@@ -30,8 +29,8 @@
 		seen += tried
 	}
 	n, tried := p.findTight(j)
-	if n == nil && plain {
-		r.failed = append(r.failed, j.spec.size)
+	if n == nil && !c.apart && len(j.again) == 0 {
+		p.full.add(j.spec.size)
 	}
 	return n, seen + tried
 }
--- a/placer/gangs.go
+++ b/placer/gangs.go
@@ -66,7 +66,7 @@
 		return
 	}
 	for len(j.holds) < int(j.pending) {
-		n, _ := p.find(r, j)
+		n, _ := p.find(j)
 		if n == nil {
 			break
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,7 @@
 	total  Resources    // sum over nodes that aren't gone
 	used   Resources    // sum over all nodes
 	free   [kinds]index // open nodes by room
+	full   fullness     // sizes that no open node has room for
 	clear  index        // open nodes by room after preemption of what yields
 
 	jobs     map[string]*job // unfinished jobs
--- a/placer/team.go
+++ b/placer/team.go
@@ -30,6 +30,7 @@
 	ideal     float64       // dominant share that is due to it now
 	deficit   float64       // what it lacked lately, as a dominant share
 	tried     [lanes]uint64 // round in which a lane found no room
+	resume    [lanes]*job   // where the next search of a long lane goes on
 	gang      *job          // gang that waits for the allotment; others of the team wait too
 }
 
--- a/placer/workers.go
+++ b/placer/workers.go
@@ -121,6 +121,7 @@
 		n.kind = kind
 	}
 	p.free[n.kind].put(n, room)
+	p.full.relax(room)
 	p.clear.put(n, room.Add(n.yield))
 }
 
