--- a/placer/jobs.go
+++ b/placer/jobs.go
@@ -39,6 +39,7 @@
 	p.serial++
 	j := &job{spec: spec, team: t, serial: p.serial, pending: int32(spec.tasks)}
 	j.lane = j.firstLane()
+	j.expected = p.runTime(spec)
 	j.latest = p.latestStart(spec)
 	j.estimated = nanos(spec.submitted)
 	p.jobs[spec.id] = j
--- a/placer/state.go
+++ b/placer/state.go
@@ -34,16 +34,17 @@
 type job struct {
 	spec      JobSpec
 	team      *team
-	serial    uint64  // order of arrival; breaks ties
-	tasks     []task  // nil until the first start
-	next      int32   // tasks from here on were never placed
-	again     []int32 // tasks to place once more; entries that don't wait are skipped
-	pending   int32   // tasks that wait and aren't delayed
-	delayed   int32   // tasks that wait for a time
-	active    int32   // tasks on nodes
-	failed    int32   // tasks that ended without success
-	latest    int64   // latest start that meets the deadline; nanoseconds since 1970
-	estimated int64   // when latest was reckoned; nanoseconds since 1970
+	serial    uint64        // order of arrival; breaks ties
+	tasks     []task        // nil until the first start
+	next      int32         // tasks from here on were never placed
+	again     []int32       // tasks to place once more; entries that don't wait are skipped
+	pending   int32         // tasks that wait and aren't delayed
+	delayed   int32         // tasks that wait for a time
+	active    int32         // tasks on nodes
+	failed    int32         // tasks that ended without success
+	latest    int64         // latest start that meets the deadline; nanoseconds since 1970
+	expected  time.Duration // run time of a task when latest was reckoned
+	estimated int64         // when latest was reckoned; nanoseconds since 1970
 	lane      lane
 	queued    bool // in the tree of its lane
 	paused    bool // must not start yet
--- a/placer/team.go
+++ b/placer/team.go
@@ -16,6 +16,7 @@
 	weight    float64 // above 0
 	allotment int64   // thousandths of a processor; unlimited when negative
 	used      Resources
+	stay      int64      // thousandths of a processor of its service tasks on nodes
 	held      Resources  // sum of the sizes of its holds
 	pending   int        // tasks that wait, delayed ones too
 	demand    Resources  // sum of the sizes of pending tasks that may start
--- a/placer/workers.go
+++ b/placer/workers.go
@@ -137,6 +137,9 @@
 	j.team.active++
 	j.team.used = j.team.used.Add(size)
 	j.team.share = j.team.used.DominantShare(p.total)
+	if j.spec.class == Service {
+		j.team.stay += size.cpu
+	}
 	n.settle()
 	p.reindex(n)
 }
@@ -154,6 +157,9 @@
 	j.team.active--
 	j.team.used = j.team.used.Sub(size)
 	j.team.share = j.team.used.DominantShare(p.total)
+	if j.spec.class == Service {
+		j.team.stay -= size.cpu
+	}
 	p.released = true
 	n.forgive(j, index)
 	n.settle()
