--- a/granter/slotter_protocol_test.go
+++ b/granter/slotter_protocol_test.go
@@ -9,6 +9,9 @@
 	"pgregory.net/rapid"
 )
 
+// protocolRounds is how often the usual number of runs is done; each is short.
+const protocolRounds = 20
+
 // protocol is owners and holders whose messages are delivered in any order, late,
 // doubled or never.
 type protocol struct {
@@ -160,5 +163,7 @@
 }
 
 func TestSlotProtocol(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { rt.Repeat(newProtocol().actions()) })
+	for range protocolRounds {
+		rapid.Check(t, func(rt *rapid.T) { rt.Repeat(newProtocol().actions()) })
+	}
 }
