--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -96,7 +96,7 @@
 	{"id":"odd","role":"worker","address":"b","state":"floating"}]}`
 
 // inNetwork runs a test of two entry VMs in a bubble.
-func inNetwork(t *testing.T, test func(c *qt.C, ctx context.Context, n *network)) { //nolint:revive // The test's context.
+func inNetwork(t *testing.T, test func(c *qt.C, ctx context.Context, n *network)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{hosts: map[string]http.Handler{}, cut: map[[2]string]bool{}}
 		n.list(twoEntries)
