admitter: Mend a race in a test

Cause: the load read the map of tallies while it was being filled. Change: each sender gets its own tally. Measured: race test passes. Conclusion: the Admitter itself had no race.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -27,11 +27,12 @@
 	tallies := map[string]*tally{}
 	results := make(chan func())
 	for team, rate := range rates {
-		tallies[team] = &tally{}
+		t := &tally{}
+		tallies[team] = t
 		go func() {
 			for range int(length.Seconds() * float64(rate)) {
 				time.Sleep(time.Second / time.Duration(rate))
-				go func() { results <- one(ctx, a, team, tallies[team]) }()
+				go func() { results <- one(ctx, a, team, t) }()
 			}
 		}()
 	}
