--- /dev/null
+++ b/journaler/faults_test.go
@@ -0,0 +1,281 @@
+package journaler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/journaler"
+	"filberthaven.example/keeper"
+	qt "github.com/frankban/quicktest"
+)
+
+// append starts a write and returns where its outcome comes.
+func (o *owner) begin(text string) <-chan error {
+	result := make(chan error, 1)
+	go func() { result <- o.write(text) }()
+	return result
+}
+
+func TestLostAnswers(t *testing.T) {
+	run(t, "a lost answer is read back", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		o.client.SetFaults(emulator.LoseAnswers(1))
+		for n := range 40 {
+			c.Assert(o.write(fmt.Sprint(n)), qt.IsNil)
+		}
+		o.Abandon()
+		accepted(c, store, 2, o.state...)
+	})
+	run(t, "a late write is not written twice", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		o.client.SetFaults(emulator.LateWrites(1, 50*time.Millisecond))
+		c.Assert(o.write("x"), qt.IsNil)
+		c.Assert(o.write("y"), qt.IsNil)
+		o.Abandon()
+		time.Sleep(time.Second)
+		accepted(c, store, 2, "x", "y")
+	})
+	run(t, "stale reads don't mislead", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		o.client.SetFaults(emulator.LoseAnswers(0.5), emulator.StaleReads(0.5))
+		for n := range 40 {
+			c.Assert(o.write(fmt.Sprint(n)), qt.IsNil)
+		}
+		o.Abandon()
+		accepted(c, store, 2, o.state...)
+	})
+	run(t, "opening over stale reads", func(c *qt.C, store *emulator.Store) {
+		var want []string
+		for term := range uint64(30) {
+			store.SetFaults()
+			o, err := tryOpen(c, store, "a", term+1)
+			c.Assert(err, qt.IsNil)
+			c.Assert(o.state, qt.DeepEquals, want)
+			o.client.SetFaults(emulator.StaleReads(0.3), emulator.LoseAnswers(0.3))
+			for n := range 3 {
+				c.Assert(o.write(fmt.Sprint(term, n)), qt.IsNil)
+			}
+			want = o.state
+			o.Abandon()
+			// A reader that lags may fail, but must not take old data for new.
+			store.Client("b").SetFaults(emulator.StaleReads(0.3))
+			lagging, err := tryOpen(c, store, "b", term+1)
+			if err == nil {
+				c.Assert(lagging.state, qt.DeepEquals, want)
+				lagging.Abandon()
+			}
+		}
+	})
+}
+
+func TestOutage(t *testing.T) {
+	run(t, "new records are refused at once, and accepted again later", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		store.SetFaults(emulator.Down())
+		begun := time.Now()
+		c.Assert(o.write("x"), qt.ErrorIs, journaler.ErrUnavailable)
+		c.Assert(time.Since(begun) < 2*time.Second, qt.IsTrue)
+		begun = time.Now()
+		c.Assert(o.write("y"), qt.ErrorIs, journaler.ErrUnavailable)
+		c.Assert(time.Since(begun), qt.Equals, time.Duration(0))
+		time.Sleep(time.Minute)
+		store.SetFaults()
+		time.Sleep(2 * time.Second)
+		c.Assert(o.write("z"), qt.IsNil)
+		o.Abandon()
+		accepted(c, store, 2, "z")
+	})
+	run(t, "a record under way stays open, one behind it is refused", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		store.SetFaults(emulator.Cut())
+		first := o.begin("x")
+		time.Sleep(100 * time.Millisecond)
+		second := o.begin("y")
+		c.Assert(<-second, qt.ErrorIs, journaler.ErrUnavailable)
+		time.Sleep(10 * time.Second)
+		c.Assert(first, qt.HasLen, 0)
+		store.SetFaults()
+		c.Assert(<-first, qt.IsNil)
+		o.Abandon()
+		accepted(c, store, 2, "x")
+	})
+	run(t, "a caller that gives up is told what is known", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		store.SetFaults(emulator.Cut())
+		short, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		first := make(chan error, 1)
+		go func() { first <- o.Append(short, []byte("x")) }()
+		time.Sleep(100 * time.Millisecond)
+		second := make(chan error, 1)
+		go func() { second <- o.Append(short, []byte("y")) }()
+		c.Assert(<-first, qt.ErrorIs, journaler.ErrUnknown)
+		c.Assert(<-second, qt.ErrorIs, journaler.ErrUnavailable)
+		o.Abandon()
+		accepted(c, store, 2)
+	})
+	run(t, "a kept record waits", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		store.SetFaults(emulator.Down())
+		result := make(chan error, 1)
+		c.Assert(o.EnqueueKept([]byte("x"), func(err error) { result <- err }), qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Assert(o.EnqueueKept([]byte("y"), func(error) {}), qt.IsNil)
+		c.Assert(result, qt.HasLen, 0)
+		store.SetFaults()
+		c.Assert(<-result, qt.IsNil)
+		time.Sleep(time.Second)
+		o.Abandon()
+		accepted(c, store, 2, "x", "y")
+	})
+	run(t, "a killed owner leaves the record under way unknown", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		store.SetFaults(emulator.Cut())
+		first := o.begin("x")
+		time.Sleep(100 * time.Millisecond)
+		o.Abandon()
+		c.Assert(<-first, qt.ErrorIs, journaler.ErrUnknown)
+		c.Assert(o.write("y"), qt.ErrorIs, journaler.ErrUnavailable)
+	})
+}
+
+func TestOwners(t *testing.T) {
+	run(t, "an older owner can't accept", func(c *qt.C, store *emulator.Store) {
+		old := open(c, store, "a", 1)
+		c.Assert(old.write("x"), qt.IsNil)
+		fresh := open(c, store, "b", 2)
+		c.Assert(fresh.state, qt.DeepEquals, []string{"x"})
+		c.Assert(old.write("y"), qt.ErrorIs, journaler.ErrDeposed)
+		<-old.Stopped()
+		c.Assert(old.Err(), qt.ErrorIs, journaler.ErrDeposed)
+		c.Assert(old.write("z"), qt.ErrorIs, journaler.ErrDeposed)
+		fresh.Abandon()
+		accepted(c, store, 3, "x")
+	})
+	run(t, "an older term can't open", func(c *qt.C, store *emulator.Store) {
+		fresh := open(c, store, "b", 2)
+		_, err := tryOpen(c, store, "a", 1)
+		c.Assert(err, qt.ErrorIs, journaler.ErrDeposed)
+		c.Assert(fresh.write("x"), qt.IsNil)
+		fresh.Abandon()
+	})
+	run(t, "a late write of an older owner comes before the opening or never", func(c *qt.C, store *emulator.Store) {
+		old := open(c, store, "a", 1)
+		old.client.SetFaults(emulator.LateWrites(1, 500*time.Millisecond), emulator.FailReads(1))
+		first := old.begin("x")
+		time.Sleep(100 * time.Millisecond)
+		fresh := open(c, store, "b", 2)
+		c.Assert(fresh.write("y"), qt.IsNil)
+		time.Sleep(time.Second)
+		old.client.SetFaults()
+		c.Assert(<-first, qt.ErrorIs, journaler.ErrDeposed)
+		fresh.Abandon()
+		accepted(c, store, 3, "y")
+	})
+	run(t, "an older owner's snapshot doesn't harm", func(c *qt.C, store *emulator.Store) {
+		old := open(c, store, "a", 1)
+		for n := range 6 {
+			c.Assert(old.write(fmt.Sprint(n)), qt.IsNil)
+		}
+		old.client.SetFaults(emulator.Slow(200 * time.Millisecond))
+		for n := range 4 {
+			c.Assert(old.write(fmt.Sprint(n+6)), qt.IsNil)
+		}
+		fresh := open(c, store, "b", 2)
+		for n := range 30 {
+			c.Assert(fresh.write(fmt.Sprint(n+10)), qt.IsNil)
+			time.Sleep(50 * time.Millisecond)
+		}
+		old.Abandon()
+		fresh.Abandon()
+		accepted(c, store, 3, fresh.state...)
+	})
+	run(t, "owners that die at once don't fill the ring", func(c *qt.C, store *emulator.Store) {
+		first := open(c, store, "a", 1)
+		c.Assert(first.write("x"), qt.IsNil)
+		first.Abandon()
+		for term := range uint64(50) {
+			open(c, store, "a", term+2).Abandon()
+		}
+		accepted(c, store, 100, "x")
+	})
+	run(t, "without snapshots nothing is overwritten", func(c *qt.C, store *emulator.Store) {
+		j, err := journaler.New(store.Seam(), shard, journaler.WithSlots(16))
+		c.Assert(err, qt.IsNil)
+		_, err = j.Open(context.Background(), 1)
+		c.Assert(err, qt.IsNil)
+		var want []string
+		for n := range 20 {
+			err := j.Append(context.Background(), fmt.Append(nil, n))
+			if err == nil {
+				want = append(want, fmt.Sprint(n))
+				continue
+			}
+			c.Assert(err, qt.ErrorIs, journaler.ErrUnavailable)
+		}
+		c.Assert(want, qt.HasLen, 11)
+		j.Abandon()
+		accepted(c, store, 2, want...)
+	})
+}
+
+func TestDamage(t *testing.T) {
+	flip := func(data []byte) []byte {
+		data[len(data)-1] ^= 1
+		return data
+	}
+	damaged := func(name, key string, change func([]byte) []byte, want error) {
+		run(t, name, func(c *qt.C, store *emulator.Store) {
+			o := open(c, store, "a", 1)
+			for n := range 12 {
+				c.Assert(o.write(fmt.Sprint(n)), qt.IsNil)
+			}
+			time.Sleep(time.Second)
+			o.Abandon()
+			entries, err := store.Seam().List(context.Background(), key)
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(entries) > 0, qt.IsTrue)
+			store.Corrupt(entries[0].Key(), change)
+			before, _ := store.Seam().List(context.Background(), "")
+			_, err = tryOpen(c, store, "b", 2)
+			c.Assert(err, qt.ErrorIs, want)
+			after, _ := store.Seam().List(context.Background(), "")
+			c.Assert(versions(after), qt.DeepEquals, versions(before))
+		})
+	}
+	damaged("slot", "journal/"+shard+"/000009", flip, journaler.ErrDamaged)
+	damaged("manifest", "journal/"+shard+"/manifest", flip, journaler.ErrDamaged)
+	damaged("chunk", "snapshot/"+shard+"/", flip, journaler.ErrDamaged)
+	damaged("empty slot", "journal/"+shard+"/000009", func([]byte) []byte { return nil }, journaler.ErrDamaged)
+	damaged("unknown format", "journal/"+shard+"/000009", newerFormat, journaler.ErrVersion)
+}
+
+// newerFormat changes the format of an envelope, whose first key it is.
+func newerFormat(data []byte) []byte {
+	for n := range data {
+		if string(data[n:min(len(data), n+6)]) == "format" {
+			data[n+6] = 9
+			return data
+		}
+	}
+	panic("no format")
+}
+
+// versions returns the versions of the entries by key.
+func versions(entries []keeper.Entry) map[string]uint64 {
+	all := map[string]uint64{}
+	for _, entry := range entries {
+		all[entry.Key()] = entry.Version()
+	}
+	return all
+}
+
+// isOutcome reports whether an error is one that an append may give.
+func isOutcome(err error) bool {
+	return err == nil || errors.Is(err, journaler.ErrUnavailable) || errors.Is(err, journaler.ErrUnknown) ||
+		errors.Is(err, journaler.ErrDeposed)
+}
