--- a/granter/allotter.go
+++ b/granter/allotter.go
@@ -132,6 +132,14 @@
 	return ok
 }
 
+// SetWanted tells how much more of a kind the team would use if it could, and
+// leaves what runs as it is.
+func (a *Allotter) SetWanted(team string, kind Kind, wanted int64) {
+	if a.book(team).setWanted(team, kind, wanted) {
+		a.wake()
+	}
+}
+
 // Recover counts an amount as running that a former owner of the shard started,
 // whatever the allotment.
 func (a *Allotter) Recover(team string, kind Kind, running int64) {
--- a/granter/allotter_book.go
+++ b/granter/allotter_book.go
@@ -123,6 +123,17 @@
 	return ok, lacking
 }
 
+// setWanted notes a wanted amount and reports whether the team lacks something.
+func (b *book) setWanted(team string, kind Kind, wanted int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.usage(team)
+	more := wanted > u.wanted[kind]
+	u.wanted[kind] = wanted
+	u.touch()
+	return more && u.running[kind]+wanted > b.effective(team, kind)
+}
+
 // touch keeps the time since when nothing runs or waits.
 func (u *usage) touch() {
 	switch {
