--- a/journaler/faults_test.go
+++ b/journaler/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -13,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// append starts a write and returns where its outcome comes.
+// begin starts a write and returns where its outcome comes.
 func (o *owner) begin(text string) <-chan error {
 	result := make(chan error, 1)
 	go func() { result <- o.write(text) }()
@@ -273,9 +272,3 @@
 	}
 	return all
 }
-
-// isOutcome reports whether an error is one that an append may give.
-func isOutcome(err error) bool {
-	return err == nil || errors.Is(err, journaler.ErrUnavailable) || errors.Is(err, journaler.ErrUnknown) ||
-		errors.Is(err, journaler.ErrDeposed)
-}
