--- a/elector/fuzz_test.go
+++ b/elector/fuzz_test.go
@@ -492,6 +492,7 @@
 		owners[0].write(shard, "last")
 		time.Sleep(2 * time.Second)
 		s := owners[0].shard(shard)
+		synctest.Wait()
 		w.judge(shard, s.state)
 		w.mu.Lock()
 		if err, told := w.answers[shard]["last"]; !told || err != nil {
