commands: Measure the decisions

Cause: operators and developers compare releases by the same workloads. Change: filberthaven measure runs the workloads and checks, as text, JSON or a page.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -19,7 +19,7 @@
 		addServe, addDev, addInit, addStatus,
 		addSubmit, addWait, addCancel, addExplain,
 		addCheck, addPlan, addApply, addDiff, addExport, addHistory, addRollback,
-		addDrain, addReturn, addLimit, addKeys, addGrant, addWithdraw, addCerts,
+		addMeasure, addDrain, addReturn, addLimit, addKeys, addGrant, addWithdraw, addCerts,
 	}
 }
 
