--- a/router/gateway_test.go
+++ b/router/gateway_test.go
@@ -122,7 +122,14 @@
 	g.change()
 }
 
-func (g *gateway) claim(_ context.Context, _, _, request string) (bool, router.Outcome, error) {
+func (g *gateway) claim(ctx context.Context, _, _, request string) (bool, router.Outcome, error) {
+	if request == "store-slow" {
+		<-ctx.Done()
+		return false, "", ctx.Err()
+	}
+	if request == "store-down" {
+		return false, "", router.ErrUnavailable
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if outcome, ok := g.claims[request]; ok {
--- a/router/service.go
+++ b/router/service.go
@@ -226,7 +226,7 @@
 	}
 	first, outcome, err := u.router.requests.Claim(ctx, u.team, u.service, u.caller)
 	if err != nil {
-		return notRun(err)
+		return err // A claim that timed out may yet be recorded, so it is unknown.
 	}
 	if !first {
 		return NewProblem(http.StatusConflict, "duplicate", "a request with this id was sent before").WithOutcome(outcome)
--- a/router/service_test.go
+++ b/router/service_test.go
@@ -265,6 +265,24 @@
 	})
 }
 
+func TestClaim(t *testing.T) {
+	c := qt.New(t)
+	g := newGateway(t)
+	e := g.addExecutor(t, "e1", 8)
+	c.Run("not recorded", func(c *qt.C) {
+		got := g.call(c, "cremona", http.MethodPost, "/v1/services/prenota/", "x", router.RequestHeader, "store-down")
+		assertProblem(c, got, http.StatusServiceUnavailable, "unavailable", router.NotRun)
+	})
+	c.Run("perhaps recorded", func(c *qt.C) {
+		got := g.call(c, "cremona", http.MethodPost, "/v1/services/prenota/", "x", router.RequestHeader, "store-slow", router.DeadlineHeader, "50")
+		assertProblem(c, got, http.StatusGatewayTimeout, "deadline", router.Unknown)
+	})
+	c.Assert(e.Served(), qt.Equals, int64(0))
+	c.Run("idempotent requests need no record", func(c *qt.C) {
+		assertRan(c, g.call(c, "cremona", http.MethodPut, "/v1/services/prenota/", "x", router.RequestHeader, "store-down"), "x")
+	})
+}
+
 func TestSlowUpload(t *testing.T) {
 	c := qt.New(t)
 	g := newGateway(t)
--- /dev/null
+++ b/router/slots_test.go
@@ -0,0 +1,137 @@
+package router_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/granter"
+	"filberthaven.example/messenger"
+	"filberthaven.example/router"
+	qt "github.com/frankban/quicktest"
+)
+
+// centre is a data centre over TCP: entry VMs that share executors under one
+// owner.
+type centre struct {
+	entries   []*gateway
+	holders   []*granter.Holder
+	executors []*testExecutor
+}
+
+// newCentre starts a data centre and waits until all slots are granted.
+func newCentre(t *testing.T, entries, executors int) *centre {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	d := &centre{}
+	var list []granter.Executor
+	for i := range executors {
+		g := &gateway{}
+		e := g.addExecutor(t, fmt.Sprint("e", i), 0, emulator.WithDelay(3*time.Millisecond))
+		d.executors = append(d.executors, e)
+		list = append(list, granter.NewExecutor(e.id, "prenota", e.address, emulator.DefaultSlots, emulator.DefaultConnections, false))
+	}
+	m, err := messenger.New()
+	c.Assert(err, qt.IsNil)
+	owner, err := granter.NewSlotter(granter.WithExecutors(func() []granter.Executor { return list }))
+	c.Assert(err, qt.IsNil)
+	c.Assert(owner.Begin(1, nil), qt.IsNil)
+	mux := http.NewServeMux()
+	owner.Register(m, mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	for i := range entries {
+		d.start(ctx, t, m, server.Listener.Addr().String(), fmt.Sprint("entry-", i))
+	}
+	for d.granted() < executors*emulator.DefaultSlots {
+		time.Sleep(time.Millisecond)
+	}
+	return d
+}
+
+// start starts one entry VM.
+func (d *centre) start(ctx context.Context, t *testing.T, m *messenger.Messenger, owner, id string) {
+	holder, err := granter.NewHolder(granter.WithHolder(id, 1), granter.WithHolderMessenger(m),
+		granter.WithOwner(func() (string, bool) { return owner, true }))
+	qt.New(t).Assert(err, qt.IsNil)
+	go func() { _ = holder.Run(ctx) }()
+	acquire := func(ctx context.Context, service string, avoid func(string) bool) (router.Slot, error) {
+		slot, err := holder.Acquire(ctx, service, avoid)
+		if errors.Is(err, granter.ErrNoSlot) {
+			return router.Slot{}, router.ErrNoSlot
+		}
+		return router.NewSlot(slot.Executor(), slot.Address(), slot.Connections(), slot.Release), err
+	}
+	d.holders = append(d.holders, holder)
+	d.entries = append(d.entries, newGateway(t, router.WithRequests(router.Requests{Acquire: acquire})))
+}
+
+// granted returns the slots granted over all entry VMs.
+func (d *centre) granted() int {
+	sum := 0
+	for _, holder := range d.holders {
+		granted, _, _ := holder.Load("prenota")
+		sum += granted
+	}
+	return sum
+}
+
+func TestSharedExecutors(t *testing.T) {
+	c := qt.New(t)
+	d := newCentre(t, 3, 4)
+	var callers sync.WaitGroup
+	for caller := range 48 {
+		callers.Go(func() {
+			// The load moves from one entry VM to the next.
+			for i := range 60 {
+				g := d.entries[(caller/24+i/20)%len(d.entries)]
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				if i%7 == 0 { // Some callers leave early.
+					cancel()
+					ctx, cancel = context.WithTimeout(t.Context(), 4*time.Millisecond)
+				}
+				body := fmt.Sprintf("%d of %d", i, caller)
+				status, answer := post(ctx, g, body)
+				cancel()
+				if status == http.StatusOK {
+					c.Check(answer, qt.Equals, body)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	served := int64(0)
+	for _, e := range d.executors {
+		c.Check(e.Breaches(), qt.Equals, int64(0), qt.Commentf("%s: at most %d requests at once", e.id, e.Peak()))
+		served += e.Served()
+	}
+	c.Assert(served > 0, qt.IsTrue)
+}
+
+// post sends a body to the service and returns the answer, status 0 if none came.
+func post(ctx context.Context, g *gateway, body string) (status int, answer string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.server.URL+"/v1/services/prenota/", strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	request.Header.Set("Authorization", "Bearer "+g.keys["cremona"])
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(data)
+}
