server: Go on with calls while a shard changes its owner

Cause: nine entry VMs restarted one after the other under load (TLS, changed certificates) failed 53 of 1,464 requests: 44 claims and submits found no serving owner during a hand-over, 3 claims lost their answer, and 6 requests came to a started VM before its first slots and peers. Ruled out: slots that were lost with the owner; grants stayed in force. Change: claims, settlements and submits are repeated for 1.5 s while the shard has no owner in reach; a claim names one sending, so its repeat is granted again and a claim whose answer stays lost is taken back; an entry VM is ready once it has slots, or after 3 s.

--- a/filberthaven/fleet_test.go
+++ b/filberthaven/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -46,15 +47,21 @@
 	program string
 	fleet   *launcher.Fleet
 	entries []*entry
+	secure  *secureFiles // nil: plaintext
+	client  *http.Client
 }
 
 // newProcesses starts a fleet of nine entry VMs in three data centres.
-func newProcesses(t *testing.T, options ...launcher.Option) *processes {
+func newProcesses(t *testing.T, secure bool) *processes {
 	c := qt.New(t)
-	fleet, err := launcher.New(t.Context(), append(options, launcher.WithoutEntries(), launcher.WithCentres(centres...))...)
+	fleet, err := launcher.New(t.Context(), launcher.WithoutEntries(), launcher.WithCentres(centres...))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(fleet.Close)
-	p := &processes{c: c, program: binary(c), fleet: fleet}
+	p := &processes{c: c, program: binary(c), fleet: fleet, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	if secure {
+		p.secure = newSecureFiles(c)
+		p.client.Transport = &http.Transport{TLSClientConfig: p.secure.client(), MaxIdleConnsPerHost: 16}
+	}
 	for i := range entriesPerCentre {
 		for _, centre := range centres {
 			p.entries = append(p.entries, p.newEntry(fmt.Sprintf("%s-%d", centre, i+1), centre))
@@ -80,6 +87,10 @@
 	for _, name := range centres {
 		text += fmt.Sprintf("\n[centre %q]\n", name)
 	}
+	if p.secure != nil {
+		p.secure.issue(id)
+		text += p.secure.settings(id)
+	}
 	p.c.Assert(os.WriteFile(e.config, []byte(text), 0o600), qt.IsNil)
 	return e
 }
--- a/filberthaven/load_test.go
+++ b/filberthaven/load_test.go
@@ -27,11 +27,19 @@
 	body    []byte
 }
 
+// url returns the base URL of an entry VM's API for callers.
+func (p *processes) url(e *entry) string {
+	if p.secure != nil {
+		return "https://" + e.listen
+	}
+	return "http://" + e.listen
+}
+
 // call calls an entry VM.
 func (p *processes) call(ctx context.Context, e *entry, method, path, key, request, body string) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	message, err := http.NewRequestWithContext(ctx, method, "http://"+e.listen+path, strings.NewReader(body))
+	message, err := http.NewRequestWithContext(ctx, method, p.url(e)+path, strings.NewReader(body))
 	if err != nil {
 		return reply{}, err
 	}
@@ -40,7 +48,7 @@
 	if request != "" {
 		message.Header.Set("Filberthaven-Request", request)
 	}
-	response, err := http.DefaultClient.Do(message)
+	response, err := p.client.Do(message)
 	if err != nil {
 		return reply{}, err
 	}
--- a/filberthaven/process_test.go
+++ b/filberthaven/process_test.go
@@ -28,7 +28,7 @@
 	if testing.Short() {
 		t.Skip("starts nine processes")
 	}
-	p := newProcesses(t)
+	p := newProcesses(t, false)
 	p.awaitOwners()
 	p.fleet.Witness().SetLimit("demo", demoLimit)
 	load := p.startLoad(4, 4)
--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -32,17 +32,18 @@
 }
 
 // call sends a call to the owner of its shard. Errors keep their kind; one of the
-// way is ErrNotRun when the call surely did not arrive, else ErrUnknown.
+// way is ErrNotRun and ErrNotOwner when the call surely did not arrive, else
+// ErrUnknown.
 func (c *Client) call(ctx context.Context, call *callMessage) (*answerMessage, error) {
 	address, ok := c.owner(call.Shard)
 	if !ok {
-		return nil, fmt.Errorf("%w: shard %s has no owner in reach", ErrNotRun, call.Shard)
+		return nil, fmt.Errorf("%w: %w: shard %s has none in reach", ErrNotRun, ErrNotOwner, call.Shard)
 	}
 	answer, err := messenger.Call[callMessage, answerMessage](ctx, c.messenger, address, procedure, call)
 	if err != nil {
 		var dial *net.OpError
 		if errors.As(err, &dial) && dial.Op == "dial" {
-			return nil, fmt.Errorf("%w: owner of shard %s not reached: %w", ErrNotRun, call.Shard, err)
+			return nil, fmt.Errorf("%w: %w: shard %s: %w", ErrNotRun, ErrNotOwner, call.Shard, err)
 		}
 		return nil, fmt.Errorf("%w: owner of shard %s: %w", ErrUnknown, call.Shard, err)
 	}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -8,7 +8,8 @@
 )
 
 // Claim grants the sending of a non-idempotent urgent request with an id, at
-// most once. The journal holds a grant before it is returned. Errors: ErrNotRun,
+// most once to one holder, whose own repeat is granted again. A holder names one
+// sending, not a process. The journal holds a grant before it is returned. Errors: ErrNotRun,
 // ErrUnknown, ErrNotOwner, ErrMismatch when the id is a job's or its digest of
 // the content differs.
 func (s *Scheduler) Claim(ctx context.Context, team, requestID, holder string, digest uint64) (Claim, error) {
@@ -26,6 +27,9 @@
 	case ok && known.pending != nil:
 		s.mu.Unlock()
 		return Claim{}, fmt.Errorf("%w: claim of %s is under way", ErrUnknown, known.holder)
+	case ok && known.outcome == Open && known.holder == holder:
+		s.mu.Unlock()
+		return Claim{granted: true, holder: holder}, nil
 	case ok && known.outcome != NotRun:
 		defer s.mu.Unlock()
 		return Claim{holder: known.holder, outcome: known.outcome}, nil
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -24,35 +24,40 @@
 }
 
 // submitJob sends a job to its home shard if it has a request id, otherwise to
-// the nearest data centre in service.
-func (s *Server) submitJob(ctx context.Context, spec placer.JobSpec, request string) (string, bool, error) {
+// the nearest data centre in service. It goes on while shards change their owners;
+// a call without an answer is repeated only under a request id.
+func (s *Server) submitJob(ctx context.Context, spec placer.JobSpec, request string) (id string, duplicate bool, err error) {
+	shards := s.nearShards(spec)
+	mayRepeat := func(err error) bool { return errors.Is(err, scheduler.ErrNotOwner) }
 	if request != "" {
-		shard, ok := s.homeShard(spec.Team(), request)
-		if !ok {
-			return "", false, fmt.Errorf("%w: no shards are declared", router.ErrUnavailable)
-		}
-		return s.submitTo(ctx, shard, spec, request)
-	}
-	err := fmt.Errorf("%w: no data centre in service has an owner in reach", router.ErrUnavailable)
-	for _, shard := range s.nearShards(spec) {
-		var id string
-		id, _, err = s.submitTo(ctx, shard, spec, "")
-		if err == nil || !errors.Is(err, router.ErrUnavailable) {
-			return id, false, err
+		shards, mayRepeat = nil, mayRepeatClaim
+		if home, ok := s.homeShard(spec.Team(), request); ok {
+			shards = []string{home}
 		}
 	}
-	return "", false, err
+	err = retryOwner(ctx, mayRepeat, func() (err error) {
+		id, duplicate, err = s.submitTo(ctx, shards, spec, request)
+		return err
+	})
+	return id, duplicate, callError(err)
 }
 
-// submitTo sends a job to one shard.
-func (s *Server) submitTo(ctx context.Context, shard string, spec placer.JobSpec, request string) (string, bool, error) {
-	receipt, err := s.client.Submit(ctx, shard, spec, request)
-	if err != nil {
+// submitTo sends a job to the first of the shards that accepts it.
+func (s *Server) submitTo(ctx context.Context, shards []string, spec placer.JobSpec, request string) (string, bool, error) {
+	err := fmt.Errorf("%w: no data centre in service", scheduler.ErrNotRun)
+	for _, shard := range shards {
+		var receipt scheduler.Receipt
+		receipt, err = s.client.Submit(ctx, shard, spec, request)
+		if err == nil {
+			s.decisions.Info("job sent to shard", "job", receipt.Job(), "shard", shard, "home", request != "")
+			return receipt.Job(), !receipt.First(), nil
+		}
 		s.decisions.Info("job not accepted", "shard", shard, "team", spec.Team(), "error", err)
-		return "", false, callError(err)
+		if !errors.Is(err, scheduler.ErrNotRun) && !errors.Is(err, scheduler.ErrNotOwner) {
+			break
+		}
 	}
-	s.decisions.Info("job sent to shard", "job", receipt.Job(), "shard", shard, "home", request != "")
-	return receipt.Job(), !receipt.First(), nil
+	return "", false, err
 }
 
 // nearShards returns the shards of data centres in service, those of the own one
--- a/server/requests.go
+++ b/server/requests.go
@@ -10,6 +10,7 @@
 	"filberthaven.example/router"
 	"filberthaven.example/scheduler"
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 )
 
 // requests binds urgent requests to slots, claims and other data centres.
@@ -41,29 +42,68 @@
 // claimDigest ties a claim to its service, so that a request id isn't reused.
 func claimDigest(service string) uint64 { return xxhash.Sum64String(service) }
 
-// claim records a request id in its home shard.
+// claim records a request id in its home shard. What it can't learn in time has
+// not run, as nothing was sent; its claim is taken back in the background.
 func (s *Server) claim(ctx context.Context, team, service, request string) (bool, router.Outcome, error) {
 	shard, ok := s.homeShard(team, request)
 	if !ok {
 		return false, "", router.ErrUnavailable
 	}
-	claim, err := s.client.Claim(ctx, shard, team, request, s.process(), claimDigest(service))
+	holder := s.process() + "/" + uuid.NewString()
+	var claim scheduler.Claim
+	err := retryOwner(ctx, mayRepeatClaim, func() (err error) {
+		claim, err = s.client.Claim(ctx, shard, team, request, holder, claimDigest(service))
+		return err
+	})
 	if err != nil {
+		if errors.Is(err, scheduler.ErrUnknown) {
+			base := context.WithoutCancel(ctx)
+			s.group.Go(func() { s.takeBack(base, shard, team, request, holder) })
+			return false, "", errors.Join(router.ErrUnavailable, err)
+		}
 		return false, "", callError(err)
 	}
-	if claim.Granted() {
-		return true, "", nil
+	if !claim.Granted() {
+		return false, claimOutcome(claim.Outcome()), nil
+	}
+	s.claims.Store(claimKey{team, request}, holder)
+	return true, "", nil
+}
+
+// claimKey names a request of a team.
+type claimKey struct{ team, request string }
+
+// mayRepeatClaim reports whether a claim may be sent again after an error. The
+// holder's name makes a repeat safe.
+func mayRepeatClaim(err error) bool {
+	return errors.Is(err, scheduler.ErrNotOwner) || errors.Is(err, scheduler.ErrUnknown)
+}
+
+// takeBack frees a request id whose claim may hold though nothing was sent.
+func (s *Server) takeBack(ctx context.Context, shard, team, request, holder string) {
+	ctx, cancel := context.WithTimeout(ctx, takeBackTimeout)
+	defer cancel()
+	err := retryOwner(ctx, func(err error) bool { return !errors.Is(err, scheduler.ErrNotFound) }, func() error {
+		return s.client.Settle(ctx, shard, team, request, holder, scheduler.NotRun)
+	})
+	if err != nil && !errors.Is(err, scheduler.ErrNotFound) {
+		s.decisions.Warn("claim not taken back", "team", team, "request", request, "error", err)
 	}
-	return false, claimOutcome(claim.Outcome()), nil
 }
 
 // settle records what became of a claimed request.
 func (s *Server) settle(ctx context.Context, team, _, request string, outcome router.Outcome) {
 	shard, ok := s.homeShard(team, request)
-	if !ok {
+	holder, claimed := s.claims.LoadAndDelete(claimKey{team, request})
+	if !ok || !claimed {
 		return
 	}
-	if err := s.client.Settle(ctx, shard, team, request, s.process(), settleOutcome(outcome)); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, takeBackTimeout)
+	defer cancel()
+	err := retryOwner(ctx, mayRepeatClaim, func() error {
+		return s.client.Settle(ctx, shard, team, request, holder.(string), settleOutcome(outcome))
+	})
+	if err != nil {
 		s.decisions.Warn("outcome of request not recorded", "team", team, "request", request, "outcome", string(outcome), "error", err)
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -60,6 +60,7 @@
 	base     context.Context // of everything that outlives a request; set by Run
 	tenures  tenures
 	calls    *callRates
+	claims   sync.Map                    // of claimKey to the holder that was granted the claim
 	version  string                      // of the program, for the status
 	slotting sync.Mutex                  // held by the tenure that divides slots
 	slots    atomic.Pointer[slotRecords] // nil while no slots are divided here
@@ -271,14 +272,21 @@
 	return err
 }
 
-// ErrNotReady means that the entry VM has no declarations yet.
-var ErrNotReady = errors.New("no declarations are in force here yet")
+// ErrNotReady means that the entry VM has no declarations or no slots yet.
+var ErrNotReady = errors.New("no declarations or slots here yet")
+
+// startGrace is how long a starting entry VM waits for slots before it calls itself
+// ready without, as one that is cut off from the owner has to.
+const startGrace = 3 * time.Second
 
 // ready reports why requests aren't welcome yet.
 func (s *Server) ready() error {
 	if s.copy.Current() == nil {
 		return ErrNotReady
 	}
+	if len(s.holder.Services()) == 0 && time.Since(s.started) < startGrace {
+		return ErrNotReady
+	}
 	return nil
 }
 
