router: Wait for an own slot when all others are full

Cause: a request was refused after 50 ms when no data centre had room, though a slot here may get free well before its deadline.

--- a/router/router.go
+++ b/router/router.go
@@ -51,8 +51,8 @@
 
 // Requests are the functions behind urgent requests.
 type Requests struct {
-	// Acquire returns a slot of an executor that avoid does not reject, waiting
-	// until ctx is done. It returns ErrNoSlot when there is none.
+	// Acquire returns a slot of an executor that avoid does not reject. It waits
+	// until ctx is done, not at all if it is already, and then returns ErrNoSlot.
 	Acquire func(ctx context.Context, service string, avoid func(executor string) bool) (Slot, error)
 	// Admit lets a request in or returns a *admitter.RefusalError. The function
 	// returned is called once at the end. May be nil.
--- a/router/service.go
+++ b/router/service.go
@@ -13,9 +13,16 @@
 // servicePrefix begins the paths of urgent requests.
 const servicePrefix = "/v1/services/"
 
-// queueWait bounds the wait for a slot when no other data centre can be asked.
+// queueWait bounds the wait for a slot when no other data centre has room.
 const queueWait = time.Second
 
+// expired is a context that is done: a call with it does not wait.
+var expired = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
 // errAborted means that the answer had begun and can't be completed; the
 // caller's connection ends, so that it sees a cut answer.
 var errAborted = errors.New("answer cut off")
@@ -172,9 +179,12 @@
 
 // attempt sends the request once. Again reports whether another try is safe.
 func (u *urgent) attempt(ctx context.Context, attempt int) (err error, again bool) { //nolint:revive // The error is the answer.
-	slot, err := u.acquire(ctx)
-	if errors.Is(err, ErrNoSlot) {
-		return u.forward(ctx), false
+	slot, err := u.acquire(ctx, u.firstWait())
+	if errors.Is(err, ErrNoSlot) && u.canForward() {
+		if err := u.forward(ctx); !errors.Is(err, ErrNoSlot) {
+			return err, false
+		}
+		slot, err = u.acquire(ctx, queueWait) // All others are full as well.
 	}
 	if err != nil {
 		return notRun(err), false
@@ -193,16 +203,25 @@
 	return err, again
 }
 
-// acquire returns a slot. It waits only a little when another data centre may
-// have room.
-func (u *urgent) acquire(ctx context.Context) (Slot, error) {
-	wait := queueWait
+// firstWait returns how long to wait for a slot: only a little when another
+// data centre may have room.
+func (u *urgent) firstWait() time.Duration {
 	if u.canForward() {
-		wait = u.router.roomWait
+		return u.router.roomWait
+	}
+	return queueWait
+}
+
+// acquire returns a slot, or ErrNoSlot when none gets free in time.
+func (u *urgent) acquire(ctx context.Context, wait time.Duration) (Slot, error) {
+	// Most requests find a slot at once and need no timer.
+	slot, err := u.router.requests.Acquire(expired, u.service, u.avoid)
+	if err == nil {
+		return slot, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	slot, err := u.router.requests.Acquire(bounded, u.service, u.avoid)
+	slot, err = u.router.requests.Acquire(bounded, u.service, u.avoid)
 	if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
 		return Slot{}, ErrNoSlot
 	}
