launcher: Start the examples at their sizes

Cause: dev knew only the demo declarations; the ready deployments were checked as files but never run.

--- a/commands/dev.go
+++ b/commands/dev.go
@@ -17,6 +17,7 @@
 	env     *environment
 	Check   bool   `long:"check" description:"run the main job from end to end and exit"`
 	Entries int    `long:"entries" default:"3" description:"entry VMs in each of three data centres"`
+	Example string `long:"example" choice:"essiccatoi" choice:"lychnos" description:"start a deployment of the examples at its size"`
 	Level   string `long:"log" default:"warn" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level logged"`
 }
 
@@ -27,6 +28,7 @@
 
   filberthaven dev
   filberthaven dev --check
+  filberthaven dev --example lychnos --check
 
 Exit codes: 0 all steps of the check passed, or the fleet was stopped; 1 failed.`, &devCommand{env: env})
 	return err
@@ -37,8 +39,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	logger := hclog.New(&hclog.LoggerOptions{Name: "dev", Level: hclog.LevelFromString(c.Level), Output: c.env.err})
-	fleet, err := launcher.New(context.WithoutCancel(ctx), launcher.WithLogger(logger),
-		launcher.WithSize(c.Entries, launcher.DefaultWorkers, launcher.DefaultExecutors))
+	size := launcher.WithSize(c.Entries, launcher.DefaultWorkers, launcher.DefaultExecutors)
+	if c.Example != "" {
+		size = launcher.WithExample(c.Example)
+	}
+	fleet, err := launcher.New(context.WithoutCancel(ctx), launcher.WithLogger(logger), size)
 	if err != nil {
 		return err
 	}
@@ -62,7 +67,7 @@
 	address := "http://" + fleet.VMs()[0].Address()
 	printLine(out, "team key  ", keys.Team())
 	printLine(out, "operator  ", keys.Operator())
-	fmt.Fprintf(out, "\ncurl -H 'Authorization: Bearer %s' -d 'one slot' %s/v1/services/echo/book\n", keys.Team(), address)
+	fmt.Fprintf(out, "\ncurl -H 'Authorization: Bearer %s' -d 'one slot' %s/v1/services/%s/book\n", keys.Team(), address, fleet.Service())
 	fmt.Fprintf(out, "curl -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"tasks\":4,\"cpu\":1,\"memory\":256,\"class\":\"deferred\",\"estimate\":\"2s\"}' %s/v1/jobs\n", keys.Team(), address)
 	printLine(out, "\nStop with Ctrl-C.")
 }
--- a/launcher/check.go
+++ b/launcher/check.go
@@ -63,7 +63,7 @@
 func (f *Fleet) checkUrgent(ctx context.Context) (string, error) {
 	for _, vm := range f.vms {
 		text := "slot for " + vm.id
-		answer, err := f.call(ctx, vm, f.keys.team, http.MethodPost, "/v1/services/"+demoService+"/book", []byte(text))
+		answer, err := f.call(ctx, vm, f.keys.team, http.MethodPost, "/v1/services/"+f.plan.service+"/book", []byte(text))
 		if err != nil {
 			return "", err
 		}
@@ -81,7 +81,7 @@
 
 // checkGang runs a gang over all workers of a data centre.
 func (f *Fleet) checkGang(ctx context.Context) (string, error) {
-	body := fmt.Sprintf(`{"name":"tariffs","tasks":%d,"cpu":2,"memory":1024,"class":"deferred","gang":true,"estimate":"300ms"}`, f.workers)
+	body := fmt.Sprintf(`{"name":"tariffs","tasks":%d,"cpu":2,"memory":1024,"class":"deferred","gang":true,"estimate":"300ms"}`, f.plan.workers)
 	return f.runJob(ctx, body)
 }
 
@@ -125,7 +125,7 @@
 
 // checkDrain takes the first data centre out, and runs a job that is sent to it.
 func (f *Fleet) checkDrain(ctx context.Context) (string, error) {
-	centre := f.centreSet[0]
+	centre := f.plan.centres[0]
 	if err := f.operate(ctx, "drain", map[string]any{"centre": centre, "reason": "check"}); err != nil {
 		return "", err
 	}
@@ -140,7 +140,7 @@
 
 // checkReturn brings the data centre back.
 func (f *Fleet) checkReturn(ctx context.Context) (string, error) {
-	centre := f.centreSet[0]
+	centre := f.plan.centres[0]
 	f.witness.SetReturned(centre)
 	if err := f.operate(ctx, "return", map[string]any{"centre": centre, "reason": "check"}); err != nil {
 		return "", err
--- a/launcher/endpoints.go
+++ b/launcher/endpoints.go
@@ -14,8 +14,6 @@
 
 // Sizes of the stand-ins.
 const (
-	workerCPU    = 16_000   // thousandths of a processor
-	workerMemory = 64 << 10 // MiB
 	leastRunTime = 100 * time.Millisecond
 	rackSize     = 8 // workers
 )
@@ -26,13 +24,13 @@
 	if err != nil {
 		return err
 	}
-	for _, centre := range f.centreSet {
-		for i := range f.workers {
+	for _, centre := range f.plan.centres {
+		for i := range f.plan.workers {
 			if err := f.startWorker(calls, centre, i); err != nil {
 				return err
 			}
 		}
-		for i := range f.executors {
+		for i := range f.plan.executors {
 			if err := f.startExecutor(centre, i); err != nil {
 				return err
 			}
@@ -44,7 +42,7 @@
 // startWorker starts one worker and puts it into the platform's list.
 func (f *Fleet) startWorker(calls *messenger.Messenger, centre string, i int) error {
 	id := fmt.Sprintf("%s-worker-%d", centre, i+1)
-	worker := emulator.NewWorker(id, placer.NewResources(workerCPU, workerMemory, 0),
+	worker := emulator.NewWorker(id, placer.NewResources(f.plan.cpu, f.plan.memory, 0),
 		emulator.WithDataCentre(centre), emulator.WithWitness(f.witness), emulator.WithRunTime(f.countStart(centre)))
 	mux := http.NewServeMux()
 	dispatcher.Handle(calls, mux, worker.Guard())
@@ -55,7 +53,7 @@
 	f.tasks = append(f.tasks, worker)
 	f.platform.SetVM(emulator.VM{
 		ID: id, Role: "worker", Address: address, Centre: centre, Rack: fmt.Sprintf("%s-rack-%d", centre, i/rackSize+1),
-		CPU: workerCPU, Memory: workerMemory, State: "live", Incarnation: 1,
+		CPU: f.plan.cpu, Memory: f.plan.memory, State: "live", Incarnation: 1,
 	})
 	return nil
 }
@@ -80,7 +78,7 @@
 	}
 	f.stands = append(f.stands, executor)
 	f.platform.SetVM(emulator.VM{
-		ID: id, Role: "endpoint", Address: address, Centre: centre, Service: demoService,
+		ID: id, Role: "endpoint", Address: address, Centre: centre, Service: f.plan.service,
 		Slots: emulator.DefaultSlots, Connections: emulator.DefaultConnections, State: "live", Incarnation: 1,
 	})
 	return nil
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -14,7 +14,6 @@
 
 	"filberthaven.example/configurer"
 	"filberthaven.example/emulator"
-	"filberthaven.example/loader"
 	"filberthaven.example/server"
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/oops"
@@ -35,24 +34,21 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	logger    hclog.Logger
-	entries   int                      // in a data centre, at least 1
-	workers   int                      // in a data centre
-	executors int                      // in a data centre
-	starts    map[string]*atomic.Int64 // of tasks, by data centre
-
-	store     *emulator.Store
-	platform  *emulator.Platform
-	witness   *emulator.Witness
-	address   string // of the platform
-	servers   []*http.Server
-	vms       []*VM
-	stands    []*emulator.Executor
-	tasks     []*emulator.Worker
-	keys      Keys
-	group     sync.WaitGroup
-	cancel    context.CancelFunc
-	centreSet []string
+	logger hclog.Logger
+	plan   plan                     // what is started, and the declarations
+	starts map[string]*atomic.Int64 // of tasks, by data centre
+
+	store    *emulator.Store
+	platform *emulator.Platform
+	witness  *emulator.Witness
+	address  string // of the platform
+	servers  []*http.Server
+	vms      []*VM
+	stands   []*emulator.Executor
+	tasks    []*emulator.Worker
+	keys     Keys
+	group    sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 // VM is a running entry VM.
@@ -100,27 +96,31 @@
 
 // WithSize sets the entry VMs, workers and executors in each data centre.
 func WithSize(entries, workers, executors int) Option {
-	return func(f *Fleet) { f.entries, f.workers, f.executors = entries, workers, executors }
+	return func(f *Fleet) { f.plan.entries, f.plan.workers, f.plan.executors = entries, workers, executors }
 }
 
 // WithoutEntries makes the fleet's entry VMs processes of their own: it has none until
 // SetEntry names them.
-func WithoutEntries() Option { return func(f *Fleet) { f.entries = 0 } }
+func WithoutEntries() Option { return func(f *Fleet) { f.plan.entries = 0 } }
 
 // WithCentres sets the data centres.
-func WithCentres(names ...string) Option { return func(f *Fleet) { f.centreSet = names } }
+func WithCentres(names ...string) Option { return func(f *Fleet) { f.plan.centres = names } }
+
+// WithExample starts one of the examples: its declarations and its sizes.
+func WithExample(name string) Option { return func(f *Fleet) { f.plan.example = name } }
 
 // New starts a fleet and returns when all of its shards have owners.
 func New(ctx context.Context, options ...Option) (*Fleet, error) {
 	f := &Fleet{
-		logger: hclog.NewNullLogger(), entries: DefaultEntries, workers: DefaultWorkers, executors: DefaultExecutors,
-		witness: emulator.NewWitness(), centreSet: []string{"alfa", "bravo", "carso"},
+		logger: hclog.NewNullLogger(), plan: demoPlan(), witness: emulator.NewWitness(), starts: map[string]*atomic.Int64{},
 	}
 	for _, option := range options {
 		option(f)
 	}
-	f.starts = map[string]*atomic.Int64{}
-	for _, centre := range f.centreSet {
+	if err := f.plan.load(); err != nil {
+		return nil, err
+	}
+	for _, centre := range f.plan.centres {
 		f.starts[centre] = &atomic.Int64{}
 	}
 	ctx, f.cancel = context.WithCancel(ctx)
@@ -172,8 +172,11 @@
 // Keys returns the keys of the fleet.
 func (f *Fleet) Keys() Keys { return f.keys }
 
+// Service returns the service that all executors offer.
+func (f *Fleet) Service() string { return f.plan.service }
+
 // Centres returns the data centres.
-func (f *Fleet) Centres() []string { return f.centreSet }
+func (f *Fleet) Centres() []string { return f.plan.centres }
 
 // serve serves a handler on a free loopback port and returns its address.
 func (f *Fleet) serve(each *http.Server) (string, error) {
@@ -202,8 +205,8 @@
 
 // declare writes the first declarations.
 func (f *Fleet) declare(ctx context.Context) error {
-	text, keys := declarations(f.centreSet)
-	document, err := configurer.Parse(loader.NewFile("fleet.ini", []byte(text)))
+	files, keys := f.plan.declarations()
+	document, err := configurer.Parse(files...)
 	if err != nil {
 		return err
 	}
@@ -217,12 +220,12 @@
 
 // startEntries starts the entry VMs of all data centres.
 func (f *Fleet) startEntries(ctx context.Context) error {
-	centres := make([]server.Centre, 0, len(f.centreSet))
-	for _, name := range f.centreSet {
+	centres := make([]server.Centre, 0, len(f.plan.centres))
+	for _, name := range f.plan.centres {
 		centres = append(centres, server.NewCentre(name, 1))
 	}
-	for i := range f.entries {
-		for _, name := range f.centreSet {
+	for i := range f.plan.entries {
+		for _, name := range f.plan.centres {
 			id := fmt.Sprintf("%s-entry-%d", name, i+1)
 			if err := f.startEntry(ctx, id, name, centres); err != nil {
 				return err
@@ -254,7 +257,7 @@
 // waitReady waits until all entry VMs are ready and all shards have owners that
 // serve.
 func (f *Fleet) waitReady(ctx context.Context) error {
-	if f.entries == 0 {
+	if f.plan.entries == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -281,12 +284,12 @@
 func (f *Fleet) ready() bool {
 	serving := map[string]bool{}
 	for _, vm := range f.vms {
-		if vm.server.Ready() != nil || f.executors > 0 && vm.server.Slots(demoService) == 0 {
+		if vm.server.Ready() != nil || f.plan.executors > 0 && vm.server.Slots(f.plan.service) == 0 {
 			return false
 		}
 		for _, shard := range vm.server.Serving() {
 			serving[shard] = true
 		}
 	}
-	return len(serving) == len(f.centreSet)
+	return len(serving) == len(f.plan.centres)
 }
