--- a/placer/job.go
+++ b/placer/job.go
@@ -139,6 +139,12 @@
 // WithConstraints sets where tasks may run.
 func WithConstraints(c Constraints) JobOption { return func(s *JobSpec) { s.constraints = c } }
 
+// ForTeam returns the job under another team.
+func (s JobSpec) ForTeam(team string) JobSpec {
+	s.team = team
+	return s
+}
+
 // ID returns the identifier of the job.
 func (s JobSpec) ID() string { return s.id }
 
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -27,6 +27,7 @@
 // the nearest data centre in service. It goes on while shards change their owners;
 // a call without an answer is repeated only under a request id.
 func (s *Server) submitJob(ctx context.Context, spec placer.JobSpec, request string) (id string, duplicate bool, err error) {
+	spec = s.paid(spec)
 	shards := s.nearShards(spec)
 	mayRepeat := func(err error) bool { return errors.Is(err, scheduler.ErrNotOwner) }
 	if request != "" {
@@ -95,7 +96,7 @@
 
 func (s *Server) getJob(ctx context.Context, team, id string) (router.Job, error) {
 	status, err := s.client.Job(ctx, id)
-	return teamJob(team, status, err)
+	return s.teamJob(team, status, err)
 }
 
 func (s *Server) cancelJob(ctx context.Context, team, id string) (router.Job, error) {
@@ -116,7 +117,7 @@
 	if err != nil && ctx.Err() != nil {
 		return s.getJob(context.WithoutCancel(ctx), team, id)
 	}
-	return teamJob(team, status, err)
+	return s.teamJob(team, status, err)
 }
 
 func (s *Server) explainJob(ctx context.Context, team, id string) (string, error) {
@@ -150,12 +151,12 @@
 	return list, next, nil
 }
 
-// teamJob returns a job if it is the team's; another team's job is not found.
-func teamJob(team string, status scheduler.Status, err error) (router.Job, error) {
+// teamJob returns a job if the team may see it; another team's job is not found.
+func (s *Server) teamJob(team string, status scheduler.Status, err error) (router.Job, error) {
 	if err != nil {
 		return router.Job{}, callError(err)
 	}
-	if status.Team() != team {
+	if !s.mayCall(team, status.Spec()) {
 		return router.Job{}, router.ErrNotFound
 	}
 	return callerJob(status), nil
--- a/server/requests.go
+++ b/server/requests.go
@@ -161,16 +161,6 @@
 	return router.NewPolicy(false, timeout, 0), true
 }
 
-// queuePolicy returns whether a queue is declared, and open to all.
-func (s *Server) queuePolicy(name string) (open, ok bool) {
-	document := s.copy.Current()
-	if document == nil {
-		return false, false
-	}
-	queue, ok := document.Queue(name)
-	return queue.Open(), ok
-}
-
 // teamSlots returns how many urgent requests of a team may be in flight on this
 // entry VM: an even part of the fleet's; 0 when there is no limit.
 func (s *Server) teamSlots(team string) int {
--- a/server/run.go
+++ b/server/run.go
@@ -162,6 +162,10 @@
 
 // checkJob refuses what can never run, from what is known here.
 func (s *Server) checkJob(spec placer.JobSpec) error {
+	if err := s.checkQueue(spec); err != nil {
+		return err
+	}
+	spec = s.paid(spec)
 	var sizes []placer.Resources
 	for _, vm := range s.tracker.Workers("") {
 		sizes = append(sizes, vm.Size())
