messenger: Leave short answers uncompressed

Cause: each answer between processes was compressed, heartbeats of some 60 bytes too. A compressor holds most of a megabyte and each handler keeps its own; an entry VM with hardly any state had 46 MB resident. Change: answers below 512 bytes are sent as they are.

--- a/filberthaven/capacity_test.go
+++ b/filberthaven/capacity_test.go
@@ -46,7 +46,7 @@
 	}
 	for _, workers := range []int{4, 40, 200} {
 		t.Run(fmt.Sprintf("%d workers", workers*len(centres)), func(t *testing.T) {
-			p := newProcesses(t, launcher.WithSize(0, workers, launcher.DefaultExecutors))
+			p := newProcesses(t, false, launcher.WithSize(0, workers, launcher.DefaultExecutors))
 			p.awaitOwners()
 			p.report("at rest")
 			p.fill(workers * tasksPerWorker)
--- a/filberthaven/fleet_test.go
+++ b/filberthaven/fleet_test.go
@@ -52,9 +52,9 @@
 }
 
 // newProcesses starts a fleet of nine entry VMs in three data centres.
-func newProcesses(t *testing.T, secure bool) *processes {
+func newProcesses(t *testing.T, secure bool, options ...launcher.Option) *processes {
 	c := qt.New(t)
-	fleet, err := launcher.New(t.Context(), launcher.WithoutEntries(), launcher.WithCentres(centres...))
+	fleet, err := launcher.New(t.Context(), append(options, launcher.WithoutEntries(), launcher.WithCentres(centres...))...)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(fleet.Close)
 	p := &processes{c: c, program: binary(c), fleet: fleet, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
--- /dev/null
+++ b/messenger/compress_test.go
@@ -0,0 +1,50 @@
+package messenger_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"filberthaven.example/messenger"
+	qt "github.com/frankban/quicktest"
+)
+
+// encodings is a transport that notes how the last answer was encoded.
+type encodings struct{ last string }
+
+func (e *encodings) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := messenger.NewTransport(nil).RoundTrip(request)
+	if err == nil {
+		e.last = response.Header.Get("Content-Encoding")
+	}
+	return response, err
+}
+
+// TestCompression asserts that only long answers are compressed: a compressor
+// costs more memory than a small VM's daemon has to spare.
+func TestCompression(t *testing.T) {
+	c := qt.New(t)
+	transport := &encodings{}
+	m, err := messenger.New(messenger.WithClient(&http.Client{Transport: transport}, "http"))
+	c.Assert(err, qt.IsNil)
+	mux := http.NewServeMux()
+	messenger.Handle(m, mux, "/echo/say", func(_ context.Context, request *echoRequest) (*echoResponse, error) {
+		return &echoResponse{Text: request.Text}, nil
+	})
+	server := httptest.NewServer(mux)
+	c.Cleanup(server.Close)
+	for _, test := range []struct {
+		name, encoding string
+		length         int
+	}{{"short", "", 100}, {"long", "gzip", 10_000}} {
+		c.Run(test.name, func(c *qt.C) {
+			text := strings.Repeat("m", test.length)
+			response, err := messenger.Call[echoRequest, echoResponse](t.Context(), m, server.Listener.Addr().String(), "/echo/say", &echoRequest{Text: text})
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.Text, qt.Equals, text)
+			c.Assert(transport.last, qt.Equals, test.encoding)
+		})
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -15,6 +15,10 @@
 // MessageLimit is the largest message in bytes.
 const MessageLimit = 4 << 20
 
+// compressFloor is the size in bytes below which an answer isn't compressed: it
+// would hardly get smaller, and each compressor holds most of a megabyte.
+const compressFloor = 512
+
 // Messenger makes calls to other processes and registers handlers for theirs.
 type Messenger struct {
 	client  connect.HTTPClient
@@ -71,7 +75,7 @@
 			}
 			return connect.NewResponse(response), nil
 		},
-		connect.WithCodec(m.codec), connect.WithReadMaxBytes(MessageLimit)))
+		connect.WithCodec(m.codec), connect.WithReadMaxBytes(MessageLimit), connect.WithCompressMinBytes(compressFloor)))
 }
 
 // Call sends a request to the procedure at address (host:port) and returns the
