router: Send no length with empty answers

Cause: an answer 204 was given a Content-Length, which it must not have. Conclusion: none left of this kind known.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -172,8 +172,5 @@
 	header := u.w.Header()
 	copyEndToEnd(header, response.Header)
 	header.Set(OutcomeHeader, string(outcome))
-	if u.request.Method != http.MethodHead && response.ContentLength >= 0 && header.Get("Content-Length") == "" {
-		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
 	u.w.WriteHeader(response.StatusCode)
 }
--- a/router/pool.go
+++ b/router/pool.go
@@ -88,13 +88,14 @@
 // newTransport returns a transport to one executor.
 func newTransport(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialCounted,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     connectionIdle,
-		DisableCompression:  true, // Bodies pass as they are.
-		WriteBufferSize:     transferBuffer,
-		ReadBufferSize:      transferBuffer,
+		DialContext:            dialCounted,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        connectionIdle,
+		DisableCompression:     true, // Bodies pass as they are.
+		WriteBufferSize:        transferBuffer,
+		MaxResponseHeaderBytes: headerLimit,
+		ReadBufferSize:         transferBuffer,
 	}
 }
 
--- a/router/service_test.go
+++ b/router/service_test.go
@@ -107,6 +107,28 @@
 	c.Assert(got.body == body, qt.IsTrue)
 }
 
+func TestEmptyAnswers(t *testing.T) {
+	c := qt.New(t)
+	g := newGateway(t)
+	g.addExecutor(t, "e1", 8, emulator.WithWork(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/none" {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.Header().Set("Content-Length", "1000")
+	})))
+	c.Run("no content", func(c *qt.C) {
+		got := g.call(c, "cremona", http.MethodDelete, "/v1/services/prenota/none", "")
+		c.Assert(got.status, qt.Equals, http.StatusNoContent)
+		c.Assert(got.header["Content-Length"], qt.IsNil)
+	})
+	c.Run("head", func(c *qt.C) {
+		got := g.call(c, "cremona", http.MethodHead, "/v1/services/prenota/x", "")
+		c.Assert(got.status, qt.Equals, http.StatusOK)
+		c.Assert(got.header.Get("Content-Length"), qt.Equals, "1000")
+	})
+}
+
 func TestBodyOverLimit(t *testing.T) {
 	c := qt.New(t)
 	g := newGateway(t, router.WithServices(func(string) (router.Policy, bool) { return router.NewPolicy(false, 0, 1000), true }))
