server: Cut the limit on requests in flight into parts that sum up to it

Cause: each entry VM took limit/VMs, at least 1, so that a limit below the number of entry VMs was passed; and a part of 0 meant no limit. Change: parts by rank of the VM's id; a VM that isn't listed has none; the admitter takes a negative number for no limit.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -27,7 +27,7 @@
 // and divides what runs between teams by their shares.
 type Admitter struct {
 	limit     func() int                // requests that may run at once
-	teamLimit func(team string) int     // requests of a team at once; 0: no limit
+	teamLimit func(team string) int     // requests of a team at once; negative: no limit
 	share     func(team string) float64 // weight of a team, above 0
 	queue     int                       // requests that may wait
 	wait      time.Duration             // longest estimated wait
@@ -65,7 +65,7 @@
 func WithLimit(f func() int) Option { return func(a *Admitter) { a.limit = f } }
 
 // WithTeamLimit sets the number of requests of a team that may run and wait at
-// once, 0 for no limit.
+// once, negative for no limit.
 func WithTeamLimit(f func(team string) int) Option { return func(a *Admitter) { a.teamLimit = f } }
 
 // WithShare sets the weight of a team, above 0.
@@ -87,7 +87,7 @@
 func New(options ...Option) (*Admitter, error) {
 	a := &Admitter{
 		limit:     func() int { return DefaultLimit },
-		teamLimit: func(string) int { return 0 },
+		teamLimit: func(string) int { return -1 },
 		share:     func(string) float64 { return 1 },
 		queue:     DefaultQueue,
 		wait:      DefaultWait,
@@ -169,7 +169,7 @@
 // checkTeam refuses a team at its limit. The lock is held.
 func (a *Admitter) checkTeam(t *team) error {
 	limit := a.teamLimit(t.name)
-	if limit <= 0 || t.running+t.waiters.Len() < limit {
+	if limit < 0 || t.running+t.waiters.Len() < limit {
 		return nil
 	}
 	return NewRefusal(TeamLimit, "limit", "the team has as many requests in flight as its limit allows", retryAfter(0))
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -107,7 +107,12 @@
 
 func TestTeamLimit(t *testing.T) {
 	c := qt.New(t)
-	a := newAdmitter(c, admitter.WithTeamLimit(func(team string) int { return map[string]int{"cremona": 2}[team] }))
+	a := newAdmitter(c, admitter.WithTeamLimit(func(team string) int {
+		if team == "cremona" {
+			return 2
+		}
+		return -1
+	}))
 	first, err := a.Admit(t.Context(), "cremona")
 	c.Assert(err, qt.IsNil)
 	_, err = a.Admit(t.Context(), "cremona")
--- a/server/requests.go
+++ b/server/requests.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 
 	"filberthaven.example/configurer"
 	"filberthaven.example/granter"
 	"filberthaven.example/router"
 	"filberthaven.example/scheduler"
+	"filberthaven.example/tracker"
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 )
@@ -162,16 +164,30 @@
 }
 
 // teamSlots returns how many urgent requests of a team may be in flight on this
-// entry VM: an even part of the fleet's; 0 when there is no limit.
+// entry VM: its part of the fleet's; negative when there is no limit.
 func (s *Server) teamSlots(team string) int {
 	resolver, ok := s.resolver()
 	if !ok {
-		return 1
+		return 0
 	}
 	slots := resolver.Slots(team)
 	if slots >= configurer.Unlimited {
+		return -1
+	}
+	vms := s.tracker.Entries("")
+	rank := slices.IndexFunc(vms, func(vm tracker.VM) bool { return vm.ID() == s.settings.ID() })
+	return evenPart(slots, rank, len(vms))
+}
+
+// evenPart returns one VM's part of a number that is cut evenly, by its rank from 0:
+// the parts of all VMs sum up to it. A VM that isn't listed yet, of rank -1, has none.
+func evenPart(n int64, rank, vms int) int {
+	if rank < 0 {
 		return 0
 	}
-	entries := int64(max(len(s.tracker.Entries("")), 1))
-	return int(max(min(slots/entries, math.MaxInt32), 1))
+	part := n / int64(vms)
+	if int64(rank) < n%int64(vms) {
+		part++
+	}
+	return int(min(part, math.MaxInt32))
 }
