router: Serve until callers have gone elsewhere

Cause: Shutdown returned as soon as no request was in flight, which may be while the balancer still sends some. Change: it waits until none has come for a second; probes don't count. The test keeps callers at work through the shutdown and the end of the listener, where it stopped them before.

--- a/router/flight.go
+++ b/router/flight.go
@@ -3,25 +3,30 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
-// inFlight counts the requests being served and tells when the last has ended
-// after closing.
+// quietChecks is how often in a quiet time it is looked whether it is over.
+const quietChecks = 10
+
+// inFlight counts the requests being served and tells when they have ended after
+// closing.
 type inFlight struct {
 	mu     sync.Mutex
 	count  int            // requests being served, never negative
+	last   time.Time      // when the last request came
 	closed bool           // new requests end their connections
-	idle   chan struct{}  // closed when closed is set and count is 0; nil before close
 	next   int            // key of the next hook
 	hooks  map[int]func() // run once by close, to end long polls early
 }
 
 // enter counts a request. It returns false after close: the request is served,
 // and the connection should end with it.
-func (f *inFlight) enter() bool {
+func (f *inFlight) enter(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count++
+	f.last = now
 	return !f.closed
 }
 
@@ -30,19 +35,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count--
-	f.settle()
-}
-
-// settle closes idle when nothing is left. The lock is held.
-func (f *inFlight) settle() {
-	if f.idle == nil || f.count > 0 {
-		return
-	}
-	select {
-	case <-f.idle:
-	default:
-		close(f.idle)
-	}
 }
 
 // onClose has hook called when close is; the function returned undoes that.
@@ -74,22 +66,29 @@
 		return
 	}
 	f.closed = true
-	f.idle = make(chan struct{})
 	for _, hook := range f.hooks {
 		hook()
 	}
-	f.settle()
 }
 
-// wait returns when no request is left, or the error of ctx.
-func (f *inFlight) wait(ctx context.Context) error {
-	f.mu.Lock()
-	idle := f.idle
-	f.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// wait returns when no request is left and none has come for the quiet time, or
+// the error of ctx.
+func (f *inFlight) wait(ctx context.Context, quiet time.Duration, now func() time.Time) error {
+	ticker := time.NewTicker(max(quiet/quietChecks, time.Millisecond))
+	defer ticker.Stop()
+	for !f.isQuiet(now().Add(-quiet)) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
+}
+
+// isQuiet reports whether no request is left and none has come since then.
+func (f *inFlight) isQuiet(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count == 0 && !f.last.After(since)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,9 @@
 	// DefaultRoomWait is how long a request waits for a slot before another
 	// data centre is tried.
 	DefaultRoomWait = 50 * time.Millisecond
+	// DefaultQuiet is how long no request has come when Shutdown returns, so that
+	// the balancer and its callers have gone elsewhere.
+	DefaultQuiet = time.Second
 	// OpenTeam owns what comes without a key to what is open to all.
 	OpenTeam = "open"
 )
@@ -104,10 +107,11 @@
 	peers        *http.Transport // to entry VMs of other data centres
 	peerScheme   string          // "http" or "https"
 	roomWait     time.Duration
-	metrics      http.Handler // nil: no such page
-	status       http.Handler // nil: no such page
-	page         http.Handler // nil: no such page
-	operators    http.Handler // nil: no such API
+	quiet        time.Duration // without a request before Shutdown returns
+	metrics      http.Handler  // nil: no such page
+	status       http.Handler  // nil: no such page
+	page         http.Handler  // nil: no such page
+	operators    http.Handler  // nil: no such API
 	pool         *pool
 	ejector      *Ejector
 	budget       *budget
@@ -174,6 +178,9 @@
 // centre is tried.
 func WithRoomWait(d time.Duration) Option { return func(r *Router) { r.roomWait = d } }
 
+// WithQuiet sets how long no request may have come when Shutdown returns.
+func WithQuiet(d time.Duration) Option { return func(r *Router) { r.quiet = d } }
+
 // WithMetrics mounts /metrics.
 func WithMetrics(handler http.Handler) Option { return func(r *Router) { r.metrics = handler } }
 
@@ -204,6 +211,7 @@
 		peers:      newPeerTransport(),
 		peerScheme: "http",
 		roomWait:   DefaultRoomWait,
+		quiet:      DefaultQuiet,
 		budget:     newBudget(),
 	}
 	r.authenticate = func(*http.Request) (authenticator.Principal, error) {
@@ -256,13 +264,23 @@
 
 // ServeHTTP answers a request.
 func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if !r.inFlight.enter() {
+	if isProbe(request.URL.Path) {
+		r.mux.ServeHTTP(w, request)
+		return
+	}
+	if !r.inFlight.enter(r.now()) {
 		w.Header().Set("Connection", "close")
 	}
 	defer r.inFlight.leave()
 	r.mux.ServeHTTP(w, request)
 }
 
+// isProbe reports whether the path is asked by the balancer and by collectors,
+// which go on during a shutdown.
+func isProbe(path string) bool {
+	return path == "/healthz" || path == "/readyz" || path == "/metrics"
+}
+
 // Stats returns the counters.
 func (r *Router) Stats() *Stats { return &r.stats }
 
--- a/router/server.go
+++ b/router/server.go
@@ -58,12 +58,13 @@
 	r.logger.Info("shutting down")
 }
 
-// Shutdown drains, waits until no request is in flight or ctx is done, and
-// closes idle connections to executors. The listener should stay open until
-// the balancer has seen /readyz fail; http.Server.Shutdown follows.
+// Shutdown drains, waits until no request is in flight and none has come for the
+// quiet time, or ctx is done, and closes idle connections to executors. The
+// listener stays open meanwhile, since the balancer sends requests until it has
+// seen /readyz fail; http.Server.Shutdown follows.
 func (r *Router) Shutdown(ctx context.Context) error {
 	r.Drain()
-	if err := r.inFlight.wait(ctx); err != nil {
+	if err := r.inFlight.wait(ctx, r.quiet, r.now); err != nil {
 		return oops.Wrapf(err, "wait for requests in flight")
 	}
 	r.pool.closeIdle()
--- a/router/shutdown_test.go
+++ b/router/shutdown_test.go
@@ -12,55 +12,79 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// isReady asks as the platform's balancer does.
+func (g *gateway) isReady(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, g.server.URL+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// caller sends requests to the first gateway that is ready, until stop is closed.
+type caller struct {
+	gateways         []*gateway
+	stop             chan struct{}
+	failed, answered atomic.Int64
+}
+
+// run sends requests one after another.
+func (l *caller) run(c *qt.C) {
+	for {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		g := l.gateways[0]
+		if !g.isReady(c.Context()) {
+			g = l.gateways[1]
+		}
+		status, _ := post(c.Context(), g, "x")
+		if status != http.StatusOK {
+			l.failed.Add(1)
+		}
+		l.answered.Add(1)
+	}
+}
+
+// await returns when that many more requests were answered.
+func (l *caller) await(n int64) {
+	for before := l.answered.Load(); l.answered.Load() < before+n; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestShutdownUnderLoad(t *testing.T) {
 	c := qt.New(t)
-	gateways := []*gateway{newGateway(t), newGateway(t)}
-	for _, g := range gateways {
+	l := &caller{gateways: []*gateway{newGateway(t), newGateway(t)}, stop: make(chan struct{})}
+	for _, g := range l.gateways {
 		g.addExecutor(t, "e1", 8, emulator.WithDelay(5*time.Millisecond))
 	}
-	id := submitJob(c, gateways[0], "cremona", `{"cpu":1}`).ID
-	// Callers go where /readyz holds, as the platform's balancer does.
-	var failed, answered atomic.Int64
-	stop := make(chan struct{})
+	leaving := l.gateways[0]
+	id := submitJob(c, leaving, "cremona", `{"cpu":1}`).ID
 	var callers sync.WaitGroup
 	for range 8 {
-		callers.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				g := gateways[0]
-				if g.call(c, "", http.MethodGet, "/readyz", "").status != http.StatusOK {
-					g = gateways[1]
-				}
-				if g.call(c, "", http.MethodPost, "/v1/services/public/x", "x").status != http.StatusOK {
-					failed.Add(1)
-				}
-				answered.Add(1)
-			}
-		})
+		callers.Go(func() { l.run(c) })
 	}
 	callers.Go(func() {
-		got := gateways[0].call(c, "cremona", http.MethodGet, "/v1/jobs/"+id+"/wait?timeout=50s", "")
+		got := leaving.call(c, "cremona", http.MethodGet, "/v1/jobs/"+id+"/wait?timeout=50s", "")
 		c.Check(got.status, qt.Equals, http.StatusOK)
 	})
-	for answered.Load() < 100 {
-		time.Sleep(time.Millisecond)
-	}
-	gateways[0].Drain()
-	before := answered.Load()
-	for answered.Load() < before+100 {
-		time.Sleep(time.Millisecond)
-	}
+	l.await(100)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	close(stop)
+	c.Assert(leaving.Shutdown(ctx), qt.IsNil)
+	c.Assert(leaving.server.Config.Shutdown(ctx), qt.IsNil)
+	l.await(100)
+	close(l.stop)
 	callers.Wait()
-	c.Assert(gateways[0].Shutdown(ctx), qt.IsNil)
-	c.Assert(gateways[0].server.Config.Shutdown(ctx), qt.IsNil)
-	c.Assert(failed.Load(), qt.Equals, int64(0))
+	c.Assert(l.failed.Load(), qt.Equals, int64(0), qt.Commentf("of %d", l.answered.Load()))
 }
 
 func TestDrain(t *testing.T) {
