server: Divide the journals' writes between the shards

Measured with 60 jobs a second on 3 shards: 86 to 90 writes a second, 9 of them renewals. With 24 shards that is 600 a second; the key-value service takes 200 from the fleet. Change: all journals together write 110 a second at most, with 7 shards 15.7 each, with 24 shards 4.6. Fewer than 5 shards keep 25.

--- a/server/tenure.go
+++ b/server/tenure.go
@@ -15,6 +15,7 @@
 	"filberthaven.example/placer"
 	"filberthaven.example/scheduler"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 )
 
 // resignTimeout bounds the hand-over of one shard.
@@ -114,7 +115,8 @@
 	if err != nil {
 		return nil, err
 	}
-	journal, err := journaler.New(s.store, shard, journaler.WithLogger(s.logger), journaler.WithRegistry(s.registry))
+	journal, err := journaler.New(s.store, shard, journaler.WithLogger(s.logger), journaler.WithRegistry(s.registry),
+		journaler.WithRate(journalRate(len(s.allShards()))))
 	if err != nil {
 		return nil, err
 	}
@@ -138,6 +140,16 @@
 	return next, err
 }
 
+// fleetSegments is how many segments a second all journals of shards write at most,
+// of the writes that the key-value service takes from the fleet.
+const fleetSegments rate.Limit = 110
+
+// journalRate returns how many segments a second one journal writes at most when
+// there are that many shards. With more shards more records go into one segment.
+func journalRate(shards int) rate.Limit {
+	return min(journaler.DefaultRate, fleetSegments/rate.Limit(max(shards, 1)))
+}
+
 // estimateQuantile is the part of runs that an estimate of the run time covers.
 const estimateQuantile = 0.9
 
