--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -12,25 +12,31 @@
 
 // oracle keeps its own books of what decisions and calls did.
 type oracle struct {
-	placer  *placer.Placer
-	now     time.Time
-	specs   map[string]placer.JobSpec
-	on      map[placer.TaskID]string // running tasks
-	order   []placer.TaskID          // running tasks, oldest first
-	limits  map[string]int64
-	workers map[string]placer.Resources
-	names   []string
-	told    []placer.Decision
-	jobs    int
+	placer   *placer.Placer
+	reserved bool // the placer keeps a reserve
+	now      time.Time
+	specs    map[string]placer.JobSpec
+	on       map[placer.TaskID]string // running tasks
+	order    []placer.TaskID          // running tasks, oldest first
+	limits   map[string]int64
+	workers  map[string]placer.Resources
+	names    []string
+	told     []placer.Decision
+	jobs     int
 }
 
 func newOracle(t *rapid.T) *oracle {
-	p, err := placer.New(placer.WithReserve(float64(rapid.IntRange(0, 1).Draw(t, "reserve"))*0.1), placer.WithPatience(time.Minute), placer.WithRetries(3, time.Second, time.Minute))
+	reserved := rapid.Bool().Draw(t, "reserved")
+	reserve := 0.0
+	if reserved {
+		reserve = 0.1
+	}
+	p, err := placer.New(placer.WithReserve(reserve), placer.WithPatience(time.Minute), placer.WithRetries(3, time.Second, time.Minute))
 	if err != nil {
 		t.Fatal(err)
 	}
 	o := &oracle{
-		placer: p, now: begin, specs: map[string]placer.JobSpec{}, on: map[placer.TaskID]string{},
+		placer: p, reserved: reserved, now: begin, specs: map[string]placer.JobSpec{}, on: map[placer.TaskID]string{},
 		limits: map[string]int64{}, workers: map[string]placer.Resources{},
 	}
 	for range rapid.IntRange(1, 6).Draw(t, "workers") {
@@ -76,24 +82,29 @@
 	decisions := o.placer.Decide(o.now, rapid.IntRange(1, 50).Draw(t, "most"))
 	o.told = append(o.told, decisions...)
 	for _, d := range decisions {
-		switch d.Kind() {
-		case placer.Start:
-			if _, twice := o.on[d.Task()]; twice {
-				t.Fatalf("%v started twice", d.Task())
-			}
-			o.on[d.Task()] = d.Worker()
-			o.order = append(o.order, d.Task())
-		case placer.Expire:
-			delete(o.specs, d.Task().Job())
-		default:
-			if o.on[d.Task()] != d.Worker() {
-				t.Fatalf("%v of %v, which isn't on %s", d.Kind(), d.Task(), d.Worker())
-			}
-		}
+		o.note(t, d)
 	}
 	o.gangsAreWhole(t, decisions)
 }
 
+// note writes a decision into the oracle's books.
+func (o *oracle) note(t *rapid.T, d placer.Decision) {
+	switch d.Kind() {
+	case placer.Start:
+		if _, twice := o.on[d.Task()]; twice {
+			t.Fatalf("%v started twice", d.Task())
+		}
+		o.on[d.Task()] = d.Worker()
+		o.order = append(o.order, d.Task())
+	case placer.Expire:
+		delete(o.specs, d.Task().Job())
+	default:
+		if o.on[d.Task()] != d.Worker() {
+			t.Fatalf("%v of %v, which isn't on %s", d.Kind(), d.Task(), d.Worker())
+		}
+	}
+}
+
 // gangsAreWhole fails when a start leaves a part of a gang waiting.
 func (o *oracle) gangsAreWhole(t *rapid.T, decisions []placer.Decision) {
 	for _, d := range decisions {
