placer: Forecast by learned work and choose the VMs for a night

Cause: the forecast refused jobs that could be in time: it believed declared run times that are off by ten times, and gave a team only its share though others end sooner. Change: only learned run times count, and other teams take no more than their backlog. Needed chooses the smallest number of VMs for the deadlines of the backlog (feed-forward, after Sung 2006).

--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -53,7 +53,8 @@
 		return Report{}, err
 	}
 	report.Checks = checks
-	return report, nil
+	report.Nights, err = runNights(s.seed)
+	return report, err
 }
 
 func makeLoad(name string, seed uint64) (*load, error) {
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -65,6 +65,16 @@
 	c.Assert(check.Figure >= leastPacking, qt.IsTrue, qt.Commentf("%+v", check))
 }
 
+func TestNight(t *testing.T) {
+	c := qt.New(t)
+	plain, err := runNight("threshold", 1, threshold(0.9, 0.6, 0.2))
+	c.Assert(err, qt.IsNil)
+	forward, err := runNight("feed forward", 1, feedForward)
+	c.Assert(err, qt.IsNil)
+	c.Assert(forward.Hours < plain.Hours, qt.IsTrue, qt.Commentf("%+v and %+v", forward, plain))
+	c.Assert(forward.Missed <= 1-certainty, qt.IsTrue)
+}
+
 func TestReport(t *testing.T) {
 	c := qt.New(t)
 	_, err := Run(WithLoads("nothing"))
--- a/measurer/page.go
+++ b/measurer/page.go
@@ -29,6 +29,9 @@
 {{with .Checks}}<h2>Targets</h2><table><tr><th>Measure<th>Figure<th>Target<th>Met<th>Note
 {{range .}}<tr><td>{{.Name}}<td>{{printf "%.4f" .Figure}}<td>{{if .Least}}at least{{else}}at most{{end}} {{.Target}}<td>{{if .Met}}yes{{else}}<span class="no">no</span>{{end}}<td>{{.Note}}
 {{end}}</table>{{end}}
+{{with .Nights}}<h2>VMs for a night's work</h2><table><tr><th>Way<th>VM hours<th>Most VMs at one time<th>Missed
+{{range .}}<tr><td>{{.Name}}<td>{{printf "%.1f" .Hours}}<td>{{.Most}}<td>{{percent .Missed}}
+{{end}}</table>{{end}}
 {{range .Loads}}<h2>{{.Name}}</h2><p>{{.Workers}} workers, {{.Jobs}} jobs.</p>
 <table><tr><th>Policy<th>Deferred jobs due<th>Missed<th>Work in time, core seconds<th>Used<th>Decision p50, us<th>p99, us
 {{range .Policies}}<tr><td>{{.Name}}<td>{{.Due}}<td>{{percent .Missed}}<td>{{printf "%.0f" .Good}}<td>{{percent .Used}}<td>{{printf "%.1f" .P50}}<td>{{printf "%.1f" .P99}}
--- a/measurer/policies.go
+++ b/measurer/policies.go
@@ -20,31 +20,43 @@
 
 // ours returns the placer with the estimator as a policy.
 func ours(l *load, seed uint64) (*policy, *placer.Placer, error) {
+	p, decisions, _, err := learning(l, seed)
+	return p, decisions, err
+}
+
+// learning is ours with the estimator that it learns by.
+func learning(l *load, seed uint64) (*policy, *placer.Placer, *estimator.Estimator, error) {
 	learned, err := estimator.New()
 	if err != nil {
-		return nil, nil, fmt.Errorf("estimator: %w", err)
+		return nil, nil, nil, fmt.Errorf("estimator: %w", err)
 	}
 	p, err := placer.New(
 		placer.WithSeed(seed),
 		placer.WithRunTime(func(s placer.JobSpec) time.Duration {
 			return learned.RunTime(s.Team(), s.Name(), 0.9, s.Estimate())
 		}),
+		placer.WithLearned(func(s placer.JobSpec) time.Duration {
+			return learned.RunTime(s.Team(), s.Name(), 0.9, 0)
+		}),
+		placer.WithDraw(func(s placer.JobSpec, quantile float64) time.Duration {
+			return learned.RunTime(s.Team(), s.Name(), quantile, s.Estimate())
+		}),
 		placer.WithFinished(func(s placer.JobSpec, took time.Duration) {
 			_ = learned.ObserveRunTime(s.Team(), s.Name(), took, s.Estimate()) // fails for numbers that no time gives
 		}),
 	)
 	if err != nil {
-		return nil, nil, fmt.Errorf("placer: %w", err)
+		return nil, nil, nil, fmt.Errorf("placer: %w", err)
 	}
 	for _, w := range l.workers {
 		p.SetWorker(w)
 	}
 	for i, team := range l.teams {
 		if err := p.SetTeam(team, l.weights[i]); err != nil {
-			return nil, nil, fmt.Errorf("team %s: %w", team, err)
+			return nil, nil, nil, fmt.Errorf("team %s: %w", team, err)
 		}
 	}
-	return asPolicy(p), p, nil
+	return asPolicy(p), p, learned, nil
 }
 
 func asPolicy(p *placer.Placer) *policy {
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -11,6 +11,7 @@
 	Seed   uint64  `json:"seed"`
 	Loads  []Load  `json:"loads"`
 	Checks []Check `json:"checks"`
+	Nights []Night `json:"nights"`
 }
 
 // Load is what the policies made of one workload.
--- a/placer/decide.go
+++ b/placer/decide.go
@@ -154,7 +154,7 @@
 		}
 		if r.now-j.estimated >= int64(estimateLife) {
 			j.estimated = r.now
-			j.expected = p.runTime(j.spec)
+			p.expect(j)
 			if latest := p.latestStart(j.spec); latest != j.latest {
 				t.move(j, deferredLane, latest)
 				continue
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -31,47 +31,62 @@
 func (f Forecast) Ahead() int { return f.ahead }
 
 // Forecast estimates when a deferred job would be over, from the work of its
-// team that would go first and from the share of the workers that is due to the
-// team. Other classes and jobs without a deadline are always in time.
+// team that would go first and from what the other teams get meanwhile by their
+// shares. Work counts as far as its run time is learned, so that a job isn't
+// refused for a wrong declaration. Other classes and jobs without a deadline are
+// always in time.
 func (p *Placer) Forecast(spec JobSpec, now time.Time) Forecast {
-	p.reckon(nanos(now))
-	run := p.runTime(spec)
+	run := p.settings.learned(spec)
 	f := Forecast{finish: now.Add(run), inTime: true}
 	if spec.class != Deferred || spec.deadline.IsZero() {
 		return f
 	}
-	t := p.byTeam[spec.team]
-	if t == nil {
-		f.inTime = !f.finish.After(spec.deadline)
-		return f
-	}
-	work := float64(spec.size.cpu) * float64(spec.tasks-1) * run.Seconds()
-	t.queues[deferredLane].AscendLessThan(&job{latest: p.latestStart(spec), serial: never}, func(j *job) bool {
-		work += float64(j.spec.size.cpu) * float64(j.pending) * j.expected.Seconds()
-		f.ahead++
-		return f.ahead < mostAhead
-	})
-	f.wait = time.Duration(forecastMargin * work / p.rate(t) * float64(time.Second))
-	if p.hasRoom(spec) && f.ahead == 0 {
-		f.wait = 0
+	if t := p.byTeam[spec.team]; t != nil {
+		work := float64(spec.size.cpu) * float64(spec.tasks-1) * run.Seconds()
+		t.queues[deferredLane].AscendLessThan(&job{latest: p.latestStart(spec), serial: never}, func(j *job) bool {
+			work += j.load(j.pending)
+			f.ahead++
+			return f.ahead < mostAhead
+		})
+		if f.ahead > 0 || !p.hasRoom(spec) {
+			f.wait = time.Duration(forecastMargin * p.timeFor(t, work) * float64(time.Second))
+		}
 	}
 	f.finish = now.Add(f.wait + run)
 	f.inTime = !f.finish.After(spec.deadline)
 	return f
 }
 
-// rate returns the thousandths of a processor that are due to deferred work of
-// the team.
-func (p *Placer) rate(t *team) float64 {
-	due := max(t.ideal, t.share)
-	if t.wish == 0 {
-		due = 1
+// timeFor returns the seconds until a team has got that much work done, in
+// thousandths of a processor times seconds. Meanwhile each other team gets its
+// own backlog done, or as much as its share against that of the team.
+func (p *Placer) timeFor(t *team, work float64) float64 {
+	sum, free := work, p.total.cpu
+	for _, o := range p.teams {
+		free -= o.stay
+		if o != t {
+			sum += min(o.backlog, work*o.weight/t.weight)
+		}
 	}
-	cpu := due * float64(p.total.cpu)
-	if t.allotment >= 0 {
-		cpu = min(cpu, float64(t.allotment))
+	alone := 0.0
+	if t.allotment > t.stay {
+		alone = work / float64(t.allotment-t.stay)
 	}
-	return max(cpu-float64(t.stay), 1)
+	return max(sum/float64(max(free, 1)), alone)
+}
+
+// load returns the work of some tasks of the job, in thousandths of a processor
+// times seconds, as far as it is learned.
+func (j *job) load(tasks int32) float64 {
+	return float64(j.spec.size.cpu) * float64(tasks) * j.expected.Seconds()
+}
+
+// expect sets the learned run time of a job.
+func (p *Placer) expect(j *job) {
+	waiting := j.pending + j.delayed
+	j.team.backlog -= j.load(waiting)
+	j.expected = p.settings.learned(j.spec)
+	j.team.backlog += j.load(waiting)
 }
 
 // hasRoom reports whether all tasks of the job would start at once.
--- a/placer/jobs.go
+++ b/placer/jobs.go
@@ -39,7 +39,7 @@
 	p.serial++
 	j := &job{spec: spec, team: t, serial: p.serial, pending: int32(spec.tasks)}
 	j.lane = j.firstLane()
-	j.expected = p.runTime(spec)
+	j.expected = p.settings.learned(spec)
 	j.latest = p.latestStart(spec)
 	j.estimated = nanos(spec.submitted)
 	p.jobs[spec.id] = j
@@ -60,17 +60,13 @@
 	return nanos(spec.deadline.Add(-p.runTime(spec)))
 }
 
-func (p *Placer) runTime(spec JobSpec) time.Duration {
-	if d := p.settings.runTime(spec); d > 0 {
-		return d
-	}
-	return spec.estimate
-}
+func (p *Placer) runTime(spec JobSpec) time.Duration { return p.settings.expected(spec) }
 
 // wait counts tasks that became pending; negative for tasks that are no more.
 func (p *Placer) wait(j *job, tasks int) {
 	p.pending += tasks
 	j.team.pending += tasks
+	j.team.backlog = max(j.team.backlog+j.load(int32(tasks)), 0)
 	j.team.demand = j.team.demand.Add(j.spec.size.Scale(int64(tasks)))
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -65,9 +65,19 @@
 	patience  time.Duration // wait of a gang before its holds preempt
 	runTime   func(JobSpec) time.Duration
 	finished  func(JobSpec, time.Duration)
+	learned   func(JobSpec) time.Duration
+	draw      func(JobSpec, float64) time.Duration
 	gangs     int // gangs that hold room at one time
 }
 
+// expected returns the run time of a task as learned, else as declared.
+func (s *settings) expected(spec JobSpec) time.Duration {
+	if d := s.runTime(spec); d > 0 {
+		return d
+	}
+	return spec.estimate
+}
+
 // Option changes a placer under construction.
 type Option func(*settings)
 
@@ -98,6 +108,18 @@
 // when it returns 0.
 func WithRunTime(f func(JobSpec) time.Duration) Option { return func(s *settings) { s.runTime = f } }
 
+// WithLearned sets the source of run times that are learned rather than declared,
+// 0 when too little is known; forecasts count only these.
+func WithLearned(f func(JobSpec) time.Duration) Option {
+	return func(s *settings) { s.learned = f }
+}
+
+// WithDraw sets the source of the quantile, from 0 to 1, of a job's run time, from
+// which Needed draws; without it the expected run time counts.
+func WithDraw(f func(spec JobSpec, quantile float64) time.Duration) Option {
+	return func(s *settings) { s.draw = f }
+}
+
 // WithFinished sets what is told of each task that succeeded and its run time.
 func WithFinished(f func(JobSpec, time.Duration)) Option {
 	return func(s *settings) { s.finished = f }
@@ -123,6 +145,12 @@
 	if s.reserve < 0 || s.reserve >= 1 || s.queue < 1 || s.retries < 1 || s.retryBase <= 0 || s.retryMost < s.retryBase {
 		return nil, fmt.Errorf("%w: reserve, queue limit or retries out of range", ErrBadOption)
 	}
+	if s.learned == nil {
+		s.learned = s.expected
+	}
+	if s.draw == nil {
+		s.draw = func(spec JobSpec, _ float64) time.Duration { return s.expected(spec) }
+	}
 	p := &Placer{
 		settings: s,
 		random:   rand.New(rand.NewPCG(s.seed, s.seed)),
--- a/placer/state.go
+++ b/placer/state.go
@@ -43,7 +43,7 @@
 	active    int32         // tasks on nodes
 	failed    int32         // tasks that ended without success
 	latest    int64         // latest start that meets the deadline; nanoseconds since 1970
-	expected  time.Duration // run time of a task when latest was reckoned
+	expected  time.Duration // learned run time of a task when latest was reckoned, 0 when unknown
 	estimated int64         // when latest was reckoned; nanoseconds since 1970
 	lane      lane
 	queued    bool // in the tree of its lane
--- a/placer/team.go
+++ b/placer/team.go
@@ -21,6 +21,7 @@
 	pending   int        // tasks that wait, delayed ones too
 	demand    Resources  // sum of the sizes of pending tasks that may start
 	active    int        // tasks on nodes
+	backlog   float64    // learned work of tasks that wait, in thousandths of a processor times seconds
 	elsewhere Resources  // used in other shards
 	foreign   float64    // elsewhere as a dominant share of the workers here
 	wish      float64    // dominant share that it could use, at most its allotment
