placer: Forget quarantined workers that are removed

Cause: a removed worker stayed among the quarantined and counted against the quarter of the fleet that may be. Change: it is dropped with the worker. Measured: the new test fails without the change. Conclusion: replaced VMs no longer use up the quarantine.

--- a/placer/preempt_test.go
+++ b/placer/preempt_test.go
@@ -164,6 +164,15 @@
 		c.Assert(trials, qt.Equals, 1)
 		c.Assert(p.Quarantine(), qt.HasLen, 0)
 	})
+	c.Run("a quarantined worker that is removed is forgotten", func(c *qt.C) {
+		p := fleet(c, 8)
+		work(c, p, 8)
+		run(c, p, begin, onFirst)
+		run(c, p, begin.Add(5*time.Second), onFirst)
+		c.Assert(p.Quarantine(), qt.HasLen, 1)
+		p.RemoveWorker("w0")
+		c.Assert(p.Quarantine(), qt.HasLen, 0)
+	})
 	c.Run("a job that fails everywhere quarantines nobody", func(c *qt.C) {
 		p := fleet(c, 8)
 		work(c, p, 4)
--- a/placer/workers.go
+++ b/placer/workers.go
@@ -70,6 +70,10 @@
 	if !n.gone || len(n.tasks) > 0 || p.byID[n.worker.id] != n {
 		return
 	}
+	if n.health.shut {
+		p.failures.shut--
+		p.failures.drop(n)
+	}
 	delete(p.byID, n.worker.id)
 	p.nodes = slices.DeleteFunc(p.nodes, func(o *node) bool { return o == n })
 	n.rack.nodes = slices.DeleteFunc(n.rack.nodes, func(o *node) bool { return o == n })
