placer: Change services to a new version task by task

Cause: a service must keep its count while it changes. Change: Replace starts the new version within a surplus and ends an old task for each new one. Conclusion: the owner of the shard has to call it yet.

--- a/placer/decide.go
+++ b/placer/decide.go
@@ -40,6 +40,7 @@
 	p.curtail(r)
 	p.escalate(r)
 	p.endBroken(r)
+	p.rollOn(r)
 	p.hurry(r)
 	p.expire(r)
 	if p.starts && p.released && r.left() {
@@ -243,6 +244,9 @@
 func (p *Placer) permits(j *job) bool {
 	t := j.team
 	cpu := j.spec.size.cpu
+	if j.roll != nil && !j.roll.permits(j) {
+		return false
+	}
 	if !t.allows(cpu) || t.gang != nil && t.gang != j && j.spec.class > Service {
 		return false
 	}
--- a/placer/finish.go
+++ b/placer/finish.go
@@ -20,7 +20,7 @@
 	t := &j.tasks[index]
 	n, elapsed := t.node, now.Sub(moment(t.started))
 	p.detach(j, index)
-	if j.cancelled {
+	if j.cancelled || outcome == Preempted && j.roll != nil && j.roll.from == j {
 		outcome = Cancelled
 	}
 	var at time.Time
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -46,6 +46,7 @@
 	rests    rests // tasks that wait for a time
 	shares   shares
 	holding  []*job   // jobs with holds, in the order of their first
+	rolls    []*roll  // services that change to a new version
 	broken   []*job   // gangs that lost a task and are to end
 	strained []*node  // nodes with a task reported past its size
 	pressed  []runRef // tasks that were asked to make room
--- a/placer/state.go
+++ b/placer/state.go
@@ -53,6 +53,7 @@
 	cursor    int32 // next rack to try when spreading
 	at        int32 // position among the jobs of the team
 	record    record
+	roll      *roll // change to another version under way, else nil
 }
 
 // lane is a queue within a team.
