--- a/granter/allotter.go
+++ b/granter/allotter.go
@@ -159,21 +159,29 @@
 
 // Run moves allotments by demand until the context ends, or returns ErrDeposed.
 func (a *Allotter) Run(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-a.kick:
-			timer.Reset(a.interval / kickPart)
-			<-timer.C
-		case <-timer.C:
-		}
 		if err := a.balance(ctx); err != nil {
 			return err
 		}
-		timer.Reset(a.interval - a.interval/8 + rand.N(a.interval/4))
+		interval := a.interval - a.interval/8 + rand.N(a.interval/4)
+		if a.sleep(ctx, interval, a.kick) {
+			a.sleep(ctx, a.interval/kickPart, nil)
+		}
+	}
+}
+
+// sleep waits for d or the end of the context, and reports whether it was cut
+// short by a kick.
+func (a *Allotter) sleep(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-kick:
+		return true
+	case <-timer.C:
+		return false
 	}
 }
 
--- a/granter/allotter_test.go
+++ b/granter/allotter_test.go
@@ -195,6 +195,22 @@
 		c.Assert(<-a.ended, qt.ErrorIs, granter.ErrDeposed)
 		c.Assert(a.Allotment(team, granter.CPU), qt.Equals, int64(0))
 	})
+	bubble(t, "a new owner without its term in the record starts nothing", func(c *qt.C, store *emulator.Store) {
+		a, b := pair(c, store, 10000)
+		a.SetUsage(team, granter.CPU, 0, 10000)
+		pass(c, 2*time.Second, 10000, a, b)
+		a.client.SetFaults(emulator.LateWrites(1, 4*time.Second))
+		b.SetUsage(team, granter.CPU, 0, 10000)
+		time.Sleep(2 * time.Second)
+		store.Client("pianura-a.02").SetFaults(emulator.LateWrites(1, time.Hour))
+		successor := hold(c, store, "pianura-a.0", 2)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(successor.Allotment(team, granter.CPU), qt.Equals, int64(0))
+			c.Assert(successor.Reserve(team, granter.CPU, 1), qt.IsFalse)
+			within(c, 10000, a, b)
+		}
+	})
 	bubble(t, "a shard cut off keeps its part", func(c *qt.C, store *emulator.Store) {
 		a, b := pair(c, store, 10000)
 		a.SetUsage(team, granter.CPU, 0, 6000)
--- /dev/null
+++ b/journaler/bench_test.go
@@ -0,0 +1,97 @@
+package journaler_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/journaler"
+)
+
+// BenchmarkAppend measures one record of 150 bytes, from many callers at once.
+func BenchmarkAppend(b *testing.B) {
+	store := emulator.NewStore()
+	j, err := journaler.New(store.Seam(), shard, journaler.WithRate(100000))
+	if err != nil {
+		b.Fatal(err)
+	}
+	j.SetSnapshotter(func() []byte { return make([]byte, 100<<10) })
+	if _, err := j.Open(context.Background(), 1); err != nil {
+		b.Fatal(err)
+	}
+	defer j.Abandon()
+	record := make([]byte, 150)
+	b.ReportAllocs()
+	b.SetParallelism(256)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := j.Append(context.Background(), record); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// BenchmarkCalls measures calls to the service for each record, at rates of
+// records a second, in a bubble with answers after 3 ms.
+func BenchmarkCalls(b *testing.B) {
+	for _, rate := range []int{1, 10, 80, 300} {
+		b.Run(fmt.Sprint(rate, " a second"), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(0, "ns/op")
+				calls, latency := callsAt(b, rate, time.Minute)
+				b.ReportMetric(calls/float64(rate), "calls/record")
+				b.ReportMetric(calls, "calls/s")
+				b.ReportMetric(latency.Seconds()*1000, "ms/record")
+			}
+		})
+	}
+}
+
+// callsAt returns the calls a second, and the mean time of an append.
+func callsAt(b *testing.B, rate int, d time.Duration) (calls float64, latency time.Duration) {
+	bubble := func() {
+		store := emulator.NewStore()
+		store.SetFaults(emulator.Slow(3 * time.Millisecond))
+		j, err := journaler.New(store.Seam(), shard)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		j.SetSnapshotter(func() []byte { return make([]byte, 400<<10) })
+		if _, err := j.Open(context.Background(), 1); err != nil {
+			b.Error(err)
+			return
+		}
+		before := store.Counts()
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		total := time.Duration(0)
+		for range rate * int(d.Seconds()) {
+			group.Go(func() {
+				begun := time.Now()
+				if err := j.Append(context.Background(), make([]byte, 150)); err != nil {
+					b.Error(err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				total += time.Since(begun)
+			})
+			time.Sleep(time.Second / time.Duration(rate))
+		}
+		group.Wait()
+		made := store.Counts().Sub(before)
+		calls = float64(made.Reads()+made.Writes()) / d.Seconds()
+		latency = total / time.Duration(rate*int(d.Seconds()))
+		j.Abandon()
+	}
+	// A bubble needs a test to belong to.
+	testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
+		Name: "calls", F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { bubble() }) },
+	}})
+	return calls, latency
+}
