--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"testing"
 
@@ -21,8 +23,8 @@
 	flight := map[string]int{}
 	for i := range teams {
 		name := fmt.Sprintf("team-%03d", i)
-		shard.Teams[name] = TeamLoad{Used: 14_250, Memory: 28_400, Pending: 12}
-		flight[name] = 3
+		shard.Teams[name] = TeamLoad{Used: int64(i * 7919 % 64_000), Memory: int64(i * 104_729 % 200_000), Pending: i * 31 % 400}
+		flight[name] = i % 9
 	}
 	return VMLoad{Shards: map[string]ShardLoad{"pianura-a.0": shard}, Flight: flight}
 }
@@ -45,7 +47,13 @@
 				}
 				size = len(data)
 			}
+			var buffer bytes.Buffer
+			writer := gzip.NewWriter(&buffer)
+			data, _ := cbor.Marshal(load)
+			_, _ = writer.Write(data)
+			_ = writer.Close()
 			b.ReportMetric(float64(size), "answer-B")
+			b.ReportMetric(float64(buffer.Len()), "packed-B")
 		})
 	}
 }
