server: Ask the peers of the settings until the list is there

Cause: docs/operate/replace-vms.md says that [vm] peers are asked at the start; nothing asked them. Change: until the platform has told its list of VMs, declarations are asked of the peers in the settings. Conclusion: an entry VM that starts while the platform is away finds the declarations.

--- a/server/run.go
+++ b/server/run.go
@@ -137,9 +137,15 @@
 	})
 }
 
-// configurerPeers returns the other entry VMs.
+// configurerPeers returns the other entry VMs: those of the settings until the
+// platform has told its list.
 func (s *Server) configurerPeers() []configurer.Peer {
 	var peers []configurer.Peer
+	if s.tracker.Fetched().IsZero() {
+		for _, address := range s.settings.Peers() {
+			peers = append(peers, configurer.NewPeer(address, address))
+		}
+	}
 	for _, vm := range s.tracker.Entries("") {
 		if vm.ID() != s.settings.ID() {
 			peers = append(peers, configurer.NewPeer(vm.ID(), vm.Address()))
