--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -12,6 +12,7 @@
 	"filberthaven.example/dispatcher"
 	"filberthaven.example/emulator"
 	"filberthaven.example/placer"
+	"filberthaven.example/scheduler"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
@@ -33,6 +34,7 @@
 	submitJob kind = iota
 	submitAgain
 	cancelWave
+	claimRequest
 	killWorker
 	restartWorker
 	pauseWorker
@@ -70,7 +72,7 @@
 // scenarios generates lists of steps; work is as frequent as all faults.
 func scenarios(n int) *rapid.Generator[[]step] {
 	kindOf := rapid.OneOf(
-		rapid.SampledFrom([]kind{submitJob, submitJob, submitJob, submitAgain, cancelWave}),
+		rapid.SampledFrom([]kind{submitJob, submitJob, submitJob, submitAgain, cancelWave, claimRequest}),
 		rapid.Map(rapid.IntRange(0, int(kinds)-1), func(k int) kind { return kind(k) }),
 	)
 	wait := rapid.OneOf(rapid.IntRange(0, 50), rapid.IntRange(0, 3000), rapid.IntRange(0, 20000))
@@ -141,6 +143,8 @@
 		w.submit(shard, w.repeated(s), fmt.Sprintf("request%d", s.pick%5))
 	case cancelWave:
 		w.cancelWave(s)
+	case claimRequest:
+		w.claim(o, s)
 	case killWorker, restartWorker, pauseWorker, resumeWorker, breakWorker, mendWorker, slowWorker:
 		changeWorker(worker, s)
 	case dropWorker:
@@ -249,6 +253,40 @@
 	return placer.NewJobSpec(name, team, placer.NewResources(500*int64(1+s.pick%4), 1024, 0), options...)
 }
 
+// claim lets an entry VM claim one of a few urgent requests and, if it is
+// granted, run it or find that it can't.
+func (w *world) claim(o *owner, s step) {
+	id := fmt.Sprintf("urgent%d", s.pick%6)
+	w.mu.Lock()
+	w.serial++
+	holder := fmt.Sprintf("vm%d", w.serial)
+	w.mu.Unlock()
+	w.pending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		claim, err := o.sched.Claim(ctx, "free", id, holder, 1)
+		if err != nil || !claim.Granted() {
+			return
+		}
+		outcome := scheduler.NotRun
+		if s.flags&2 != 0 {
+			outcome = scheduler.Ran
+			w.ran(o.shard.name + "/" + id)
+		}
+		_ = o.sched.Settle(ctx, "free", id, holder, outcome)
+	})
+}
+
+// ran notes that an urgent request has run, which must happen once at most.
+func (w *world) ran(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.urgent[id]++
+	if n := w.urgent[id]; n > 1 {
+		w.broken = append(w.broken, fmt.Sprintf("urgent request %s ran %d times", id, n))
+	}
+}
+
 // cancelWave cancels some of the accepted jobs at once.
 func (w *world) cancelWave(s step) {
 	for i, id := range w.accepted() {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -41,6 +41,7 @@
 	jobs    map[string]placer.JobSpec // accepted, by id
 	refused []string                  // names of jobs that were told not-run
 	byID    map[string]string         // job by request id
+	urgent  map[string]int            // runs of claimed requests
 	broken  []string
 	serial  int
 	mu      sync.Mutex
@@ -78,7 +79,7 @@
 	w := &world{
 		guards: g, store: emulator.NewStore(), witness: emulator.NewWitness(),
 		shards: map[string]*shardWorld{}, names: []string{"a.0", "b.0"},
-		jobs: map[string]placer.JobSpec{}, byID: map[string]string{},
+		jobs: map[string]placer.JobSpec{}, byID: map[string]string{}, urgent: map[string]int{},
 	}
 	w.witness.SetLimit("limited", teamLimit)
 	for _, name := range w.names {
