--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -52,7 +52,8 @@
 type shardWorld struct {
 	name    string
 	workers []*emulator.Worker
-	owners  []*owner // by term; the last is the newest
+	mu      sync.Mutex // guards owners
+	owners  []*owner   // by term; the last is the newest
 	term    uint64
 	gone    map[string]bool
 	drained bool
@@ -142,7 +143,9 @@
 	w.must(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	o.cancel = cancel
+	s.mu.Lock()
 	s.owners = append(s.owners, o)
+	s.mu.Unlock()
 	go func() {
 		err := o.sched.Run(ctx)
 		select {
@@ -262,7 +265,11 @@
 }
 
 // newest returns the newest owner of a shard.
-func (s *shardWorld) newest() *owner { return s.owners[len(s.owners)-1] }
+func (s *shardWorld) newest() *owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[len(s.owners)-1]
+}
 
 func (w *world) target(from *shardWorld) func(placer.JobSpec) (string, bool) {
 	return func(placer.JobSpec) (string, bool) {
