scheduler: Hide a worker before its new owner runs

Cause: TestGuards failed once in about 6 runs on a busy machine: the new owner could read the worker back before the test had cut it off, so nothing broke with the hold off. Change: The worker is out of reach from the owner's first call on.

--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -101,9 +101,9 @@
 
 // hideBusy kills the owner; its successor doesn't reach the busy worker.
 func hideBusy(w *world, s *shardWorld) {
-	id := s.busy().ID()
+	s.hidden = s.busy().ID()
 	s.newest().kill()
-	w.takeOver(s).cut(id, true, true)
+	w.takeOver(s)
 	time.Sleep(3 * fillTime)
 }
 
@@ -125,13 +125,13 @@
 // over with all others.
 func disjointOwners(w *world, s *shardWorld) {
 	w.one(s, "job", 1, time.Minute)
-	busy := s.busy().ID()
+	s.hidden = s.busy().ID()
 	old := s.newest()
 	old.client.SetFaults(emulator.Down())
 	for _, worker := range s.workers {
-		old.cut(worker.ID(), worker.ID() != busy, false)
+		old.cut(worker.ID(), worker.ID() != s.hidden, false)
 	}
-	w.takeOver(s).cut(busy, true, true)
+	w.takeOver(s)
 	time.Sleep(3 * fillTime)
 }
 
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -56,6 +56,7 @@
 	owners  []*owner   // by term; the last is the newest
 	term    uint64
 	gone    map[string]bool
+	hidden  string // worker that the next owner doesn't reach
 	drained bool
 }
 
@@ -110,6 +111,9 @@
 		world: w, shard: s, term: s.term, client: w.store.Client(fmt.Sprintf("%s-%d", s.name, s.term)),
 		deaf: map[string]bool{}, mute: map[string]bool{}, ended: make(chan error, 1),
 	}
+	if s.hidden != "" {
+		o.cut(s.hidden, true, true)
+	}
 	journal, err := journaler.New(o.client.Seam(), s.name)
 	w.must(err)
 	o.journal = journal
@@ -358,6 +362,7 @@
 	for _, name := range w.names {
 		s := w.shards[name]
 		clear(s.gone)
+		s.hidden = ""
 		for _, worker := range s.workers {
 			worker.SetFailing(false)
 			worker.SetUnreachable(false, false)
