placer: Vacate workers that are leaving

Cause: what ran on a leaving VM was lost with it. Change: tasks that can be preempted are checkpointed at once, those of a service one after the other.

--- a/placer/decide.go
+++ b/placer/decide.go
@@ -41,6 +41,7 @@
 	p.escalate(r)
 	p.endBroken(r)
 	p.rollOn(r)
+	p.vacate(r)
 	p.hurry(r)
 	p.expire(r)
 	if p.starts && p.released && r.left() {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -47,6 +47,7 @@
 	shares   shares
 	holding  []*job   // jobs with holds, in the order of their first
 	rolls    []*roll  // services that change to a new version
+	vacating []*node  // nodes that are leaving and run tasks
 	broken   []*job   // gangs that lost a task and are to end
 	strained []*node  // nodes with a task reported past its size
 	pressed  []runRef // tasks that were asked to make room
--- a/placer/preempt_test.go
+++ b/placer/preempt_test.go
@@ -84,6 +84,25 @@
 		c.Assert(p.Decide(begin, 10), qt.HasLen, 0)
 		c.Assert(p.Stuck(begin), qt.HasLen, 1)
 	})
+	c.Run("tasks leave a worker that is leaving", func(c *qt.C) {
+		p := fleet(c, 1)
+		submit(c, p, "service", "north", cores(2), placer.WithClass(placer.Service), placer.WithTasks(2))
+		submit(c, p, "deferred", "north", cores(2), placer.WithClass(placer.Deferred), placer.WithTasks(2))
+		submit(c, p, "once", "north", cores(2), placer.WithClass(placer.Deferred), placer.WithNonIdempotent())
+		p.Decide(begin, 10)
+		p.SetWorker(placer.NewWorker("w0", "r0", vm, placer.WithState(placer.Leaving)))
+		left := map[string]int{}
+		for _, d := range p.Decide(begin, 10) {
+			c.Assert(d.Kind(), qt.Equals, placer.Checkpoint)
+			left[d.Task().Job()]++
+			finish(c, p, d.Task(), placer.Preempted, begin)
+		}
+		c.Assert(left, qt.DeepEquals, map[string]int{"service": 1, "deferred": 2})
+		c.Assert(p.Decide(begin, 10), qt.HasLen, 0)
+		p.SetWorker(placer.NewWorker("w1", "r1", vm))
+		assertKinds(c, p.Decide(begin, 10), placer.Start, placer.Start, placer.Start)
+		assertKinds(c, p.Decide(begin, 10), placer.Checkpoint)
+	})
 	c.Run("an urgent gang starts whole", func(c *qt.C) {
 		p := fleet(c, 1)
 		submit(c, p, "gang", "north", cores(8), placer.WithClass(placer.Urgent), placer.WithGang(), placer.WithTasks(2))
--- a/placer/workers.go
+++ b/placer/workers.go
@@ -22,6 +22,9 @@
 	if !n.open() {
 		p.dropHolds(n)
 	}
+	if w.state == Leaving && !slices.Contains(p.vacating, n) {
+		p.vacating = append(p.vacating, n)
+	}
 	p.reindex(n)
 }
 
