filberthaven: Measure capacity at the size of one shard

Cause: TestCapacity measured 4, 40 and 200 workers of a shard and jobs of one task; the shard of two years has 100 workers, and its 80 starts a second come from jobs of many tasks. Change: 4, 40 and 100 workers; 60 jobs a second of one task, then 4 a second of 60.

--- a/filberthaven/capacity_test.go
+++ b/filberthaven/capacity_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,8 +26,6 @@
 	restTime = 3 * time.Second
 	// tasksPerWorker is the mean in two years: 54,000 tasks on 2,400 workers.
 	tasksPerWorker = 22
-	// startRate is the jobs submitted a second, of one task each.
-	startRate = 60
 	// clockTicks is the number of ticks a second in /proc.
 	clockTicks = 100
 )
@@ -44,22 +43,15 @@
 	if !*measure {
 		t.Skip("measures only with -measure")
 	}
-	for _, workers := range []int{4, 40, 200} {
+	for _, workers := range []int{4, 40, 100} {
 		t.Run(fmt.Sprintf("%d workers", workers*len(centres)), func(t *testing.T) {
 			p := newProcesses(t, false, launcher.WithSize(0, workers, launcher.DefaultExecutors))
 			p.awaitOwners()
 			p.report("at rest")
 			p.fill(workers * tasksPerWorker)
 			p.report(fmt.Sprintf("%d tasks running", workers*tasksPerWorker*len(centres)))
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				p.submitSteadily(ctx)
-			}()
-			p.report(fmt.Sprintf("and %d jobs a second", startRate))
-			cancel()
-			<-done
+			p.reportLoad(60, 1)
+			p.reportLoad(4, 60)
 		})
 	}
 }
@@ -75,9 +67,20 @@
 	p.await("start of all tasks", func() bool { return p.fleet.Witness().Starts() >= n*len(centres) })
 }
 
-// submitSteadily submits short jobs of one task to all entry VMs in turn.
-func (p *processes) submitSteadily(ctx context.Context) {
-	ticker := time.NewTicker(time.Second / startRate)
+// reportLoad reports on jobs that come at a rate a second, of that many tasks each.
+func (p *processes) reportLoad(rate, tasks int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { p.submitSteadily(ctx, rate, tasks) })
+	p.report(fmt.Sprintf("and %d jobs a second of %d tasks", rate, tasks))
+	cancel()
+	group.Wait()
+}
+
+// submitSteadily submits jobs of short tasks to all entry VMs in turn.
+func (p *processes) submitSteadily(ctx context.Context, rate, tasks int) {
+	body := fmt.Sprintf(`{"name":"short","tasks":%d,"cpu":0.1,"memory":16,"class":"deferred","estimate":"200ms"}`, tasks)
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
@@ -87,8 +90,7 @@
 		}
 		e := p.entries[n%len(p.entries)]
 		go func() {
-			_, _ = p.call(ctx, e, http.MethodPost, "/v1/jobs", p.fleet.Keys().Team(), "",
-				`{"name":"short","cpu":0.1,"memory":16,"class":"deferred","estimate":"200ms"}`)
+			_, _ = p.call(ctx, e, http.MethodPost, "/v1/jobs", p.fleet.Keys().Team(), "", body)
 		}()
 	}
 }
