elector: Delete the records of VMs that are gone

Cause: VMs are replaced at any time, and their records would pile up in the service and in each copy of live/. The mirror also polled up to 20 times a second. Change: the first live VM of a data centre deletes records without a renewal for 10 minutes; a VM whose record went while it was cut off writes it anew. The mirror's pause between polls is now 90 to 100 ms.

--- a/elector/decide.go
+++ b/elector/decide.go
@@ -13,7 +13,12 @@
 func (e *Elector) decide(ctx context.Context) error {
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
+	swept := time.Now()
 	for {
+		if time.Since(swept) >= sweepInterval {
+			swept = time.Now()
+			e.sweep(ctx)
+		}
 		for _, shard := range e.shards() {
 			e.announce(shard)
 			if e.takeable(shard) {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -26,6 +26,11 @@
 	// acquaintance is how long contact has lasted when a shard without an owner is
 	// taken, so that the other VMs are known.
 	acquaintance = 500 * time.Millisecond
+	// sweepInterval is the time between two looks for VMs that are gone.
+	sweepInterval = time.Minute
+	// goneLimit is how long a VM goes without a renewal until its record is
+	// deleted.
+	goneLimit = 10 * time.Minute
 	// callTimeout bounds one call to the service.
 	callTimeout = time.Second
 )
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -191,6 +191,45 @@
 	})
 }
 
+func TestSweep(t *testing.T) {
+	run(t, "records of gone vms are deleted, others stay", func(c *qt.C, store *emulator.Store) {
+		nodes := trio(c, store, shard)
+		time.Sleep(10 * time.Second)
+		nodes[1].cancel()
+		time.Sleep(5 * time.Minute)
+		entries, err := store.Seam().List(context.Background(), "live/vm/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(entries, qt.HasLen, 3)
+		time.Sleep(8 * time.Minute)
+		entries, err = store.Seam().List(context.Background(), "live/vm/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(entries, qt.HasLen, 2)
+		back := start(c, store, "b", 2, shard)
+		time.Sleep(5 * time.Second)
+		c.Assert(back.Live(), qt.HasLen, 3)
+		soleOwner(c, []*node{nodes[0], nodes[2], back}, shard)
+	})
+}
+
+func TestSweepOfACutOffVM(t *testing.T) {
+	run(t, "it comes back on healing", func(c *qt.C, store *emulator.Store) {
+		nodes := trio(c, store, shard)
+		time.Sleep(10 * time.Second)
+		for _, n := range nodes[1:] {
+			n.client.SetFaults(emulator.Cut())
+		}
+		time.Sleep(15 * time.Minute)
+		for _, n := range nodes[1:] {
+			n.client.SetFaults()
+		}
+		time.Sleep(10 * time.Second)
+		for _, n := range nodes {
+			c.Assert(n.Live(), qt.HasLen, 3)
+		}
+		soleOwner(c, nodes, shard)
+	})
+}
+
 func TestElectionUnderFaults(t *testing.T) {
 	run(t, "an outage changes nothing", func(c *qt.C, store *emulator.Store) {
 		nodes := trio(c, store, shard)
--- a/elector/renew.go
+++ b/elector/renew.go
@@ -64,6 +64,9 @@
 	short, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := e.store.Get(short, key)
+	if errors.Is(err, keeper.ErrNotFound) {
+		return 0, nil // swept away while this VM was cut off
+	}
 	if err != nil || entry.Version() < version {
 		return version, nil
 	}
--- a/journaler/bench_test.go
+++ b/journaler/bench_test.go
@@ -10,6 +10,7 @@
 
 	"filberthaven.example/emulator"
 	"filberthaven.example/journaler"
+	"golang.org/x/time/rate"
 )
 
 // BenchmarkAppend measures one record of 150 bytes, from many callers at once.
@@ -36,28 +37,30 @@
 	})
 }
 
-// BenchmarkCalls measures calls to the service for each record, at rates of
-// records a second, in a bubble with answers after 3 ms.
+// BenchmarkCalls measures calls to the service for each record, at limits of
+// segments and rates of records a second, in a bubble with answers after 3 ms.
 func BenchmarkCalls(b *testing.B) {
-	for _, rate := range []int{1, 10, 80, 300} {
-		b.Run(fmt.Sprint(rate, " a second"), func(b *testing.B) {
-			for range b.N {
-				b.ReportMetric(0, "ns/op")
-				calls, latency := callsAt(b, rate, time.Minute)
-				b.ReportMetric(calls/float64(rate), "calls/record")
-				b.ReportMetric(calls, "calls/s")
-				b.ReportMetric(latency.Seconds()*1000, "ms/record")
-			}
-		})
+	for _, limit := range []rate.Limit{journaler.DefaultRate, 5} {
+		for _, records := range []int{1, 10, 80, 300} {
+			b.Run(fmt.Sprintf("%v segments, %d records", limit, records), func(b *testing.B) {
+				for range b.N {
+					b.ReportMetric(0, "ns/op")
+					calls, latency := callsAt(b, limit, records, time.Minute)
+					b.ReportMetric(calls/float64(records), "calls/record")
+					b.ReportMetric(calls, "calls/s")
+					b.ReportMetric(latency.Seconds()*1000, "ms/record")
+				}
+			})
+		}
 	}
 }
 
 // callsAt returns the calls a second, and the mean time of an append.
-func callsAt(b *testing.B, rate int, d time.Duration) (calls float64, latency time.Duration) {
+func callsAt(b *testing.B, limit rate.Limit, records int, d time.Duration) (calls float64, latency time.Duration) {
 	bubble := func() {
 		store := emulator.NewStore()
 		store.SetFaults(emulator.Slow(3 * time.Millisecond))
-		j, err := journaler.New(store.Seam(), shard)
+		j, err := journaler.New(store.Seam(), shard, journaler.WithRate(limit))
 		if err != nil {
 			b.Error(err)
 			return
@@ -71,7 +74,7 @@
 		var mu sync.Mutex
 		var group sync.WaitGroup
 		total := time.Duration(0)
-		for range rate * int(d.Seconds()) {
+		for range records * int(d.Seconds()) {
 			group.Go(func() {
 				begun := time.Now()
 				if err := j.Append(context.Background(), make([]byte, 150)); err != nil {
@@ -81,12 +84,12 @@
 				defer mu.Unlock()
 				total += time.Since(begun)
 			})
-			time.Sleep(time.Second / time.Duration(rate))
+			time.Sleep(time.Second / time.Duration(records))
 		}
 		group.Wait()
 		made := store.Counts().Sub(before)
 		calls = float64(made.Reads()+made.Writes()) / d.Seconds()
-		latency = total / time.Duration(rate*int(d.Seconds()))
+		latency = total / time.Duration(records*int(d.Seconds()))
 		j.Abandon()
 	}
 	// A bubble needs a test to belong to.
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -82,20 +82,20 @@
 	retry.InitialInterval = retryPause
 	retry.MaxInterval = retryLimit
 	for ctx.Err() == nil {
-		pause := m.pause
+		pause := m.pause - rand.N(m.pause/10+1)
 		entries, next, err := m.store.Watch(ctx, m.prefix, m.position())
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case err != nil:
 			m.lost(err)
-			pause = retry.NextBackOff()
+			pause = jitter(retry.NextBackOff())
 		default:
 			retry.Reset()
 			m.heard(next)
 			m.apply(entries)
 		}
-		sleep(ctx, jitter(pause))
+		sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
@@ -208,7 +208,7 @@
 	return true
 }
 
-// jitter returns a time from half of d to d, so that VMs don't poll in step.
+// jitter returns a time from half of d to d, so that VMs don't retry in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
 
 // sleep waits for d or the end of the context.
