--- a/elector/bench_test.go
+++ b/elector/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +64,41 @@
 	}})
 	return took
 }
+
+// BenchmarkIdle measures the calls a second of entry VMs that only keep their
+// records and copies, with answers after 3 ms.
+func BenchmarkIdle(b *testing.B) {
+	for _, vms := range []int{9, 30} {
+		b.Run(fmt.Sprint(vms, " vms"), func(b *testing.B) {
+			for range b.N {
+				counts := idle(vms)
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric(float64(counts.Writes())/60, "writes/s")
+				b.ReportMetric(float64(counts.Reads()+counts.Watches())/60, "reads/s")
+			}
+		})
+	}
+}
+
+// idle returns the calls of a minute.
+func idle(vms int) emulator.Counts {
+	var counts emulator.Counts
+	testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
+		Name: "idle", F: func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := emulator.NewStore()
+				store.SetFaults(emulator.Slow(3 * time.Millisecond))
+				for vm := range vms {
+					start(c, store, fmt.Sprint("vm", vm), 1, shard)
+					time.Sleep(time.Second / time.Duration(vms))
+				}
+				time.Sleep(10 * time.Second)
+				before := store.Counts()
+				time.Sleep(time.Minute)
+				counts = store.Counts().Sub(before)
+			})
+		},
+	}})
+	return counts
+}
