--- a/journaler/close.go
+++ b/journaler/close.go
@@ -8,7 +8,12 @@
 func (j *Journaler) Close(ctx context.Context) error {
 	j.mu.Lock()
 	j.closing = true
+	open := j.stop != nil
 	j.mu.Unlock()
+	if !open {
+		j.Abandon()
+		return nil
+	}
 	j.wake()
 	select {
 	case <-j.stopped:
@@ -20,10 +25,25 @@
 }
 
 // Abandon ends the journal at once, without writing anything more. A segment
-// under way is left unknown.
+// under way is left unknown. A journal that isn't open yet won't open any more.
 func (j *Journaler) Abandon() {
-	j.stop()
-	<-j.stopped
+	if stop := j.halt(); stop != nil {
+		stop()
+		<-j.stopped
+		return
+	}
+	j.end(ErrUnavailable)
+}
+
+// halt returns what stops the writer, or notes that there won't be one.
+func (j *Journaler) halt() context.CancelFunc {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.stop == nil && j.ended == nil {
+		j.ended = ErrUnavailable
+		close(j.stopped)
+	}
+	return j.stop
 }
 
 // leave writes the last snapshot, if there is anything new to cover.
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -149,4 +149,30 @@
 		c.Assert(o.Append(context.Background(), make([]byte, journaler.RecordLimit+1)), qt.ErrorIs, journaler.ErrTooLarge)
 		o.Abandon()
 	})
+	run(t, "a journal abandoned while it opens doesn't open", func(c *qt.C, store *emulator.Store) {
+		store.SetFaults(emulator.Down())
+		j, err := journaler.New(store.Seam(), shard)
+		c.Assert(err, qt.IsNil)
+		opened := make(chan error, 1)
+		go func() {
+			_, err := j.Open(context.Background(), 1)
+			opened <- err
+		}()
+		queued := make(chan error, 1)
+		c.Assert(j.Enqueue([]byte("x"), func(err error) { queued <- err }), qt.IsNil)
+		time.Sleep(time.Second)
+		j.Abandon()
+		c.Assert(<-queued, qt.ErrorIs, journaler.ErrUnavailable)
+		c.Assert(j.Close(context.Background()), qt.IsNil)
+		store.SetFaults()
+		c.Assert(<-opened, qt.ErrorIs, journaler.ErrUnavailable)
+		<-j.Stopped()
+	})
+	run(t, "a journal abandoned twice stays so", func(c *qt.C, store *emulator.Store) {
+		o := open(c, store, "a", 1)
+		o.Abandon()
+		o.Abandon()
+		c.Assert(o.Close(context.Background()), qt.IsNil)
+		c.Assert(o.write("x"), qt.ErrorIs, journaler.ErrUnavailable)
+	})
 }
--- a/journaler/open.go
+++ b/journaler/open.go
@@ -67,7 +67,9 @@
 		recovery, err := j.open(ctx)
 		switch {
 		case err == nil:
-			j.start(ctx)
+			if !j.start(ctx) {
+				return Recovery{}, j.explain(ErrUnavailable)
+			}
 			j.log.Info("journal opened", "term", term, "sequence", recovery.sequence, "records", len(recovery.records))
 			return recovery, nil
 		case errors.Is(err, errStale):
@@ -131,10 +133,17 @@
 	})
 }
 
-// start lets the writer run until Close, Abandon or the end of the journal.
-func (j *Journaler) start(ctx context.Context) {
+// start lets the writer run until Close, Abandon or the end of the journal. It
+// reports false if the journal was abandoned before it was open.
+func (j *Journaler) start(ctx context.Context) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended != nil {
+		return false
+	}
 	ctx, j.stop = context.WithCancel(context.WithoutCancel(ctx))
 	go j.run(ctx)
+	return true
 }
 
 // read returns a consistent view, or errStale.
