granter: Shrink nothing before it is known what runs

Cause: an owner's limits are kept from before its recovery ends; until then its usage was zero, so that another shard's demand could take a part whose tasks run. Change: a team's part stays until Recover or SetUsage was called for it, or 30 s after the owner's first Recover.

--- a/granter/allotter.go
+++ b/granter/allotter.go
@@ -141,9 +141,15 @@
 }
 
 // Recover counts an amount as running that a former owner of the shard started,
-// whatever the allotment.
+// whatever the allotment. Until Recover or SetUsage was called for a team, its
+// part doesn't shrink, since nothing is known of what runs; 30 s after the first
+// Recover teams not told of count as running nothing.
 func (a *Allotter) Recover(team string, kind Kind, running int64) {
 	a.book(team).recover(team, kind, running)
+	now := time.Now()
+	for _, b := range a.books {
+		b.begin(now)
+	}
 }
 
 // SetLimit tells a team's upper limit in the configuration with that revision,
--- a/granter/allotter_book.go
+++ b/granter/allotter_book.go
@@ -20,6 +20,8 @@
 	record  groupRecord // newest known
 	version uint64      // of the record; 0 while absent
 	loaded  bool        // whether the record was ever read
+	// recovered is when the owner first told what runs; zero before.
+	recovered time.Time
 	// attempts are the shard's allotments in writes that expect the version and
 	// whose outcome is not known. A newer version settles them all.
 	attempts []map[string]amounts
@@ -102,9 +104,25 @@
 	defer b.mu.Unlock()
 	u := b.usage(team)
 	u.running[kind] = running
+	u.told = true
 	u.touch()
 }
 
+// begin notes that the owner has begun to tell what runs.
+func (b *book) begin(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.recovered.IsZero() {
+		b.recovered = now
+	}
+}
+
+// settled reports whether a team of which nothing was told surely runs nothing
+// here. The caller holds the lock.
+func (b *book) settled(now time.Time) bool {
+	return !b.recovered.IsZero() && now.Sub(b.recovered) >= idleLimit
+}
+
 // setUsage notes running and wanted amounts; it reports whether the running one
 // is allowed, and whether the team lacks something.
 func (b *book) setUsage(team string, kind Kind, running, wanted int64) (ok, lacking bool) {
@@ -112,6 +130,7 @@
 	defer b.mu.Unlock()
 	u, allowed := b.usage(team), b.effective(team, kind)
 	ok = running <= u.running[kind] || running <= allowed
+	u.told = true
 	if ok {
 		u.running[kind] = running
 	} else {
@@ -214,7 +233,7 @@
 func (b *book) wants(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, changed := plan(b.record, b.shard, b.term, b.teams, now)
+	_, changed := plan(b.record, b.shard, b.term, b.teams, now, b.settled(now))
 	return changed || len(b.attempts) > 0
 }
 
@@ -226,7 +245,7 @@
 	if b.record.Terms[b.shard] > b.term {
 		return move{}, false, ErrDeposed
 	}
-	next, changed := plan(b.record, b.shard, b.term, b.teams, now)
+	next, changed := plan(b.record, b.shard, b.term, b.teams, now, b.settled(now))
 	if !changed && len(b.attempts) == 0 {
 		return move{}, false, nil
 	}
--- a/granter/allotter_plan.go
+++ b/granter/allotter_plan.go
@@ -15,6 +15,7 @@
 	limit    amounts       // of the configuration
 	revision [kinds]uint64 // of the configuration; 0 while no limit is known
 	idle     time.Time     // since when nothing runs or waits; zero while something does
+	told     bool          // whether all that runs was told; until then nothing shrinks
 }
 
 // isIdle reports whether the team made no use of its part for long.
@@ -23,13 +24,14 @@
 }
 
 // plan returns the record as the shard's owner would like to have it. It grows
-// only within what is free, and shrinks to no less than what runs.
-func plan(r groupRecord, shard string, term uint64, teams map[string]*usage, now time.Time) (groupRecord, bool) {
+// only within what is free, and shrinks to no less than what runs. Unless
+// settled, parts of teams whose running amounts were not told stay.
+func plan(r groupRecord, shard string, term uint64, teams map[string]*usage, now time.Time, settled bool) (groupRecord, bool) {
 	next := r.clone()
 	changed := false
 	for name, u := range teams {
 		team := next.Teams[name]
-		if planTeam(&team, shard, u, now) {
+		if planTeam(&team, shard, u, now, settled || u.told) {
 			next.Teams[name] = team
 			changed = true
 		}
@@ -45,8 +47,11 @@
 }
 
 // planTeam changes one team's part of the record, and reports whether it did.
-func planTeam(team *teamRecord, shard string, u *usage, now time.Time) bool {
+func planTeam(team *teamRecord, shard string, u *usage, now time.Time, firm bool) bool {
 	before, present := team.Shards[shard]
+	if !firm && u.wanted.isZero() {
+		return false
+	}
 	if !present && u.running.isZero() && u.wanted.isZero() {
 		return false
 	}
@@ -60,9 +65,9 @@
 	}
 	team.Shards[shard] = share
 	for kind := range kinds {
-		share.Have[kind] = planKind(*team, shard, kind, u.running[kind])
+		share.Have[kind] = planKind(*team, shard, kind, u.running[kind], firm)
 	}
-	if share.Want.isZero() && (share.Have.isZero() || u.isIdle(now)) {
+	if firm && share.Want.isZero() && (share.Have.isZero() || u.isIdle(now)) {
 		delete(team.Shards, shard)
 		return present || newer
 	}
@@ -84,7 +89,7 @@
 }
 
 // planKind returns what the shard should hold next of a kind.
-func planKind(team teamRecord, shard string, kind Kind, running int64) int64 {
+func planKind(team teamRecord, shard string, kind Kind, running int64, firm bool) int64 {
 	have, sum := team.Shards[shard].Have[kind], team.sum(kind)
 	targets := team.targets(kind)
 	target := targets[shard]
@@ -92,6 +97,8 @@
 	case have < target:
 		free := max(0, team.Limit[kind]-sum)
 		return have + min(target-have, free)
+	case !firm:
+		return have
 	case sum > team.Limit[kind], team.short(shard, kind, targets):
 		return min(have, max(target, running))
 	default:
--- a/granter/allotter_test.go
+++ b/granter/allotter_test.go
@@ -211,6 +211,22 @@
 			within(c, 10000, a, b)
 		}
 	})
+	bubble(t, "a new owner gives nothing up before it knows what runs", func(c *qt.C, store *emulator.Store) {
+		a, b := pair(c, store, 10000)
+		a.SetUsage(team, granter.CPU, 0, 10000)
+		pass(c, 2*time.Second, 10000, a, b)
+		a.start(10000, 1000)
+		a.cancel()
+		successor := hold(c, store, "pianura-a.0", 2)
+		successor.SetLimit(team, granter.CPU, 10000, 1)
+		b.SetUsage(team, granter.CPU, 0, 10000)
+		time.Sleep(time.Minute)
+		c.Assert(b.Allotment(team, granter.CPU), qt.Equals, int64(0))
+		successor.Recover(team, granter.CPU, 7000)
+		time.Sleep(4 * time.Second)
+		c.Assert(successor.Allotment(team, granter.CPU), qt.Equals, int64(7000))
+		c.Assert(b.Allotment(team, granter.CPU), qt.Equals, int64(3000))
+	})
 	bubble(t, "a shard cut off keeps its part", func(c *qt.C, store *emulator.Store) {
 		a, b := pair(c, store, 10000)
 		a.SetUsage(team, granter.CPU, 0, 6000)
--- a/granter/capacity_test.go
+++ b/granter/capacity_test.go
@@ -53,7 +53,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				plan(read, "pianura-a.0", 12, known, now)
+				plan(read, "pianura-a.0", 12, known, now, true)
 			}
 			b.ReportMetric(float64(len(data)), "record-B")
 		})
