--- a/measurer/checks.go
+++ b/measurer/checks.go
@@ -47,9 +47,28 @@
 	return checks
 }
 
-// checkPacking places mixed work on a fleet with room to spare and compares the
+// packings is how many loads the packing is measured with.
+const packings = 5
+
+// checkPacking returns the worst packing over seeds from the first on.
+func checkPacking(first uint64) (Check, error) {
+	worst := Check{Figure: math.Inf(1)}
+	for seed := first; seed < first+packings; seed++ {
+		c, err := packOnce(seed)
+		if err != nil {
+			return Check{}, err
+		}
+		if c.Figure < worst.Figure {
+			worst = c
+		}
+	}
+	worst.Note += fmt.Sprintf("; worst of %d seeds", packings)
+	return worst, nil
+}
+
+// packOnce places mixed work on a fleet with room to spare and compares the
 // workers used with the least that its volume needs.
-func checkPacking(seed uint64) (Check, error) {
+func packOnce(seed uint64) (Check, error) {
 	const workers, filled = 400, 0.6
 	m := newMaker("packing", seed, time.Hour)
 	m.addWorkers(workers, placer.NewResources(16_000, 64<<10, 0))
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -60,7 +60,7 @@
 
 func TestPacking(t *testing.T) {
 	c := qt.New(t)
-	check, err := checkPacking(1)
+	check, err := packOnce(1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(check.Figure >= leastPacking, qt.IsTrue, qt.Commentf("%+v", check))
 }
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -6,9 +6,13 @@
 // it too early, never too late.
 const mostAhead = 1024
 
+// forecastSteps is how often a forecast is refined by the work that arrives
+// meanwhile.
+const forecastSteps = 4
+
 // forecastMargin is by how much a forecast lengthens the wait, for what comes
 // later and goes first.
-const forecastMargin = 1.3
+const forecastMargin = 1.25
 
 // Forecast is when a job would be over if it were accepted now.
 type Forecast struct {
@@ -59,20 +63,29 @@
 
 // timeFor returns the seconds until a team has got that much work done, in
 // thousandths of a processor times seconds. Meanwhile each other team gets its
-// own backlog done, or as much as its share against that of the team.
+// own backlog and what arrives for it done, or as much as its share against that
+// of the team.
 func (p *Placer) timeFor(t *team, work float64) float64 {
+	took := 0.0
+	for range forecastSteps {
+		took = p.timeWith(t, work, min(took, inflowMemory.Seconds()))
+	}
+	if t.allotment > t.stay {
+		took = max(took, work/float64(t.allotment-t.stay))
+	}
+	return took
+}
+
+// timeWith is timeFor when work goes on to arrive for some seconds.
+func (p *Placer) timeWith(t *team, work, arriving float64) float64 {
 	sum, free := work, p.total.cpu
 	for _, o := range p.teams {
 		free -= o.stay
 		if o != t {
-			sum += min(o.backlog, work*o.weight/t.weight)
+			sum += min(o.backlog+o.inflow*arriving, work*o.weight/t.weight)
 		}
 	}
-	alone := 0.0
-	if t.allotment > t.stay {
-		alone = work / float64(t.allotment-t.stay)
-	}
-	return max(sum/float64(max(free, 1)), alone)
+	return sum / float64(max(free, 1))
 }
 
 // load returns the work of some tasks of the job, in thousandths of a processor
--- a/placer/jobs.go
+++ b/placer/jobs.go
@@ -45,6 +45,7 @@
 	p.jobs[spec.id] = j
 	t.addJob(j)
 	p.wait(j, spec.tasks)
+	t.arrived += j.load(j.pending)
 	t.enqueue(j)
 	p.released = true
 }
--- a/placer/team.go
+++ b/placer/team.go
@@ -22,6 +22,8 @@
 	demand    Resources  // sum of the sizes of pending tasks that may start
 	active    int        // tasks on nodes
 	backlog   float64    // learned work of tasks that wait, in thousandths of a processor times seconds
+	arrived   float64    // learned work accepted since the last reckoning, in the same unit
+	inflow    float64    // the same for each second, over inflowMemory
 	elsewhere Resources  // used in other shards
 	foreign   float64    // elsewhere as a dominant share of the workers here
 	wish      float64    // dominant share that it could use, at most its allotment
--- a/placer/teams.go
+++ b/placer/teams.go
@@ -115,6 +115,9 @@
 const (
 	shareInterval = 250 * time.Millisecond
 	shareMemory   = 20 * time.Second
+	// inflowMemory is over how long the work that arrives is averaged, and how
+	// long a forecast expects it to go on.
+	inflowMemory = 5 * time.Minute
 	// shareSteps is how often the search for the level halves its range.
 	shareSteps = 40
 )
@@ -135,6 +138,7 @@
 	for _, t := range p.teams {
 		t.share = t.used.DominantShare(p.total)
 		t.ideal = t.due(level)
+		t.meter(past)
 		if p.shares.at == 0 || t.pending == 0 {
 			t.deficit = 0
 			continue
@@ -145,6 +149,15 @@
 	p.shares = shares{at: now}
 }
 
+// meter brings the inflow of the team up to date after some nanoseconds.
+func (t *team) meter(past int64) {
+	if seconds := time.Duration(past).Seconds(); seconds > 0 {
+		part := min(seconds/inflowMemory.Seconds(), 1)
+		t.inflow += (t.arrived/seconds - t.inflow) * part
+		t.arrived = 0
+	}
+}
+
 // level returns the highest share for each unit of weight at which the demands
 // of all teams still fit: weighted max-min over dominant shares.
 func (p *Placer) level() float64 {
