granter: Divide limits without maps, and keep records as CBOR

Cause: at 37 teams on 24 shards a record took 2.84 ms to read and plan, against a target of 1.2 % of a core for all control. Change: a division is a level and a spare part, worked out without sorting while there is enough; only teams that change are copied; records are CBOR, not JSON. Conclusion: records that change many times a second still cost each owner a decoding each time.

--- a/granter/allotter_book.go
+++ b/granter/allotter_book.go
@@ -1,7 +1,6 @@
 package granter
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -183,7 +182,7 @@
 	if t.sum(kind) <= t.Limit[kind] {
 		return 0
 	}
-	return max(0, u.running[kind]-t.targets(kind)[b.shard])
+	return max(0, u.running[kind]-t.divide(kind).target(t.Shards[b.shard].Want[kind]))
 }
 
 // state reports whether the record was ever read, or returns ErrDeposed.
@@ -251,7 +250,7 @@
 	}
 	// Without a change this replaces an attempt that may yet hold.
 	next.Terms[b.shard] = b.term
-	value, err := json.Marshal(next)
+	value, err := next.encode()
 	if err != nil {
 		return move{}, false, err
 	}
--- a/granter/allotter_plan.go
+++ b/granter/allotter_plan.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"maps"
 	"math/bits"
 	"time"
 )
@@ -56,7 +57,7 @@
 		return false
 	}
 	newer := planLimit(team, u)
-	if team.Shards == nil {
+	if team.Shards = maps.Clone(team.Shards); team.Shards == nil {
 		team.Shards = map[string]shareRecord{}
 	}
 	share := before
@@ -91,15 +92,15 @@
 // planKind returns what the shard should hold next of a kind.
 func planKind(team teamRecord, shard string, kind Kind, running int64, firm bool) int64 {
 	have, sum := team.Shards[shard].Have[kind], team.sum(kind)
-	targets := team.targets(kind)
-	target := targets[shard]
+	d := team.divide(kind)
+	target := d.target(team.Shards[shard].Want[kind])
 	switch {
 	case have < target:
 		free := max(0, team.Limit[kind]-sum)
 		return have + min(target-have, free)
 	case !firm:
 		return have
-	case sum > team.Limit[kind], team.short(shard, kind, targets):
+	case sum > team.Limit[kind], team.short(shard, kind, d):
 		return min(have, max(target, running))
 	default:
 		return have
--- a/granter/allotter_record.go
+++ b/granter/allotter_record.go
@@ -1,12 +1,11 @@
 package granter
 
 import (
-	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 
 	"filberthaven.example/keeper"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Kind is a quantity that a team's upper limit counts.
@@ -32,41 +31,43 @@
 
 // groupRecord is the value of live/limit/GROUP.
 type groupRecord struct {
-	Terms map[string]uint64     `json:"terms"` // by shard: highest term that wrote
-	Teams map[string]teamRecord `json:"teams"`
+	Terms map[string]uint64     `cbor:"terms"` // by shard: highest term that wrote
+	Teams map[string]teamRecord `cbor:"teams"`
 }
 
 // teamRecord is a team's part of a group. For each kind the sum of what shards
 // have is at most the limit, or was when the limit was higher and has only
 // fallen since.
 type teamRecord struct {
-	Revision [kinds]uint64          `json:"revision"` // of the configuration that set the limit
-	Limit    amounts                `json:"limit"`
-	Shards   map[string]shareRecord `json:"shards"` // without those that have and want nothing
+	Revision [kinds]uint64          `cbor:"revision"` // of the configuration that set the limit
+	Limit    amounts                `cbor:"limit"`
+	Shards   map[string]shareRecord `cbor:"shards"` // without those that have and want nothing
 }
 
 // shareRecord is one shard's part of a team's limit.
 type shareRecord struct {
-	Have amounts `json:"have"`
-	Want amounts `json:"want"`
+	Have amounts `cbor:"have"`
+	Want amounts `cbor:"want"`
 }
 
 // decodeGroup reads a record.
 func decodeGroup(entry keeper.Entry) (groupRecord, error) {
 	var r groupRecord
-	err := json.Unmarshal(entry.Value(), &r)
+	err := cbor.Unmarshal(entry.Value(), &r)
 	return r, err
 }
 
-// clone returns a copy that shares nothing.
+// encode returns the value of the record.
+func (r groupRecord) encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// clone returns a copy whose teams share their shards with the original.
 func (r groupRecord) clone() groupRecord {
-	c := groupRecord{Terms: map[string]uint64{}, Teams: map[string]teamRecord{}}
-	maps.Copy(c.Terms, r.Terms)
-	for name, team := range r.Teams {
-		shards := map[string]shareRecord{}
-		maps.Copy(shards, team.Shards)
-		team.Shards = shards
-		c.Teams[name] = team
+	c := groupRecord{Terms: maps.Clone(r.Terms), Teams: maps.Clone(r.Teams)}
+	if c.Terms == nil {
+		c.Terms = map[string]uint64{}
+	}
+	if c.Teams == nil {
+		c.Teams = map[string]teamRecord{}
 	}
 	return c
 }
@@ -90,40 +91,47 @@
 	return sum
 }
 
-// demand is what one shard wants.
-type demand struct {
-	shard string
-	want  int64
+// division says how a team's limit of one kind should be divided: by max-min
+// fairness of what is wanted, and evenly as to what nobody wants, of which one
+// part stays free for a shard yet to come.
+type division struct {
+	level int64 // the most that a shard gets of what it wants
+	spare int64 // what each shard gets besides
 }
 
-// targets returns what each shard should have of a kind: its part by max-min
-// fairness of what is wanted, and an even part of what nobody wants, of which
-// one part stays free for a shard yet to come.
-func (t teamRecord) targets(kind Kind) map[string]int64 {
-	demands := make([]demand, 0, len(t.Shards))
-	for name, share := range t.Shards {
-		demands = append(demands, demand{name, share.Want[kind]})
+// target returns what a shard should have that wants that much.
+func (d division) target(want int64) int64 { return min(want, d.level) + d.spare }
+
+// divide returns the division of a kind.
+func (t teamRecord) divide(kind Kind) division {
+	limit, total, highest := max(0, t.Limit[kind]), int64(0), int64(0)
+	for _, share := range t.Shards {
+		total += share.Want[kind]
+		highest = max(highest, share.Want[kind])
+	}
+	if total <= limit {
+		return division{level: highest, spare: (limit - total) / int64(len(t.Shards)+1)}
 	}
-	slices.SortFunc(demands, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(a.want, b.want), cmp.Compare(a.shard, b.shard))
-	})
-	left := max(0, t.Limit[kind])
-	targets := make(map[string]int64, len(demands))
-	for n, d := range demands {
-		part := min(d.want, left/int64(len(demands)-n))
-		targets[d.shard] = part
-		left -= part
+	wants := make([]int64, 0, len(t.Shards))
+	for _, share := range t.Shards {
+		wants = append(wants, share.Want[kind])
 	}
-	for name := range targets {
-		targets[name] += left / int64(len(demands)+1)
+	slices.Sort(wants)
+	left := limit
+	for n, want := range wants {
+		level := left / int64(len(wants)-n)
+		if want > level {
+			return division{level: level}
+		}
+		left -= want
 	}
-	return targets
+	return division{level: highest}
 }
 
 // short reports whether another shard lacks what it should have.
-func (t teamRecord) short(shard string, kind Kind, targets map[string]int64) bool {
+func (t teamRecord) short(shard string, kind Kind, d division) bool {
 	for name, share := range t.Shards {
-		if name != shard && share.Have[kind] < min(share.Want[kind], targets[name]) {
+		if name != shard && share.Have[kind] < min(share.Want[kind], d.target(share.Want[kind])) {
 			return true
 		}
 	}
--- a/granter/capacity_test.go
+++ b/granter/capacity_test.go
@@ -1,7 +1,6 @@
 package granter
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -41,7 +40,7 @@
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			c := qt.New(b)
 			record := manyRecord(teams, shards)
-			data, err := json.Marshal(record)
+			data, err := record.encode()
 			c.Assert(err, qt.IsNil)
 			known := map[string]*usage{}
 			for name := range record.Teams {
