scheduler: Take an operator's word that a data centre is lost

Cause: after all VMs of a data centre were killed and it was declared lost, its jobs never ended: its shard had a new owner elsewhere, which drained it, but a worker's lease from an earlier term counts as lapsed only once most workers were fenced, since a former owner that is cut off could go on renewing it. Of a lost data centre no worker is ever fenced. Ruled out: the election (taken over after 2 s) and the hand-over of jobs. Change: the declaration stands in for the quorum: leases count as lapsed after the usual wait from then on. One log line for a job not accepted, not one for each try. Conclusion: the declaration is what lets work leave a data centre that can't be reached, as the design says; without it nothing is guessed.

--- a/launcher/endpoints.go
+++ b/launcher/endpoints.go
@@ -39,6 +39,23 @@
 	return nil
 }
 
+// standWorker is a stand-in of a worker with its listener.
+type standWorker struct {
+	worker *emulator.Worker
+	server *http.Server
+	centre string
+}
+
+// KillWorkers ends all workers of a data centre at once, with what they run.
+func (f *Fleet) KillWorkers(centre string) {
+	for _, each := range f.tasks {
+		if each.centre == centre {
+			_ = each.server.Close()
+			each.worker.Kill()
+		}
+	}
+}
+
 // startWorker starts one worker and puts it into the platform's list.
 func (f *Fleet) startWorker(calls *messenger.Messenger, centre string, i int) error {
 	id := fmt.Sprintf("%s-worker-%d", centre, i+1)
@@ -50,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	f.tasks = append(f.tasks, worker)
+	f.tasks = append(f.tasks, standWorker{worker: worker, server: f.servers[len(f.servers)-1], centre: centre})
 	f.platform.SetVM(emulator.VM{
 		ID: id, Role: "worker", Address: address, Centre: centre, Rack: fmt.Sprintf("%s-rack-%d", centre, i/rackSize+1),
 		CPU: f.plan.cpu, Memory: f.plan.memory, State: "live", Incarnation: 1,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -45,7 +45,7 @@
 	servers  []*http.Server
 	vms      []*VM
 	stands   []*emulator.Executor
-	tasks    []*emulator.Worker
+	tasks    []standWorker
 	keys     Keys
 	group    sync.WaitGroup
 	cancel   context.CancelFunc
@@ -143,8 +143,8 @@
 	group.Wait()
 	f.group.Wait()
 	f.cancel()
-	for _, worker := range f.tasks {
-		worker.Close()
+	for _, each := range f.tasks {
+		each.worker.Close()
 	}
 	for _, each := range f.servers {
 		_ = each.Close()
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -74,6 +74,22 @@
 	return s.serves()
 }
 
+// DeclareLost takes an operator's word that no other owner renews the leases of
+// workers here any more: those that this owner never reached count as lapsed after
+// the usual wait. Errors: ErrNotOwner.
+func (s *Scheduler) DeclareLost(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.serves(); err != nil {
+		return err
+	}
+	if s.quorum.IsZero() {
+		s.quorum = time.Now()
+		s.logger.Warn("Data centre declared lost.", "shard", s.shard, "workers", len(s.links))
+	}
+	return nil
+}
+
 // Drained reports whether Drain is in force.
 func (s *Scheduler) Drained() bool {
 	s.mu.Lock()
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -40,6 +40,9 @@
 		id, duplicate, err = s.submitTo(ctx, shards, spec, request)
 		return err
 	})
+	if err != nil {
+		s.decisions.Info("job not accepted", "team", spec.Team(), "request", request, "error", err)
+	}
 	return id, duplicate, callError(err)
 }
 
@@ -53,7 +56,7 @@
 			s.decisions.Info("job sent to shard", "job", receipt.Job(), "shard", shard, "home", request != "")
 			return receipt.Job(), !receipt.First(), nil
 		}
-		s.decisions.Info("job not accepted", "shard", shard, "team", spec.Team(), "error", err)
+		s.decisions.Debug("job not accepted", "shard", shard, "team", spec.Team(), "error", err)
 		if !errors.Is(err, scheduler.ErrNotRun) && !errors.Is(err, scheduler.ErrNotOwner) {
 			break
 		}
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -224,17 +224,22 @@
 		t.scheduler.SetWorkers(s.shardWorkers(t.shard))
 	}
 	s.setLimits(t.allotter)
-	var err error
-	if s.inService(centre) {
-		err = t.scheduler.Resume(ctx)
-	} else {
-		err = t.scheduler.Drain(ctx)
-	}
-	if err != nil && !errors.Is(err, scheduler.ErrNotOwner) && !errors.Is(err, scheduler.ErrNotRun) {
+	if err := s.passState(ctx, t, s.centreState(centre)); err != nil && !errors.Is(err, scheduler.ErrNotOwner) && !errors.Is(err, scheduler.ErrNotRun) {
 		s.logger.Warn("state of data centre not passed on", "shard", t.shard, "error", err)
 	}
 }
 
+// passState tells the owner whether its data centre is in service, out or lost.
+func (s *Server) passState(ctx context.Context, t *tenure, state configurer.State) error {
+	if state == configurer.In {
+		return t.scheduler.Resume(ctx)
+	}
+	if err := t.scheduler.Drain(ctx); err != nil || state != configurer.Lost {
+		return err
+	}
+	return t.scheduler.DeclareLost(ctx)
+}
+
 // journalSeam binds a journal to what a scheduler needs of it.
 func journalSeam(journal *journaler.Journaler) scheduler.Journal {
 	return scheduler.Journal{
