granter: Start nothing above a shard's due while another lacks its own

Cause: under a backlog a shard filled up again each part of a team's limit that its tasks set free, so that a shard with nothing never got its due. Change: Startable is the allotment, or the shard's own target while another is short; Reserve and SetUsage keep to it. The scheduler follows it and stops only what exceeds a lowered limit (Excess). Measured: TestAllotter, a backlog gives parts away as its tasks end: before 10000 and 0, after 5000 and 5000. Conclusion: the division converges while all shards have a backlog.

--- a/granter/allotter.go
+++ b/granter/allotter.go
@@ -105,6 +105,15 @@
 // smaller of the old and the new amount while a write's outcome is unknown.
 func (a *Allotter) Allotment(team string, kind Kind) int64 { return a.book(team).allotment(team, kind) }
 
+// Startable returns up to which amount of a kind the team's tasks may start in this
+// shard: the allotment, or less while a part of it is to go to another shard.
+func (a *Allotter) Startable(team string, kind Kind) int64 {
+	b := a.book(team)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.startable(team, kind)
+}
+
 // Reserve counts an amount as running if it fits into the allotment, and reports
 // whether it does. It is called before a start.
 func (a *Allotter) Reserve(team string, kind Kind, amount int64) bool {
--- a/granter/allotter_book.go
+++ b/granter/allotter_book.go
@@ -62,22 +62,34 @@
 	if b.record.Terms[b.shard] != b.term {
 		return 0
 	}
-	amount := b.record.Teams[team].Shards[b.shard].Have[kind]
+	t := b.record.Teams[team]
+	amount := t.Shards[b.shard].Have[kind]
 	for _, attempt := range b.attempts {
 		amount = min(amount, attempt[team][kind])
 	}
-	if u := b.teams[team]; u != nil && u.revision[kind] > b.record.Teams[team].Revision[kind] {
+	if u := b.teams[team]; u != nil && u.revision[kind] > t.Revision[kind] {
 		amount = min(amount, u.limit[kind])
 	}
 	return amount
 }
 
+// startable returns up to which amount tasks may start. While another shard lacks
+// what it should have, that is this shard's own target: otherwise a shard with a
+// backlog would fill up again what it is to give away.
+func (b *book) startable(team string, kind Kind) int64 {
+	amount, t := b.effective(team, kind), b.record.Teams[team]
+	if d := t.divide(kind); t.short(b.shard, kind, d) {
+		amount = min(amount, d.target(t.Shards[b.shard].Want[kind]))
+	}
+	return amount
+}
+
 // reserve counts an amount as running if it fits.
 func (b *book) reserve(team string, kind Kind, amount int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(team)
-	if u.running[kind]+amount > b.effective(team, kind) {
+	if u.running[kind]+amount > b.startable(team, kind) {
 		u.wanted[kind] = max(u.wanted[kind], amount)
 		u.idle = time.Time{}
 		return false
@@ -127,7 +139,7 @@
 func (b *book) setUsage(team string, kind Kind, running, wanted int64) (ok, lacking bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u, allowed := b.usage(team), b.effective(team, kind)
+	u, allowed := b.usage(team), b.startable(team, kind)
 	ok = running <= u.running[kind] || running <= allowed
 	u.told = true
 	if ok {
--- a/granter/allotter_test.go
+++ b/granter/allotter_test.go
@@ -118,6 +118,22 @@
 		c.Assert(a.Allotment(team, granter.CPU), qt.Equals, int64(5000))
 		c.Assert(b.Allotment(team, granter.CPU), qt.Equals, int64(5000))
 	})
+	bubble(t, "a backlog gives parts away as its tasks end", func(c *qt.C, store *emulator.Store) {
+		a, b := pair(c, store, 10000)
+		a.SetUsage(team, granter.CPU, 0, 20000)
+		pass(c, 2*time.Second, 10000, a, b)
+		a.start(10000, 1000)
+		b.SetUsage(team, granter.CPU, 0, 20000)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			a.stop(1000)
+			a.start(1000, 1000)
+			b.start(1000, 1000)
+			within(c, 10000, a, b)
+		}
+		c.Assert(a.running, qt.Equals, int64(5000))
+		c.Assert(b.running, qt.Equals, int64(5000))
+	})
 	bubble(t, "a lowered limit stops growth and tells the excess", func(c *qt.C, store *emulator.Store) {
 		a, b := pair(c, store, 10000)
 		a.SetUsage(team, granter.CPU, 0, 8000)
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -10,6 +10,8 @@
 	Use func(team string, running, wanted int64) bool
 	// Recover tells the same of what runs already, whatever the limit.
 	Recover func(team string, running, wanted int64)
+	// Excess returns how much runs above a limit that was lowered, which has to end.
+	Excess func(team string) int64
 }
 
 // noLimits returns limits that let everything start.
@@ -17,6 +19,7 @@
 	return Limits{
 		Use:     func(string, int64, int64) bool { return true },
 		Recover: func(string, int64, int64) {},
+		Excess:  func(string) int64 { return 0 },
 	}
 }
 
@@ -30,20 +33,23 @@
 }
 
 // overLimit tells the limits what is about to start, and returns the teams of
-// which nothing more may start: a part of their limit has gone to another shard
-// since the placer was told.
+// which nothing more may start: a part of their limit goes to another shard.
 func (s *Scheduler) overLimit(decisions []placer.Decision) map[string]bool {
-	asked := map[string]bool{}
-	unfenced := s.unfenced()
+	starting := map[string]int64{}
 	for _, d := range decisions {
-		name := s.teamOf(d)
-		if _, known := asked[name]; known || d.Kind() != placer.Start {
-			continue
+		if j, t := s.book.taskOf(d.Task()); t != nil && d.Kind() == placer.Start {
+			starting[j.spec.Team()] += j.spec.Size().CPU()
 		}
+	}
+	over := make(map[string]bool, len(starting))
+	unfenced := s.unfenced()
+	for name, cpu := range starting {
 		team := s.placer.Team(name)
-		asked[name] = !s.limits.Use(name, team.Used().CPU()+unfenced, team.Demand().CPU())
+		running, wanted := team.Used().CPU()+unfenced, team.Demand().CPU()
+		s.limits.Recover(name, running-cpu, wanted+cpu)
+		over[name] = !s.limits.Use(name, running, wanted)
 	}
-	return asked
+	return over
 }
 
 // takeBack undoes the placement of a task that was not started, and tells the
@@ -73,11 +79,13 @@
 }
 
 // part returns the team's part of its limit here, less what may run on workers that
-// have not been read back yet; negative when there is no limit.
+// have not been read back yet; negative when there is no limit. A part that moves
+// stops no task that runs: only a limit that was lowered does.
 func (s *Scheduler) part(team string, unfenced int64) int64 {
 	allotment := s.allotment(team)
 	if allotment < 0 {
 		return allotment
 	}
-	return max(0, allotment-unfenced)
+	keep := s.placer.Team(team).Used().CPU() - s.limits.Excess(team)
+	return max(0, allotment-unfenced, keep)
 }
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -212,7 +212,7 @@
 	if resolver.Limit(team) >= configurer.Unlimited {
 		return -1
 	}
-	return allotter.Allotment(team, granter.CPU)
+	return allotter.Startable(team, granter.CPU)
 }
 
 // setLimits tells the declared limits.
@@ -239,5 +239,6 @@
 			allotter.Recover(team, granter.CPU, running)
 			allotter.SetUsage(team, granter.CPU, running, wanted)
 		},
+		Excess: func(team string) int64 { return allotter.Excess(team, granter.CPU) },
 	}
 }
