placer: Give up a gang's reservation that lost a part

Cause: a gang whose reserved worker turned leaving or was quarantined kept the rest of its reservation for ever: jobs with holds are passed over when reservations are made, and a start needs all of them. Change: an incomplete reservation is released, so that the gang reserves anew.

--- a/placer/holds.go
+++ b/placer/holds.go
@@ -71,7 +71,13 @@
 }
 
 func (p *Placer) startGang(r *round, j *job) {
-	if len(j.holds) < int(j.pending) || j.delayed > 0 {
+	if j.delayed > 0 {
+		return
+	}
+	if len(j.holds) < int(j.pending) {
+		// A worker with a part of the reservation has gone or takes no more work: the
+		// gang waits for a whole one again.
+		p.releaseHolds(j)
 		return
 	}
 	for _, h := range j.holds {
