--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -19,6 +19,10 @@
 // would hardly get smaller, and each compressor holds most of a megabyte.
 const compressFloor = 512
 
+// compressLeast is the size in bytes from which messages are compressed; smaller
+// ones cost more processor time than they save.
+const compressLeast = 4 << 10
+
 // Messenger makes calls to other processes and registers handlers for theirs.
 type Messenger struct {
 	client  connect.HTTPClient
@@ -99,7 +103,7 @@
 		return known.(*connect.Client[Req, Res])
 	}
 	client := connect.NewClient[Req, Res](m.client, m.scheme+"://"+key.address+key.procedure,
-		connect.WithCodec(m.codec), connect.WithReadMaxBytes(MessageLimit))
+		connect.WithCodec(m.codec), connect.WithReadMaxBytes(MessageLimit), connect.WithCompressMinBytes(compressLeast))
 	m.clients.Store(key, client)
 	return client
 }
--- a/server/run.go
+++ b/server/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"filberthaven.example/admitter"
@@ -62,9 +63,7 @@
 	defer cancel()
 	s.router.Drain()
 	s.resign(ctx, s.decisions)
-	if err := s.router.Shutdown(ctx); err != nil {
-		s.decisions.Warn("requests under way at the end of the drain time", "error", err)
-	}
+	s.awaitQuiet(ctx)
 	for _, server := range []*http.Server{callers, peers} {
 		if err := server.Shutdown(ctx); err != nil {
 			_ = server.Close()
@@ -73,6 +72,19 @@
 	s.decisions.Info("stopped", "vm", s.settings.ID())
 }
 
+// quietTimeout bounds the wait for callers to go elsewhere. One that ignores the
+// readiness after that finds the connection refused, and nothing has run.
+const quietTimeout = 5 * time.Second
+
+// awaitQuiet serves until callers have gone elsewhere.
+func (s *Server) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quietTimeout)
+	defer cancel()
+	if err := s.router.Shutdown(ctx); err != nil {
+		s.decisions.Info("callers have not gone elsewhere", "error", err)
+	}
+}
+
 // internalHandler serves the calls of other entry VMs, and requests that they
 // pass on.
 func (s *Server) internalHandler() http.Handler {
@@ -83,8 +95,31 @@
 	scheduler.Handle(s.messenger, mux, s.tenures.scheduler)
 	s.collector.Handle(s.messenger, mux)
 	s.spreader.Handle(s.messenger, mux)
-	mux.Handle("/v1/services/", s.router)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		// A ServeMux would redirect paths that it cleans.
+		if strings.HasPrefix(request.URL.Path, servicesPath) {
+			s.router.ServeHTTP(w, request)
+			return
+		}
+		mux.ServeHTTP(w, request)
+	})
+}
+
+// servicesPath begins the paths of urgent requests.
+const servicesPath = "/v1/services/"
+
+// followEndpoints keeps requests away from endpoints that leave, before the
+// owner's grants say so.
+func (s *Server) followEndpoints(changed []tracker.VM) {
+	for _, vm := range changed {
+		if vm.Role() != tracker.EndpointRole {
+			continue
+		}
+		s.holder.Exclude(vm.ID(), s.leaves(vm) || vm.Presence() == tracker.Gone)
+		if vm.Presence() == tracker.Gone {
+			s.router.Forget(vm.Service(), vm.ID())
+		}
+	}
 }
 
 // chooseCandidates keeps the elector told of the shards this entry VM may own:
--- a/server/server.go
+++ b/server/server.go
@@ -274,7 +274,11 @@
 		router.WithPage(page),
 		router.WithOperators(operators),
 	)
-	return err
+	if err != nil {
+		return err
+	}
+	s.tracker.Subscribe(s.followEndpoints)
+	return nil
 }
 
 // ErrNotReady means that the entry VM has no declarations or no slots yet.
