--- a/elector/decide.go
+++ b/elector/decide.go
@@ -11,8 +11,6 @@
 
 // decide announces changes of ownership and takes shards that are free.
 func (e *Elector) decide(ctx context.Context) error {
-	ticker := time.NewTicker(decideInterval)
-	defer ticker.Stop()
 	swept := time.Now()
 	for {
 		if time.Since(swept) >= sweepInterval {
@@ -26,11 +24,8 @@
 				e.announce(shard)
 			}
 		}
-		select {
-		case <-e.kick:
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := sleep(ctx, decideInterval, e.kick); err != nil {
+			return err
 		}
 	}
 }
--- a/elector/renew.go
+++ b/elector/renew.go
@@ -14,9 +14,8 @@
 	key := vmPrefix + e.vm.id
 	record := vmRecord{Incarnation: e.vm.incarnation, Address: e.vm.address, Centre: e.vm.centre}
 	var version uint64
-	ticker := time.NewTicker(e.renewal)
-	defer ticker.Stop()
 	for {
+		due := time.Now().Add(e.renewal)
 		record.Count++
 		written, err := e.writeRecord(ctx, key, record, version)
 		switch {
@@ -34,14 +33,27 @@
 				continue
 			}
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := sleep(ctx, time.Until(due), nil); err != nil {
+			return err
 		}
 	}
 }
 
+// sleep waits for d, a kick or the end of the context, whose error it returns.
+func sleep(ctx context.Context, d time.Duration, kick <-chan struct{}) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-kick:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // writeRecord makes one attempt at a compare-and-swap, and tells the mirror.
 func (e *Elector) writeRecord(ctx context.Context, key string, record any, expect uint64) (uint64, error) {
 	value, err := json.Marshal(record)
