scheduler: Tell cancelled tasks from those that are done

Cause: on a tour by hand a cancelled job showed 2 tasks done: the callers' API reckoned done as ended less failed and lost. The status showed 0.0 reads a second, as it left out watches, which the platform counts as reads. Conclusion: none beyond the change.

--- a/launcher/check.go
+++ b/launcher/check.go
@@ -52,6 +52,7 @@
 		{"urgent request answered", f.checkUrgent},
 		{"job accepted and done", f.checkJob},
 		{"gang run", f.checkGang},
+		{"job cancelled", f.checkCancel},
 		{"data centre drained", f.checkDrain},
 		{"data centre returned", f.checkReturn},
 		{"key withdrawn", f.checkWithdrawn},
@@ -94,6 +95,30 @@
 	return f.await(ctx, f.vms[len(f.vms)-1], id)
 }
 
+// checkCancel cancels a job whose tasks run, and sees that none is told as done.
+func (f *Fleet) checkCancel(ctx context.Context) (string, error) {
+	id, err := f.submit(ctx, f.vms[0], `{"name":"tariff","tasks":2,"cpu":1,"memory":512,"class":"deferred","estimate":"1h"}`)
+	if err != nil {
+		return "", err
+	}
+	path := "/v1/jobs/" + id
+	if _, err := f.call(ctx, f.vms[1], f.keys.team, http.MethodDelete, path, nil); err != nil {
+		return "", err
+	}
+	answer, err := f.call(ctx, f.vms[1], f.keys.team, http.MethodGet, path+"/wait?timeout="+jobTimeout.String(), nil)
+	if err != nil {
+		return "", err
+	}
+	var job struct {
+		State string
+		Done  int
+	}
+	if json.Unmarshal(answer.body, &job) != nil || job.State != "cancelled" || job.Done != 0 {
+		return "", answer.unexpected()
+	}
+	return "job " + id + " cancelled, 0 tasks done", nil
+}
+
 // submit submits a job and returns its id.
 func (f *Fleet) submit(ctx context.Context, vm *VM, body string) (string, error) {
 	answer, err := f.call(ctx, vm, f.keys.team, http.MethodPost, "/v1/jobs", []byte(body))
--- a/scheduler/handler.go
+++ b/scheduler/handler.go
@@ -100,6 +100,7 @@
 	Lost    int         `cbor:"6,keyasint,omitempty"`
 	Target  string      `cbor:"7,keyasint,omitempty"`
 	Over    int64       `cbor:"8,keyasint,omitempty"` // milliseconds since 1970
+	Done    int         `cbor:"9,keyasint,omitempty"`
 }
 
 // Handle registers the calls of other entry VMs; lookup returns the scheduler of
@@ -214,13 +215,13 @@
 func newStatusMessage(s Status) statusMessage {
 	return statusMessage{
 		Spec: newSpecRecord(s.spec), State: s.state, Running: s.running, Ended: s.ended,
-		Failed: s.failed, Lost: s.lost, Target: s.target, Over: millis(s.over),
+		Done: s.done, Failed: s.failed, Lost: s.lost, Target: s.target, Over: millis(s.over),
 	}
 }
 
 func (m statusMessage) status() Status {
 	status := Status{
-		state: m.State, running: m.Running, ended: m.Ended, failed: m.Failed, lost: m.Lost,
+		state: m.State, running: m.Running, ended: m.Ended, done: m.Done, failed: m.Failed, lost: m.Lost,
 		target: m.Target, over: timeOf(m.Over),
 	}
 	if m.Spec != nil {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -46,6 +46,7 @@
 	state   State
 	running int       // tasks that run
 	ended   int       // tasks that ended for good
+	done    int       // of those ended, tasks that ran to their end
 	failed  int       // of those ended, tasks that failed for good
 	lost    int       // of those ended, tasks whose outcome is unknown
 	target  string    // shard that has the job, with Moved
@@ -76,6 +77,9 @@
 // Ended returns the number of tasks that ended for good.
 func (s Status) Ended() int { return s.ended }
 
+// Done returns the number of tasks that ran to their end.
+func (s Status) Done() int { return s.done }
+
 // Failed returns the number of tasks that failed for good.
 func (s Status) Failed() int { return s.failed }
 
@@ -95,7 +99,7 @@
 	}
 	status := Status{
 		spec: j.spec, state: j.state(), running: j.running, ended: ended,
-		failed: int(j.results[resultFailed]), lost: int(j.results[resultUnknown]),
+		done: int(j.results[resultDone]), failed: int(j.results[resultFailed]), lost: int(j.results[resultUnknown]),
 	}
 	if j.moved {
 		status.target = j.target
--- a/server/calls.go
+++ b/server/calls.go
@@ -40,7 +40,7 @@
 		case <-ticker.C:
 		}
 		for kind, rate := range c.rates {
-			count := metrics.GetOrRegisterCounter("store."+kind, c.registry).Count()
+			count := c.count(kind)
 			rate.Update(count - last[kind])
 			rate.Tick()
 			last[kind] = count
@@ -48,5 +48,14 @@
 	}
 }
 
+// count returns the calls of a kind so far. A watch counts as a read.
+func (c *callRates) count(kind string) int64 {
+	count := metrics.GetOrRegisterCounter("store."+kind, c.registry).Count()
+	if kind == "reads" {
+		count += metrics.GetOrRegisterCounter("store.watches", c.registry).Count()
+	}
+	return count
+}
+
 // rate returns calls of a kind a second over the last minute.
 func (c *callRates) rate(kind string) float64 { return c.rates[kind].Rate() }
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -186,8 +186,7 @@
 
 // callerJob returns a job as its team sees it.
 func callerJob(status scheduler.Status) router.Job {
-	done := status.Ended() - status.Failed() - status.Lost()
 	pending := max(status.Tasks()-status.Running()-status.Ended(), 0)
-	counts := router.NewCounts(pending, status.Running(), done, status.Failed(), status.Lost())
+	counts := router.NewCounts(pending, status.Running(), status.Done(), status.Failed(), status.Lost())
 	return router.NewJob(status.Spec(), status.State().String(), status.State().Final(), counts, "")
 }
