elector: Hand no shard to a VM that is about to stop

Cause: with two entry VMs of a data centre stopping at a time, the second handed its shard to the first, which had stopped taking shards: no owner for a TTL. A test that stops owners of a drained data centre showed it (a job was accepted only after 1.9 to 2.0 s). Change: a VM that leaves says so in its record at once, and is no successor. The owner of a shard begins drained when its data centre is out, instead of being told after it has begun.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -57,6 +57,8 @@
 	deposed func(shard string)
 	kick    chan struct{} // of capacity 1; a shard's record has changed
 
+	hasten chan struct{} // of capacity 1; the next renewal is due at once
+
 	mu         sync.Mutex
 	candidates map[string]bool       // shards that this VM may own
 	leaving    bool                  // take nothing any more
@@ -108,6 +110,7 @@
 		elected:    func(string, uint64) {},
 		deposed:    func(string) {},
 		kick:       make(chan struct{}, 1),
+		hasten:     make(chan struct{}, 1),
 		candidates: map[string]bool{},
 		seen:       map[process]time.Time{},
 		free:       map[string]time.Time{},
@@ -159,13 +162,13 @@
 }
 
 // Live returns the VMs of the own data centre that were seen to renew within a
-// TTL, this one included, by id.
+// TTL and don't leave, this one included, by id.
 func (e *Elector) Live() []VM {
 	vms := []VM{e.vm}
 	for _, entry := range e.mirror.List(vmPrefix) {
 		id := entry.Key()[len(vmPrefix):]
 		record, ok := decodeRecord[vmRecord](entry)
-		if !ok || id == e.vm.id || record.Centre != e.vm.centre || e.lapsed(process{id, record.Incarnation}) {
+		if !ok || id == e.vm.id || record.Leaving || record.Centre != e.vm.centre || e.lapsed(process{id, record.Incarnation}) {
 			continue
 		}
 		vms = append(vms, NewVM(id, record.Incarnation, record.Address, record.Centre))
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -191,6 +191,23 @@
 	})
 }
 
+// TestLeave holds that a shard isn't handed to a VM that is about to stop.
+func TestLeave(t *testing.T) {
+	run(t, "a leaving vm is no successor", func(c *qt.C, store *emulator.Store) {
+		nodes := trio(c, store, shard)
+		time.Sleep(5 * time.Second)
+		owner := soleOwner(c, nodes, shard)
+		next, ok := owner.Successor(shard)
+		c.Assert(ok, qt.IsTrue)
+		for _, node := range others(nodes, owner) {
+			node.Leave()
+		}
+		time.Sleep(300 * time.Millisecond)
+		again, ok := owner.Successor(shard)
+		c.Assert(ok, qt.IsFalse, qt.Commentf("%s before, %s after both others left", next, again))
+	})
+}
+
 func TestSweep(t *testing.T) {
 	run(t, "records of gone vms are deleted, others stay", func(c *qt.C, store *emulator.Store) {
 		nodes := trio(c, store, shard)
--- a/elector/handover.go
+++ b/elector/handover.go
@@ -45,12 +45,23 @@
 	return "", false
 }
 
-// Leave keeps this VM from taking shards from now on. It is called first in a
-// planned stop.
+// Leave keeps this VM from taking shards from now on, and tells the others, which
+// hand none to it. It is called first in a planned stop.
 func (e *Elector) Leave() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.leaving = true
+	e.mu.Unlock()
+	select {
+	case e.hasten <- struct{}{}:
+	default:
+	}
+}
+
+// isLeaving reports whether Leave was called.
+func (e *Elector) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
 }
 
 // release writes the next owner into a shard's record under the next term, and
--- a/elector/records.go
+++ b/elector/records.go
@@ -64,7 +64,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	Address     string `json:"address"`
 	Centre      string `json:"centre"`
-	Count       uint64 `json:"count"` // renewals by this incarnation
+	Count       uint64 `json:"count"`             // renewals by this incarnation
+	Leaving     bool   `json:"leaving,omitempty"` // takes no shard any more
 }
 
 // shardRecord is the value of a shard's key.
--- a/elector/renew.go
+++ b/elector/renew.go
@@ -17,6 +17,7 @@
 	for {
 		due := time.Now().Add(e.renewal)
 		record.Count++
+		record.Leaving = e.isLeaving()
 		written, err := e.writeRecord(ctx, key, record, version)
 		switch {
 		case ctx.Err() != nil:
@@ -33,7 +34,7 @@
 				continue
 			}
 		}
-		if err := sleep(ctx, time.Until(due), nil); err != nil {
+		if err := sleep(ctx, time.Until(due), e.hasten); err != nil {
 			return err
 		}
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -106,6 +106,9 @@
 // WithCentres sets the data centres.
 func WithCentres(names ...string) Option { return func(f *Fleet) { f.plan.centres = names } }
 
+// WithoutLimit lets the demo team use all workers.
+func WithoutLimit() Option { return func(f *Fleet) { f.plan.limit = "none" } }
+
 // WithExample starts one of the examples: its declarations and its sizes.
 func WithExample(name string) Option { return func(f *Fleet) { f.plan.example = name } }
 
--- a/launcher/plan.go
+++ b/launcher/plan.go
@@ -16,9 +16,10 @@
 	demoService  = "echo"
 	demoCPU      = 16_000   // thousandths of a processor
 	demoMemory   = 64 << 10 // MiB
+	demoLimit    = "96"     // processors
 	demoTemplate = `[team "demo"]
 share = 1
-limit = 96
+limit = %s
 
 [queue "default"]
 
@@ -37,6 +38,7 @@
 	cpu       int64  // of a worker, in thousandths of a processor
 	memory    int64  // of a worker, in MiB
 	team      string // whose key is made
+	limit     string // of the demo team, in processors or "none"
 	service   string // of all executors
 	files     []loader.File
 }
@@ -46,14 +48,14 @@
 	return plan{
 		centres: []string{"alfa", "bravo", "carso"},
 		entries: DefaultEntries, workers: DefaultWorkers, executors: DefaultExecutors,
-		cpu: demoCPU, memory: demoMemory, team: demoTeam, service: demoService,
+		cpu: demoCPU, memory: demoMemory, team: demoTeam, limit: demoLimit, service: demoService,
 	}
 }
 
 // load reads the example's declarations, or makes those of the demo.
 func (p *plan) load() error {
 	if p.example == "" {
-		text := fmt.Sprintf(demoTemplate, strings.Join(p.centres, ", "))
+		text := fmt.Sprintf(demoTemplate, p.limit, strings.Join(p.centres, ", "))
 		for _, centre := range p.centres {
 			text += fmt.Sprintf("\n[centre %q]\n", centre)
 		}
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -133,6 +133,7 @@
 		scheduler.WithAllotment(func(team string) int64 { return s.allotment(allotter, team) }),
 		scheduler.WithLimits(s.limits(allotter)),
 		scheduler.WithShare(s.share),
+		scheduler.WithDrained(!s.inService(centreOf(shard))),
 		scheduler.WithUsage(next.noteLoad),
 		scheduler.WithElsewhere(func() map[string]placer.Resources { return s.usedElsewhere(shard) }),
 		scheduler.WithPlacer(estimates(times, s.logger)...),
