filberthaven: Take ports that no outgoing connection uses

Its log is not kept, so the cause isn't shown; likely another connection had taken its port between the choice and the start, as the ports came from the kernel's range for outgoing connections.

--- a/filberthaven/fleet_test.go
+++ b/filberthaven/fleet_test.go
@@ -95,12 +95,29 @@
 	return e
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports of entry VMs lie below those that the kernel gives to outgoing connections,
+// so that none takes the port of a process that is about to start.
+const (
+	firstPort = 20_000
+	portRange = 12_000
+)
+
+// nextPort counts the ports tried, from a place that differs between test processes.
+var nextPort = os.Getpid() * 41 % portRange
+
+// freeAddress returns a loopback address that nobody listens on.
 func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range portRange {
+		nextPort = (nextPort + 1) % portRange
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			c.Assert(listener.Close(), qt.IsNil)
+			return address
+		}
+	}
+	c.Fatal("no free port")
+	return ""
 }
 
 // start starts the process of an entry VM.
--- a/filberthaven/rolling_test.go
+++ b/filberthaven/rolling_test.go
@@ -130,8 +130,15 @@
 // awaitAnswers waits until each entry VM answers an urgent request.
 func (p *processes) awaitAnswers() {
 	for _, e := range p.entries {
+		var answer reply
+		var err error
+		p.c.Cleanup(func() {
+			if err != nil || answer.status != http.StatusOK {
+				p.c.Logf("last answer of %s: %d %s %v", e.id, answer.status, answer.body, err)
+			}
+		})
 		p.await("answer of "+e.id, func() bool {
-			answer, err := p.call(context.Background(), e, http.MethodPost, "/v1/services/echo/ready", p.fleet.Keys().Team(), "", "")
+			answer, err = p.call(context.Background(), e, http.MethodPost, "/v1/services/echo/ready", p.fleet.Keys().Team(), "", "")
 			return err == nil && answer.status == http.StatusOK
 		})
 	}
--- a/server/slots.go
+++ b/server/slots.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"filberthaven.example/granter"
 	"filberthaven.example/journaler"
@@ -35,9 +37,8 @@
 func (s *Server) divideSlots(ctx context.Context, t *tenure) {
 	s.slotting.Lock()
 	defer s.slotting.Unlock()
-	journal, err := s.beginSlots(ctx, t)
-	if err != nil {
-		s.decisions.Error("slots not divided", "shard", t.shard, "term", t.term, "error", err)
+	journal, ok := s.awaitSlots(ctx, t)
+	if !ok {
 		return
 	}
 	select {
@@ -53,6 +54,28 @@
 	}
 }
 
+// slotsPause is the time between two tries to open the journal of slots.
+const slotsPause = 500 * time.Millisecond
+
+// awaitSlots begins the division, again while the service can't be reached.
+func (s *Server) awaitSlots(ctx context.Context, t *tenure) (*journaler.Journaler, bool) {
+	for {
+		journal, err := s.beginSlots(ctx, t)
+		if err == nil {
+			return journal, true
+		}
+		s.decisions.Error("slots not divided", "shard", t.shard, "term", t.term, "error", err)
+		if errors.Is(err, journaler.ErrDeposed) {
+			return nil, false
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-time.After(slotsPause):
+		}
+	}
+}
+
 // beginSlots opens the journal of slots and lets the division begin.
 func (s *Server) beginSlots(ctx context.Context, t *tenure) (*journaler.Journaler, error) {
 	journal, err := journaler.New(s.store, t.shard+slotsJournal, journaler.WithLogger(s.logger))
