--- a/tracker/heartbeat.go
+++ b/tracker/heartbeat.go
@@ -56,8 +56,10 @@
 	if restarted {
 		t.logger.Info("peer restarted", "peer", id, "incarnation", incarnation)
 	}
-	vm, _ := t.list.get(id)
-	t.onRevision(id, vm.address, revision)
+	// A peer that isn't listed yet has no address to fetch from; it calls again.
+	if vm, listed := t.list.get(id); listed {
+		t.onRevision(id, vm.address, revision)
+	}
 	return true
 }
 
