--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,405 @@
+package claimer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"filberthaven.example/keeper"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/oops"
+)
+
+const (
+	// DefaultTTL is the lease of the owner: the longest time without an owner
+	// after it was lost, and the longest outage of the store that it bears
+	// without pausing.
+	DefaultTTL = 2500 * time.Millisecond
+	// memberTTL is the lease of an entry VM's own record.
+	memberTTL = 6 * time.Second
+	// renewals is the number of tries that fit into a lease.
+	renewals = 4
+	// validMargin is kept to the end of a lease, for the way of what is sent.
+	validMargin = 200 * time.Millisecond
+	// claimSpread spreads the claims of VMs that see the owner go.
+	claimSpread = 40 * time.Millisecond
+	// unfitDelay is added for a VM that has just resigned because it reached too
+	// few workers; it claims if nobody else does.
+	unfitDelay = 1500 * time.Millisecond
+	// unfitTime is how long a VM counts as unfit after that.
+	unfitTime = 8 * time.Second
+	// gatherPause is how long changes of the records gather; a new owner is to be
+	// known at once.
+	gatherPause = 5 * time.Millisecond
+	// watchGap is longer than any watch waits for a change.
+	watchGap = 40 * time.Second
+	// retryPause is the pause after an error of the store.
+	retryPause = 150 * time.Millisecond
+)
+
+// Keys of the records.
+const (
+	livePrefix = "live/"
+	ownerKey   = livePrefix + "owner"
+	vmPrefix   = livePrefix + "vm/"
+)
+
+// record is what an entry VM tells others of itself.
+type record struct {
+	ID      string `json:"id"`
+	Life    string `json:"life"` // differs with each start of the process
+	Address string `json:"address"`
+	Centre  string `json:"centre"`
+}
+
+// Member is an entry VM that is registered.
+type Member struct{ id, address, centre string }
+
+// ID returns the name of the VM.
+func (m Member) ID() string { return m.id }
+
+// Address returns where its peers call it.
+func (m Member) Address() string { return m.address }
+
+// Centre returns its data centre.
+func (m Member) Centre() string { return m.centre }
+
+// Claimer registers one entry VM and claims ownership for it.
+type Claimer struct {
+	store   keeper.Store
+	mirror  *keeper.Mirror
+	self    record
+	ttl     time.Duration
+	now     func() time.Duration
+	log     hclog.Logger
+	own     func(ctx context.Context, term uint64)
+	changed chan struct{} // of capacity 1: the owner's record has changed
+
+	mu      sync.Mutex
+	term    uint64        // of the ownership held, 0 when none
+	valid   time.Duration // until when the lease of the ownership surely runs
+	unfit   time.Duration // until when others are to claim first
+	leaving bool          // the VM claims nothing any more
+	drop    context.CancelFunc
+}
+
+// Option changes a Claimer under construction.
+type Option func(*Claimer)
+
+// WithTTL sets the lease of the owner.
+func WithTTL(ttl time.Duration) Option { return func(c *Claimer) { c.ttl = ttl } }
+
+// WithClock sets the steady clock that counts suspension.
+func WithClock(now func() time.Duration) Option { return func(c *Claimer) { c.now = now } }
+
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) Option { return func(c *Claimer) { c.log = log.Named("claimer") } }
+
+// WithOwner sets what is run while this VM is the owner, with a context that ends
+// when the ownership does. The claimer waits for it to return.
+func WithOwner(own func(ctx context.Context, term uint64)) Option {
+	return func(c *Claimer) { c.own = own }
+}
+
+// New returns a claimer for the VM with that id, whose peers call it at address.
+// life differs with each start of the process.
+func New(store keeper.Store, id, life, address, centre string, options ...Option) (*Claimer, error) {
+	if id == "" || life == "" || address == "" {
+		return nil, oops.In("claimer").Errorf("entry VM has no id, life or address")
+	}
+	c := &Claimer{
+		store:   store,
+		self:    record{id, life, address, centre},
+		ttl:     DefaultTTL,
+		now:     Now,
+		log:     hclog.NewNullLogger(),
+		own:     func(ctx context.Context, _ uint64) { <-ctx.Done() },
+		changed: make(chan struct{}, 1),
+	}
+	for _, option := range options {
+		option(c)
+	}
+	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPause(gatherPause), keeper.WithGap(watchGap), keeper.WithLogger(c.log))
+	c.mirror.Subscribe(ownerKey, func(keeper.Entry) { c.wake() })
+	return c, nil
+}
+
+func (c *Claimer) wake() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run registers the VM and claims ownership whenever nobody has it, until the
+// context ends.
+func (c *Claimer) Run(ctx context.Context) error {
+	var parts sync.WaitGroup
+	parts.Go(func() { _ = c.mirror.Run(ctx) }) // ends with the context only
+	parts.Go(func() { c.register(ctx) })
+	c.claimOn(ctx)
+	parts.Wait()
+	return ctx.Err()
+}
+
+// register keeps the VM's own record alive.
+func (c *Claimer) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		lease, err := c.store.Grant(ctx, memberTTL)
+		if err == nil {
+			err = c.putMember(ctx, lease)
+		}
+		for err == nil && ctx.Err() == nil {
+			sleep(ctx, memberTTL/renewals)
+			if err = c.store.Renew(ctx, lease); err != nil && !errors.Is(err, keeper.ErrLeaseExpired) && ctx.Err() == nil {
+				// The lease may outlast an outage of the store.
+				sleep(ctx, retryPause)
+				err = c.store.Renew(ctx, lease)
+			}
+		}
+		if ctx.Err() == nil {
+			c.log.Warn("registration lost", "error", err)
+		}
+		sleep(ctx, retryPause)
+	}
+	// The record goes at once after a planned stop.
+	if entry, found := c.mirror.Get(vmPrefix + c.self.ID); found {
+		after, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryPause)
+		defer cancel()
+		if err := c.store.Delete(after, entry.Key(), entry.Version()); err != nil {
+			c.log.Info("record outlives the process until its lease ends", "error", err)
+		}
+	}
+}
+
+func (c *Claimer) putMember(ctx context.Context, lease keeper.LeaseID) error {
+	value, err := json.Marshal(c.self)
+	if err != nil {
+		return err
+	}
+	key := vmPrefix + c.self.ID
+	expect := uint64(0)
+	if entry, err := c.store.Get(ctx, key); err == nil {
+		expect = entry.Version()
+	} else if !errors.Is(err, keeper.ErrNotFound) {
+		return err
+	}
+	_, err = c.store.Put(ctx, key, value, expect, lease)
+	return err
+}
+
+// claimOn claims the ownership whenever there is no owner.
+func (c *Claimer) claimOn(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.changed:
+		case <-time.After(c.ttl):
+		}
+		if c.mirror.Contact() == 0 {
+			continue // the copy may be old
+		}
+		c.release(ctx)
+		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() {
+			continue
+		}
+		sleep(ctx, rand.N(claimSpread)+c.handicap())
+		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() || ctx.Err() != nil {
+			continue
+		}
+		if err := c.claim(ctx); err != nil && ctx.Err() == nil {
+			c.log.Info("ownership not claimed", "error", err)
+			c.wake()
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// release removes the claim of an earlier life of this VM, which has surely
+// ended, as this process holds its address.
+func (c *Claimer) release(ctx context.Context) {
+	entry, owned := c.mirror.Get(ownerKey)
+	if !owned {
+		return
+	}
+	var r record
+	if json.Unmarshal(entry.Value(), &r) != nil || r.ID != c.self.ID || r.Life == c.self.Life {
+		return
+	}
+	if err := c.store.Delete(ctx, ownerKey, entry.Version()); err != nil {
+		c.log.Info("claim of an earlier life not removed", "error", err)
+		return
+	}
+	c.log.Info("claim of an earlier life removed", "life", r.Life)
+}
+
+// claim tries to become the owner and, if it did, stays owner as long as it can.
+func (c *Claimer) claim(ctx context.Context) error {
+	value, err := json.Marshal(c.self)
+	if err != nil {
+		return err
+	}
+	granted := c.now()
+	lease, err := c.store.Grant(ctx, c.ttl)
+	if err != nil {
+		return err
+	}
+	term, err := c.store.Put(ctx, ownerKey, value, 0, lease)
+	if errors.Is(err, keeper.ErrConflict) {
+		c.end(ctx, lease)
+		return nil
+	}
+	if err != nil {
+		// The write may take effect yet; its lease ends it.
+		c.end(ctx, lease)
+		return err
+	}
+	c.mirror.Learn(keeper.NewEntry(ownerKey, value, term, false))
+	c.hold(ctx, term, lease, granted)
+	return nil
+}
+
+// end ends a lease, so that a claim bound to it can't come into force.
+func (c *Claimer) end(ctx context.Context, lease keeper.LeaseID) {
+	if err := c.store.Revoke(ctx, lease); err != nil {
+		c.log.Info("lease not ended; it runs out", "error", err)
+	}
+}
+
+// hold runs the owner's work until the ownership ends.
+func (c *Claimer) hold(ctx context.Context, term uint64, lease keeper.LeaseID, granted time.Duration) {
+	owning, drop := context.WithCancel(ctx)
+	c.mu.Lock()
+	c.term, c.valid, c.drop = term, granted+c.ttl-validMargin, drop
+	c.mu.Unlock()
+	c.log.Info("ownership claimed", "term", term)
+	var work sync.WaitGroup
+	work.Go(func() { c.own(owning, term) })
+	c.renew(owning, lease, term)
+	drop()
+	work.Wait()
+	c.mu.Lock()
+	c.term = 0
+	c.mu.Unlock()
+	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.ttl)
+	defer cancel()
+	c.end(after, lease)
+	c.log.Info("ownership ended", "term", term)
+	c.wake()
+}
+
+// renew prolongs the lease until the ownership ends. While the store is away the
+// ownership pauses; it goes on if the lease has outlasted the outage.
+func (c *Claimer) renew(ctx context.Context, lease keeper.LeaseID, term uint64) {
+	for ctx.Err() == nil {
+		sleep(ctx, c.ttl/renewals)
+		if ctx.Err() != nil {
+			return
+		}
+		sent := c.now()
+		bounded, cancel := context.WithTimeout(ctx, c.ttl/2)
+		err := c.store.Renew(bounded, lease)
+		cancel()
+		switch {
+		case err == nil:
+			c.mu.Lock()
+			c.valid = max(c.valid, sent+c.ttl-validMargin)
+			c.mu.Unlock()
+		case errors.Is(err, keeper.ErrLeaseExpired):
+			c.log.Warn("lease of the ownership has expired", "term", term)
+			return
+		case ctx.Err() == nil:
+			c.log.Warn("lease of the ownership not renewed", "term", term, "error", err)
+		}
+		if entry, known := c.mirror.Get(ownerKey); c.mirror.Contact() > 0 && (!known || entry.Version() > term) {
+			c.log.Warn("ownership was taken over", "term", term)
+			return
+		}
+	}
+}
+
+// Valid reports whether this VM is surely still the owner under that term.
+func (c *Claimer) Valid(term uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term == term && c.now() < c.valid
+}
+
+// Resign gives the ownership up. An unfit VM lets others claim first for a while.
+func (c *Claimer) Resign(unfit bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if unfit {
+		c.unfit = c.now() + unfitTime
+	}
+	if c.drop != nil {
+		c.drop()
+	}
+}
+
+// Leave gives the ownership up and claims it no more.
+func (c *Claimer) Leave() {
+	c.mu.Lock()
+	c.leaving = true
+	c.mu.Unlock()
+	c.Resign(false)
+}
+
+func (c *Claimer) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+func (c *Claimer) handicap() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.now() < c.unfit {
+		return unfitDelay
+	}
+	return 0
+}
+
+// Owner returns the VM that owns the fleet as far as this one knows, and its term.
+func (c *Claimer) Owner() (Member, uint64, bool) {
+	entry, owned := c.mirror.Get(ownerKey)
+	if !owned {
+		return Member{}, 0, false
+	}
+	m, ok := member(entry)
+	return m, entry.Version(), ok
+}
+
+// Members returns the registered entry VMs by id.
+func (c *Claimer) Members() []Member {
+	var members []Member
+	for _, entry := range c.mirror.List(vmPrefix) {
+		if m, ok := member(entry); ok && strings.TrimPrefix(entry.Key(), vmPrefix) == m.id {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func member(entry keeper.Entry) (Member, bool) {
+	var r record
+	if err := json.Unmarshal(entry.Value(), &r); err != nil {
+		return Member{}, false
+	}
+	return Member{r.ID, r.Address, r.Centre}, true
+}
+
+// sleep waits for d or the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,68 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"filberthaven.example/runner"
+	"github.com/jessevdk/go-flags"
+)
+
+// entryCommand runs one entry VM on the users' platform.
+type entryCommand struct {
+	env    *environment
+	Config string `long:"config" short:"c" required:"yes" value-name:"FILE" description:"settings of this entry VM"`
+	Check  bool   `long:"check" description:"only check the settings"`
+}
+
+func addEntry(parser *flags.Parser, env *environment) error {
+	_, err := parser.AddCommand("entry", "run one entry VM on the users' platform",
+		`Runs one entry VM on the users' platform, with the settings of a file, until
+SIGTERM or SIGINT. It then stops in order: another VM takes the fleet over, the
+balancer sends callers elsewhere, requests under way end. SIGHUP changes nothing:
+the settings count from the start.
+
+  filberthaven entry --config entry.ini
+  filberthaven entry --config entry.ini --check
+
+Exit codes: 0 stopped in order; 1 failed; 3 the settings have errors.`, &entryCommand{env: env})
+	return err
+}
+
+const (
+	// heapGrowth is the percentage by which the heap grows between collections:
+	// processor time is dearer than memory.
+	heapGrowth = 300
+	// heapLimit is the size in bytes at which collections come more often, well
+	// below the smallest entry VM's memory.
+	heapLimit = 120 << 20
+)
+
+// Execute carries out the command.
+func (c *entryCommand) Execute([]string) error {
+	settings, err := runner.LoadSettings(c.Config)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		return c.env.print(checkResult{Path: c.Config, OK: true}, func(w io.Writer) error {
+			_, err := fmt.Fprintf(w, "%s: no errors\n", c.Config)
+			return err
+		})
+	}
+	debug.SetGCPercent(heapGrowth)
+	debug.SetMemoryLimit(heapLimit)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	vm, err := runner.New(settings, runner.NewLogger(settings, c.env.out))
+	if err != nil {
+		return err
+	}
+	return vm.Run(ctx)
+}
--- /dev/null
+++ b/conductor/call.go
@@ -0,0 +1,244 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"filberthaven.example/planner"
+	"filberthaven.example/platform"
+)
+
+// Call is a caller's request, as the entry VM that took it passes it on.
+type Call struct {
+	Method string `cbor:"1,keyasint"`
+	Host   string `cbor:"2,keyasint"`
+	Path   string `cbor:"3,keyasint"`
+	Key    string `cbor:"4,keyasint,omitempty"`
+	Body   []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// Answer is what the caller is told.
+type Answer struct {
+	Status int    `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint,omitempty"`
+	After  int    `cbor:"3,keyasint,omitempty"` // s, when to come back
+}
+
+// table finds the queue of a request and the team of a key.
+type table struct {
+	queues []planner.Queue
+	teams  map[string]string // by key
+}
+
+func newTable(config planner.Config) table {
+	t := table{queues: config.Queues, teams: map[string]string{}}
+	for _, team := range config.Teams {
+		for _, key := range team.Keys {
+			t.teams[key] = team.Name
+		}
+	}
+	return t
+}
+
+// queue returns the queue with the longest prefix of the path at that host.
+func (t *table) queue(host, path string) (planner.Queue, bool) {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	var best planner.Queue
+	found := false
+	for _, q := range t.queues {
+		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.Prefix) && (!found || len(q.Prefix) > len(best.Prefix)) {
+			best, found = q, true
+		}
+	}
+	return best, found
+}
+
+// returnAfter is when a caller may come back after an outage of the store, in
+// seconds.
+const returnAfter = 1
+
+func plain(status int, reason string) Answer {
+	return Answer{Status: status, Body: platform.ErrorBody(reason)}
+}
+
+func unavailable(reason string) Answer {
+	a := plain(http.StatusServiceUnavailable, reason)
+	a.After = returnAfter
+	return a
+}
+
+// Serve answers a caller's request.
+func (c *Conductor) Serve(ctx context.Context, call Call) Answer {
+	c.mu.Lock()
+	if !c.open || !c.valid() {
+		c.mu.Unlock()
+		return unavailable("the owner is not ready")
+	}
+	queue, found := c.table.queue(call.Host, call.Path)
+	team, known := c.table.teams[call.Key]
+	c.mu.Unlock()
+	rest := strings.TrimPrefix(call.Path, queue.Prefix)
+	switch {
+	case !found:
+		return plain(http.StatusNotFound, "no such queue")
+	case !queue.Public && !known:
+		return plain(http.StatusUnauthorized, "unknown key")
+	case rest == "" && call.Method == http.MethodGet:
+		c.mu.Lock()
+		n := c.planner.Pending(queue.Name)
+		c.mu.Unlock()
+		return Answer{Status: http.StatusOK, Body: platform.PendingBody(n)}
+	case !platform.JobID(rest):
+		return plain(http.StatusBadRequest, "not the id of a job")
+	}
+	if queue.Public {
+		team = ""
+	}
+	switch call.Method {
+	case http.MethodPost:
+		return c.submit(ctx, queue, team, rest, call.Body)
+	case http.MethodGet:
+		return c.state(queue, team, rest)
+	case http.MethodDelete:
+		return c.cancel(ctx, team, rest)
+	default:
+		return plain(http.StatusMethodNotAllowed, "method not known")
+	}
+}
+
+func (c *Conductor) state(queue planner.Queue, team, id string) Answer {
+	c.mu.Lock()
+	state, known := c.planner.State(id, queue.Name, team)
+	c.mu.Unlock()
+	if !known {
+		return plain(http.StatusGone, "no such job")
+	}
+	return Answer{Status: http.StatusOK, Body: platform.StateBody(state)}
+}
+
+// submit accepts a job once the journal holds it.
+func (c *Conductor) submit(ctx context.Context, queue planner.Queue, team, id string, body []byte) Answer {
+	begun := c.now()
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return plain(http.StatusBadRequest, err.Error())
+	}
+	spec.ID, spec.Queue, spec.Team, spec.Accepted = id, queue.Name, team, wallClock()
+	record, err := planner.Record{Job: &spec, At: spec.Accepted}.Encode()
+	if err != nil {
+		return plain(http.StatusBadRequest, err.Error())
+	}
+	stored := make(chan error, 1)
+	c.mu.Lock()
+	submission, err := c.planner.Submit(spec, begun)
+	switch {
+	case err == nil && submission.Known && submission.Stored:
+		stored <- nil
+	case err == nil && submission.Known:
+		c.planner.Await(id, func(err error) { stored <- err })
+	case err == nil:
+		err = c.journal.Enqueue(record, func(err error) { c.settle(id, err, stored) })
+		if err != nil {
+			c.planner.Forget(id)
+		}
+	}
+	c.mu.Unlock()
+	if err != nil {
+		return c.refuse(id, queue, team, err)
+	}
+	select {
+	case err = <-stored:
+	case <-ctx.Done():
+		return plain(http.StatusGatewayTimeout, "outcome unknown")
+	}
+	if err != nil {
+		return c.refuse(id, queue, team, err)
+	}
+	c.figures.acceptTime.Update(c.now() - begun)
+	if !submission.Known {
+		c.figures.accepted.Inc(1)
+		c.log.Info("job accepted", "job", id, "queue", queue.Name, "team", team, "steps", len(spec.Steps), "version", c.version())
+	}
+	return Answer{Status: http.StatusOK, Body: platform.StateBody(planner.Queued)}
+}
+
+// settle tells the planner and the caller whether the journal holds a job.
+func (c *Conductor) settle(id string, err error, stored chan<- error) {
+	c.mu.Lock()
+	if err == nil {
+		c.planner.Stored(id)
+	} else {
+		c.planner.Forget(id)
+	}
+	waiting := c.planner.Awaited(id)
+	c.mu.Unlock()
+	stored <- err
+	for _, tell := range waiting {
+		tell(err)
+	}
+	c.wake()
+}
+
+func (c *Conductor) version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.planner.Version()
+}
+
+// refuse tells why a job was not accepted. Nothing of it runs.
+func (c *Conductor) refuse(id string, queue planner.Queue, team string, err error) Answer {
+	var refusal *planner.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		c.figures.refused.Inc(1)
+		c.log.Info("job refused", "job", id, "queue", queue.Name, "team", team, "reason", refusal.Reason, "after", refusal.After)
+		a := plain(http.StatusTooManyRequests, refusal.Reason)
+		a.After = int(refusal.After / time.Second)
+		return a
+	case errors.Is(err, planner.ErrInvalidJob):
+		c.log.Info("job refused", "job", id, "queue", queue.Name, "team", team, "reason", err)
+		return plain(http.StatusBadRequest, err.Error())
+	case errors.Is(err, planner.ErrUnsupported):
+		c.log.Info("job refused", "job", id, "queue", queue.Name, "team", team, "reason", err)
+		return plain(http.StatusServiceUnavailable, err.Error())
+	default:
+		c.figures.unavailable.Inc(1)
+		c.log.Warn("job not stored", "job", id, "queue", queue.Name, "team", team, "error", err)
+		return unavailable("the store is away")
+	}
+}
+
+// cancel ends a job; the caller is told once the journal holds that.
+func (c *Conductor) cancel(ctx context.Context, team, id string) Answer {
+	now := c.now()
+	c.mu.Lock()
+	known, ended := c.planner.Cancel(id, team, now)
+	jobs := c.planner.Ended()
+	c.mu.Unlock()
+	switch {
+	case !known:
+		return plain(http.StatusGone, "no such job")
+	case ended:
+		return Answer{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
+	}
+	c.log.Info("job cancelled", "job", id, "team", team)
+	stored := make(chan struct{})
+	c.keep(planner.Record{Cancel: id}, func() {
+		c.mu.Lock()
+		c.show(jobs)
+		c.mu.Unlock()
+		close(stored)
+	})
+	c.wake()
+	select {
+	case <-stored:
+		return Answer{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
+	case <-ctx.Done():
+		return plain(http.StatusGatewayTimeout, "outcome unknown")
+	}
+}
--- /dev/null
+++ b/conductor/order.go
@@ -0,0 +1,88 @@
+package conductor
+
+import (
+	"time"
+
+	"filberthaven.example/planner"
+	"filberthaven.example/platform"
+)
+
+// stopPause is the pause before a stop that got no answer is repeated.
+const stopPause = 300 * time.Millisecond
+
+// start orders a run and tells the planner what came of it.
+func (c *Conductor) start(a planner.Action) {
+	c.mu.Lock()
+	l := c.links[a.Worker]
+	now := c.now()
+	until := int64(0)
+	if l != nil {
+		until = l.until(now, c.lease)
+	}
+	if l == nil || until == 0 || !c.valid() {
+		c.planner.Started(a, planner.Refused, now)
+		c.mu.Unlock()
+		return
+	}
+	c.planner.Held(a.Worker, c.lapse(now))
+	address := l.address
+	c.mu.Unlock()
+	result, err := c.orders.Start(c.ctx, address, a, platform.Lease{Fence: c.term, Until: until})
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	l.answered(result, now)
+	c.planner.Started(a, result.Outcome, c.now())
+	if result.Outcome == planner.Began || result.Outcome == planner.Unsure {
+		c.beginHold(l)
+	}
+	c.mu.Unlock()
+	c.count(a, result.Outcome, err)
+	if result.Outcome != planner.Began {
+		c.wake()
+	}
+}
+
+func (c *Conductor) count(a planner.Action, outcome planner.Outcome, err error) {
+	switch outcome {
+	case planner.Began:
+		c.figures.begun.Inc(1)
+		return
+	case planner.Unsure:
+		c.figures.unsure.Inc(1)
+	case planner.Deposed:
+		c.unfit()
+	default:
+		c.figures.turned.Inc(1)
+	}
+	c.log.Info("start not confirmed", "task", a.Task, "run", a.Number, "worker", a.Worker, "outcome", outcome.String(), "error", err)
+}
+
+// stop orders the end of a run and tells the planner whether that was answered.
+func (c *Conductor) stop(a planner.Action) {
+	c.mu.Lock()
+	l := c.links[a.Worker]
+	if l == nil || !c.valid() {
+		c.planner.Halted(a, false, c.now())
+		c.mu.Unlock()
+		c.sleep(stopPause)
+		return
+	}
+	address := l.address
+	c.mu.Unlock()
+	result, err := c.orders.Stop(c.ctx, address, a, platform.Lease{Fence: c.term})
+	if c.ctx.Err() != nil {
+		return
+	}
+	answered := err == nil && result.Outcome == planner.Began
+	if !answered {
+		c.log.Info("stop not confirmed", "task", a.Task, "run", a.Number, "worker", a.Worker, "outcome", result.Outcome.String(), "error", err)
+		c.sleep(stopPause)
+	}
+	c.mu.Lock()
+	c.planner.Halted(a, answered, c.now())
+	c.beginHold(l)
+	c.mu.Unlock()
+	c.wake()
+}
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -84,6 +85,9 @@
 	for ctx.Err() == nil {
 		pause := m.pause - rand.N(m.pause/10+1)
 		entries, next, err := m.store.Watch(ctx, m.prefix, m.position())
+		if errors.Is(err, ErrCompacted) {
+			entries, next, err = m.relist(ctx)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -100,6 +104,26 @@
 	return ctx.Err()
 }
 
+// relist reads all that exists, after the history was lost. Keys that are gone
+// come as deleted at the version of the reading.
+func (m *Mirror) relist(ctx context.Context) ([]Entry, uint64, error) {
+	entries, next, err := m.store.Watch(ctx, m.prefix, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	present := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		present[entry.key] = true
+	}
+	for _, held := range m.List(m.prefix) {
+		if !present[held.key] && held.version <= next {
+			entries = append(entries, NewEntry(held.key, nil, next, true))
+		}
+	}
+	m.log.Info("history was compacted; listed anew", "version", next, "entries", len(entries))
+	return entries, next, nil
+}
+
 // Get returns the entry of a key that exists.
 func (m *Mirror) Get(key string) (Entry, bool) {
 	m.mu.RLock()
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -24,6 +24,9 @@
 	ErrUnknown = errors.New("outcome of write unknown")
 	// ErrTooLarge means that the value is over ValueLimit.
 	ErrTooLarge = errors.New("value too large")
+	// ErrCompacted means that the history a watch asked for is gone; what exists
+	// is to be listed anew.
+	ErrCompacted = errors.New("history compacted")
 	// ErrLeaseExpired means that the lease does not exist any more.
 	ErrLeaseExpired = errors.New("lease expired")
 )
@@ -70,7 +73,8 @@
 	Delete func(ctx context.Context, key string, expect uint64) error
 	// Watch waits until a key that begins with prefix has a version above after,
 	// or until the service's own wait limit; it returns the changes in order of
-	// version, and the version to go on from.
+	// version, and the version to go on from. After version 0 it returns all that
+	// exists. It may return ErrCompacted.
 	Watch func(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error)
 	// Grant opens a lease, Renew prolongs it by its TTL, Revoke ends it.
 	Grant  func(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- /dev/null
+++ b/planner/advice.go
@@ -0,0 +1,148 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// advice is what is known of the workers that may run a step. The set does not
+// change, but tickets are short-lived.
+type advice struct {
+	good    map[string]bool // worker by id: may run the step or not; absent means unknown
+	tickets map[string]ticket
+	asking  bool
+}
+
+// ticket lets tasks of a step start on one life of a worker.
+type ticket struct {
+	text  string
+	until time.Duration
+	born  int64
+}
+
+// ticketMargin is kept to the end of a ticket's life, for the order's way.
+const ticketMargin = 150 * time.Millisecond
+
+func (a *advice) holds(w *worker, now time.Duration) bool {
+	t, held := a.tickets[w.report.ID]
+	return held && now < t.until && t.born == w.report.Born
+}
+
+func (a *advice) ticket(w *worker) string { return a.tickets[w.report.ID].text }
+
+func (a *advice) expire(worker string) { delete(a.tickets, worker) }
+
+const (
+	// namedCost is the time spent on naming workers in a call, as a multiple of
+	// the call's base: more names cost time of the adviser, fewer cost a second
+	// call.
+	namedCost = 0.6
+	// leastNamed and mostNamed bound the workers of a call; mostNamed is the
+	// adviser's own limit.
+	leastNamed = 8
+	mostNamed  = 100
+	// startMargin is the least life of a ticket worth a start.
+)
+
+// seek asks which workers may run the step: it renews the tickets of good workers
+// that have room, else it asks about workers that are not known yet.
+func (p *Planner) seek(s *step, c candidate, now time.Duration) {
+	price := s.round.job.queue.Advice
+	if price == nil || s.advice.asking {
+		return
+	}
+	named, reason := p.renewable(s, now), "tickets have run out"
+	if len(named) == 0 {
+		named, reason = p.unknown(s, price, now), "not known which workers are allowed"
+	}
+	if len(named) == 0 {
+		return
+	}
+	s.advice.asking = true
+	p.out = append(p.out, Action{
+		Kind: Ask, Step: s.name, Workers: named, Queue: s.round.job.spec.Queue, Urgent: c.rank == urgentRank,
+		Cost: price.Base + time.Duration(len(named))*price.Each, Reason: reason,
+	})
+}
+
+// renewable returns the good workers without a ticket, if the step's tasks would
+// find room with them.
+func (p *Planner) renewable(s *step, now time.Duration) []string {
+	var named []string
+	room := 0
+	for id, good := range s.advice.good {
+		w := p.workers[id]
+		if !good || w == nil || !p.eligible(s, w, now) {
+			continue
+		}
+		n := s.fill(w)
+		if n == 0 {
+			continue
+		}
+		room += n
+		if !s.advice.holds(w, now) {
+			named = append(named, id)
+		}
+	}
+	if s.spec.Gang && room < len(s.tasks) {
+		return nil
+	}
+	slices.Sort(named)
+	return named[:min(len(named), mostNamed)]
+}
+
+// unknown returns workers that have not been asked about, those with the most
+// room first.
+func (p *Planner) unknown(s *step, price *Advice, now time.Duration) []string {
+	var list []*worker
+	for id, w := range p.workers {
+		if _, known := s.advice.good[id]; !known && p.eligible(s, w, now) && s.spec.Size.Fits(w.report.Capacity) {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *worker) int {
+		return cmp.Or(-cmp.Compare(a.free().CPU(), b.free().CPU()), cmp.Compare(a.report.ID, b.report.ID))
+	})
+	limit := mostNamed
+	if price.Each > 0 {
+		limit = int(namedCost * float64(price.Base) / float64(price.Each))
+	}
+	limit = min(max(limit, leastNamed), mostNamed, len(list))
+	named := make([]string, limit)
+	for i := range named {
+		named[i] = list[i].report.ID
+	}
+	return named
+}
+
+// Advice is the answer to an Ask; a failed one has no workers named.
+type Answer struct {
+	Step    string
+	Named   []string
+	Tickets map[string]string // of the workers that may run the step
+	Until   time.Duration     // end of the tickets' life
+}
+
+// Advised takes over the answer to an Ask.
+func (p *Planner) Advised(a Answer) {
+	s, _ := p.stepOf(a.Step + ".0")
+	if s == nil {
+		return
+	}
+	s.advice.asking = false
+	if len(a.Named) == 0 {
+		return
+	}
+	if s.advice.good == nil {
+		s.advice.good = map[string]bool{}
+		s.advice.tickets = map[string]ticket{}
+	}
+	for _, id := range a.Named {
+		text, good := a.Tickets[id]
+		s.advice.good[id] = good
+		if w := p.workers[id]; good && w != nil {
+			s.advice.tickets[id] = ticket{text, a.Until - ticketMargin, w.report.Born}
+		}
+	}
+}
--- /dev/null
+++ b/planner/record.go
@@ -0,0 +1,293 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// How a run ended, as the worker lists it, or Lost for one whose worker died.
+const (
+	Done    = "done"
+	Faulty  = "failed"
+	Stopped = "stopped"
+	Lapsed  = "lapsed"
+	Broken  = "broken" // another member of its gang ended
+	Alone   = "alone"  // the other members of its gang did not come
+	Lost    = "lost"
+)
+
+// End is the outcome of one run.
+type End struct {
+	Task       string `cbor:"1,keyasint"`
+	Number     int    `cbor:"2,keyasint"`
+	How        string `cbor:"3,keyasint"`
+	Checkpoint string `cbor:"4,keyasint,omitempty"`
+}
+
+// Record is one change in the journal. Replaying a record twice, or onto a state
+// that holds it, changes nothing.
+type Record struct {
+	Job    *JobSpec `cbor:"1,keyasint,omitempty"` // accepted
+	Ends   []End    `cbor:"2,keyasint,omitempty"`
+	Cancel string   `cbor:"3,keyasint,omitempty"` // job cancelled
+	Use    string   `cbor:"4,keyasint,omitempty"` // worker that may run tasks from now on
+	Drop   string   `cbor:"5,keyasint,omitempty"` // worker that runs none any more
+	At     int64    `cbor:"6,keyasint,omitempty"` // Unix ms
+}
+
+// Encode returns the record as bytes.
+func (r Record) Encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// snapshot is all that the journal keeps.
+type snapshot struct {
+	Jobs    []storedJob `cbor:"1,keyasint"`
+	Ended   []storedEnd `cbor:"2,keyasint"`
+	Workers []string    `cbor:"3,keyasint"`
+	Owners  int         `cbor:"4,keyasint"`
+}
+
+// storedEnd is a job that has ended.
+type storedEnd struct {
+	ID    string `cbor:"1,keyasint"`
+	Queue string `cbor:"2,keyasint"`
+	Team  string `cbor:"3,keyasint,omitempty"`
+	State State  `cbor:"4,keyasint"`
+	At    int64  `cbor:"5,keyasint"` // Unix ms
+}
+
+// storedJob is a job that has not ended, with all that is known of its tasks.
+type storedJob struct {
+	Spec  JobSpec      `cbor:"1,keyasint"`
+	Next  int          `cbor:"2,keyasint,omitempty"`
+	Left  int          `cbor:"3,keyasint"`
+	Open  []int        `cbor:"5,keyasint,omitempty"` // occurrences that have begun and not finished
+	Tasks []storedTask `cbor:"4,keyasint,omitempty"` // those of which something is known
+}
+
+// storedTask is what is known of a task.
+type storedTask struct {
+	K          int    `cbor:"1,keyasint,omitempty"`
+	Step       int    `cbor:"2,keyasint,omitempty"`
+	Index      int    `cbor:"3,keyasint,omitempty"`
+	Number     int    `cbor:"4,keyasint,omitempty"`
+	Failures   int    `cbor:"5,keyasint,omitempty"`
+	Done       bool   `cbor:"6,keyasint,omitempty"`
+	Checkpoint string `cbor:"7,keyasint,omitempty"`
+	FailedRun  int    `cbor:"9,keyasint,omitempty"`  // newest run number whose failure was counted
+	StepFailed int    `cbor:"8,keyasint,omitempty"`  // failed runs of its gang
+	GangFailed int    `cbor:"10,keyasint,omitempty"` // newest of its gang whose failure was counted
+}
+
+// Snapshot returns the state for the journal; wall is Unix milliseconds.
+func (p *Planner) Snapshot(now time.Duration, wall int64) ([]byte, error) {
+	s := snapshot{Owners: p.owners}
+	for id := range p.used {
+		s.Workers = append(s.Workers, id)
+	}
+	for _, j := range p.jobs {
+		if !j.stored {
+			continue
+		}
+		if j.ended != "" {
+			s.Ended = append(s.Ended, storedEnd{j.spec.ID, j.spec.Queue, j.spec.Team, j.ended, wall - (now - j.endedAt).Milliseconds()})
+			continue
+		}
+		s.Jobs = append(s.Jobs, storeJob(j))
+	}
+	return cbor.Marshal(s)
+}
+
+func storeJob(j *job) storedJob {
+	stored := storedJob{Spec: j.spec, Next: j.next, Left: j.remaining}
+	for _, o := range j.rounds {
+		stored.Open = append(stored.Open, o.index)
+		for _, st := range o.steps {
+			for i := range st.tasks {
+				t := &st.tasks[i]
+				if t.number == 0 && !t.done {
+					continue
+				}
+				stored.Tasks = append(stored.Tasks, storedTask{
+					K: o.index, Step: st.index, Index: i, Number: t.number, Failures: t.failures,
+					Done: t.done, Checkpoint: t.checkpoint, StepFailed: st.failures, FailedRun: t.failedRun, GangFailed: st.failedRun,
+				})
+			}
+		}
+	}
+	return stored
+}
+
+// Restore takes over an earlier owner's snapshot and records. Runs of the earlier
+// owner may go on until until, on any worker that the journal names.
+func (p *Planner) Restore(state []byte, records [][]byte, now time.Duration, wall int64, until time.Duration) error {
+	if state != nil {
+		var s snapshot
+		if err := cbor.Unmarshal(state, &s); err != nil {
+			return err
+		}
+		p.restoreSnapshot(s, now, wall)
+	}
+	for _, data := range records {
+		var r Record
+		if err := cbor.Unmarshal(data, &r); err != nil {
+			return err
+		}
+		p.replay(r, now, wall)
+	}
+	p.owners++
+	p.inherit(until)
+	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.arrived, b.arrived) })
+	return nil
+}
+
+func (p *Planner) restoreSnapshot(s snapshot, now time.Duration, wall int64) {
+	p.owners = s.Owners
+	for _, id := range s.Workers {
+		p.used[id] = true
+	}
+	for _, e := range s.Ended {
+		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team}, stored: true, ended: e.State, shown: true}
+		j.endedAt = now - time.Duration(wall-e.At)*time.Millisecond
+		p.jobs[e.ID] = j
+	}
+	for _, stored := range s.Jobs {
+		j := p.restoreJob(stored.Spec, now, wall)
+		j.next, j.remaining = stored.Next, stored.Left
+		j.rounds = nil
+		for _, k := range stored.Open {
+			j.rounds = append(j.rounds, newRound(j, k))
+		}
+		for _, t := range stored.Tasks {
+			p.restoreTask(j, t)
+		}
+		for _, o := range slices.Clone(j.rounds) {
+			for _, st := range o.steps {
+				if st.done == len(st.tasks) {
+					p.finishStep(st, now)
+				}
+			}
+		}
+	}
+}
+
+func (p *Planner) restoreTask(j *job, t storedTask) {
+	st := j.step(t.K, t.Step)
+	if st == nil || t.Index >= len(st.tasks) {
+		return
+	}
+	task := &st.tasks[t.Index]
+	task.number, task.failures, task.checkpoint = t.Number, t.Failures, t.Checkpoint
+	st.number = max(st.number, t.Number)
+	st.failures = max(st.failures, t.StepFailed)
+	task.failedRun, st.failedRun = t.FailedRun, max(st.failedRun, t.GangFailed)
+	if t.Done {
+		p.markDone(st, t.Index)
+	}
+}
+
+// step returns step index of occurrence k, nil when that has ended or not begun.
+func (j *job) step(k, index int) *step {
+	if index >= len(j.spec.Steps) {
+		return nil
+	}
+	for _, o := range j.rounds {
+		if o.index == k {
+			return o.steps[index]
+		}
+	}
+	return nil
+}
+
+func (p *Planner) restoreJob(spec JobSpec, now time.Duration, wall int64) *job {
+	if known := p.jobs[spec.ID]; known != nil {
+		return known
+	}
+	spec.restore()
+	j := p.newJob(spec, now-time.Duration(max(0, wall-spec.Accepted))*time.Millisecond)
+	j.stored = true
+	j.inherited = true
+	p.jobs[spec.ID] = j
+	return j
+}
+
+// replay applies one record.
+func (p *Planner) replay(r Record, now time.Duration, wall int64) {
+	if r.Job != nil {
+		p.restoreJob(*r.Job, now, wall)
+	}
+	for _, e := range r.Ends {
+		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond)
+	}
+	if j := p.jobs[r.Cancel]; j != nil && j.ended == "" {
+		p.end(j, Cancelled, now-time.Duration(max(0, wall-r.At))*time.Millisecond)
+		j.shown = true
+	}
+	if r.Use != "" {
+		p.used[r.Use] = true
+	}
+	delete(p.used, r.Drop)
+}
+
+func (p *Planner) replayEnd(e End, at time.Duration) {
+	id, k, index, n, ok := parseTask(e.Task)
+	j := p.jobs[id]
+	if !ok || j == nil || j.ended != "" {
+		return
+	}
+	for j.next <= k && k < j.spec.Repeats {
+		j.rounds = append(j.rounds, newRound(j, j.next))
+		j.next++
+	}
+	st := j.step(k, index)
+	if st == nil || n >= len(st.tasks) {
+		return
+	}
+	t := &st.tasks[n]
+	t.number = max(t.number, e.Number)
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+	switch e.How {
+	case Done:
+		p.settleDone(st, n, at)
+	case Faulty:
+		p.countFailure(st, n, e.Number, at)
+	}
+	st.number = max(st.number, e.Number)
+	if j.ended != "" {
+		j.shown = true
+	}
+}
+
+// inherit marks what an earlier owner may have started since its last record.
+func (p *Planner) inherit(until time.Duration) {
+	for id := range p.used {
+		w := p.worker(id)
+		w.fenced = false
+		w.lapses = until
+	}
+	p.limbo = len(p.used) > 0
+	for _, j := range p.jobs {
+		if j.ended == "" {
+			p.live = append(p.live, j)
+		}
+		for _, o := range j.rounds {
+			for _, s := range o.steps {
+				s.limbo = p.limbo
+				// Numbers of starts that no record tells of stay below this.
+				s.number = max(s.number, p.owners*numbersPerOwner)
+				for i := range s.tasks {
+					s.tasks[i].number = max(s.tasks[i].number, p.owners*numbersPerOwner)
+				}
+			}
+		}
+	}
+}
+
+// numbersPerOwner is the span of run numbers that one owner may use for a task
+// before those of its successor begin: more than the runs that a task has in
+// the life of an owner.
+const numbersPerOwner = 64
--- /dev/null
+++ b/planner/spec.go
@@ -0,0 +1,143 @@
+package planner
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"filberthaven.example/placer"
+)
+
+// Limits of one job, against damaged or hostile submissions.
+const (
+	maxSteps       = 256
+	maxTasks       = 10_000 // of one job in one occurrence
+	maxPayload     = 4000   // bytes, from the callers' interface
+	maxOccurrences = 10_000
+)
+
+// Errors of a submission. A caller tests for them with errors.Is.
+var (
+	// ErrInvalidJob means that the job contradicts itself or is over a limit.
+	ErrInvalidJob = errors.New("invalid job")
+	// ErrUnsupported means that the job asks for what is not built yet.
+	ErrUnsupported = errors.New("kind of work not supported")
+)
+
+// Config is the operators' configuration as the planner needs it.
+type Config struct {
+	Version uint64 // rises with each change
+	Queues  []Queue
+	Teams   []Team
+	Guarded map[string]bool // services whose workers refuse what does not fit
+}
+
+// Queue takes the jobs of one kind and sends them to the workers of a service.
+type Queue struct {
+	Name      string
+	Host      string // of the callers' requests, without a port
+	Prefix    string // of the path
+	Service   string
+	Priority  int           // 0 goes first and may preempt
+	Attempts  int           // failed runs after which a task fails its job
+	Stretch   float64       // objective as a multiple of the longest chain of work
+	Objective time.Duration // added to that
+	Public    bool          // whether callers need no key
+	Advice    *Advice       // nil when every worker may run the queue's steps
+}
+
+// Advice is the cost of asking which workers may run a step.
+type Advice struct {
+	Base  time.Duration // of a call
+	Each  time.Duration // of a worker named in it
+	Valid time.Duration // life of a ticket
+}
+
+// Team is a customer's share and limit.
+type Team struct {
+	Name   string
+	Keys   []string
+	Weight float64          // jobs a second that are owed
+	Limit  placer.Resources // of all that runs; 0 in a dimension means no limit
+}
+
+// StepSpec is one step of a job: tasks that are alike.
+type StepSpec struct {
+	Tasks      int              `cbor:"1,keyasint"`
+	CPU        int64            `cbor:"2,keyasint"` // thousandths of a processor
+	Memory     int64            `cbor:"3,keyasint"` // MiB
+	GPU        int64            `cbor:"4,keyasint,omitempty"`
+	Estimate   int64            `cbor:"5,keyasint,omitempty"` // ms, as declared
+	After      []int            `cbor:"6,keyasint,omitempty"` // earlier steps
+	Gang       bool             `cbor:"7,keyasint,omitempty"`
+	OneRack    bool             `cbor:"8,keyasint,omitempty"`
+	Label      string           `cbor:"9,keyasint,omitempty"`  // that the worker must have
+	Rack       string           `cbor:"10,keyasint,omitempty"` // where the data is
+	Apart      int              `cbor:"11,keyasint,omitempty"` // most tasks on one worker; 0 means any
+	Checkpoint bool             `cbor:"12,keyasint,omitempty"`
+	Copies     bool             `cbor:"13,keyasint,omitempty"` // copies may run in parallel
+	Lasting    bool             `cbor:"14,keyasint,omitempty"` // runs until the job is cancelled
+	Filler     bool             `cbor:"15,keyasint,omitempty"` // runs in what other tasks leave unused
+	MayMiss    int              `cbor:"16,keyasint,omitempty"`
+	Size       placer.Resources `cbor:"-"`
+}
+
+// JobSpec is what a caller asked for.
+type JobSpec struct {
+	ID       string     `cbor:"1,keyasint"`
+	Queue    string     `cbor:"2,keyasint"`
+	Team     string     `cbor:"3,keyasint,omitempty"` // empty on a queue open to all
+	Payload  string     `cbor:"4,keyasint,omitempty"`
+	Steps    []StepSpec `cbor:"5,keyasint"`
+	Repeats  int        `cbor:"6,keyasint,omitempty"` // 0 means once, at once
+	First    int64      `cbor:"7,keyasint,omitempty"` // Unix ms of occurrence 0
+	Interval int64      `cbor:"8,keyasint,omitempty"` // ms between occurrences
+	Accepted int64      `cbor:"9,keyasint"`           // Unix ms
+}
+
+// check returns ErrInvalidJob or ErrUnsupported with a reason, or nil, and fills
+// in the sizes.
+func (s *JobSpec) check() error {
+	if s.ID == "" || len(s.Payload) > maxPayload || len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return fmt.Errorf("%w: id, payload or number of steps", ErrInvalidJob)
+	}
+	if s.Repeats < 0 || s.Repeats > maxOccurrences || s.Repeats > 1 && s.Interval <= 0 {
+		return fmt.Errorf("%w: occurrences", ErrInvalidJob)
+	}
+	tasks := 0
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if err := step.check(i); err != nil {
+			return err
+		}
+		tasks += step.Tasks
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("%w: %d tasks are over %d", ErrInvalidJob, tasks, maxTasks)
+	}
+	return nil
+}
+
+func (s *StepSpec) check(index int) error {
+	s.Size = placer.NewResources(s.CPU, s.Memory, s.GPU)
+	if s.Tasks < 1 || s.Tasks > maxTasks || !s.Size.IsValid() || s.Estimate < 0 || s.Apart < 0 || s.MayMiss < 0 {
+		return fmt.Errorf("%w: step %d has a number out of range", ErrInvalidJob, index)
+	}
+	for _, after := range s.After {
+		if after < 0 || after >= index {
+			return fmt.Errorf("%w: step %d comes after step %d", ErrInvalidJob, index, after)
+		}
+	}
+	if s.Filler {
+		return fmt.Errorf("%w: step %d fills unused capacity", ErrUnsupported, index)
+	}
+	return nil
+}
+
+// restore fills in what is not stored.
+func (s *JobSpec) restore() {
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		step.Size = placer.NewResources(step.CPU, step.Memory, step.GPU)
+	}
+}
--- /dev/null
+++ b/receiver/receiver.go
@@ -0,0 +1,208 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"filberthaven.example/claimer"
+	"filberthaven.example/conductor"
+	"filberthaven.example/messenger"
+	"filberthaven.example/platform"
+	"github.com/go-chi/chi/v5"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// bodyLimit is the largest body of a request in bytes: ten times the largest
+	// job of the users' sheets, and the limit that their operators set.
+	bodyLimit = 256 << 10
+	// ownerWait is how long a request waits for an owner to appear: longer than a
+	// hand-over, shorter than a caller's patience.
+	ownerWait = 400 * time.Millisecond
+	// ownerPause is the pause between two looks for an owner.
+	ownerPause = 30 * time.Millisecond
+	// defaultBudget is a caller's patience when it names none.
+	defaultBudget = 3 * time.Second
+	// attemptTimeout bounds one call to the owner; a job handed in waits for one
+	// write to the store there.
+	attemptTimeout = 1500 * time.Millisecond
+	// unreachedLimit is how long the owner may be out of reach before this VM
+	// tells the balancer that it is not ready.
+	unreachedLimit = 600 * time.Millisecond
+	// returnAfter is when a caller may come back if there is no owner, in seconds.
+	returnAfter = 1
+	// procedure is the call that passes a request on.
+	procedure = "/fleet/call"
+)
+
+// Receiver takes callers' requests.
+type Receiver struct {
+	messenger *messenger.Messenger
+	owner     func() (claimer.Member, uint64, bool)
+	self      string
+	local     atomic.Pointer[conductor.Conductor] // set while this VM is the owner
+	stopping  atomic.Bool
+	lost      atomic.Int64 // steady ns since when the owner is out of reach; 0 while it answers
+	now       func() time.Duration
+	log       hclog.Logger
+	passed    metrics.Timer
+	failed    metrics.Counter
+	answers   [6]metrics.Counter // by the hundreds of the status
+}
+
+// New returns a receiver on the VM called self, which finds the owner by owner.
+func New(m *messenger.Messenger, self string, owner func() (claimer.Member, uint64, bool), log hclog.Logger, registry metrics.Registry) *Receiver {
+	r := &Receiver{
+		messenger: m, owner: owner, self: self, now: claimer.Now, log: log.Named("receiver"),
+		passed: metrics.GetOrRegisterTimer("requests.time", registry),
+		failed: metrics.GetOrRegisterCounter("requests.owner.unreached", registry),
+	}
+	for i := range r.answers {
+		r.answers[i] = metrics.GetOrRegisterCounter("requests.status."+strconv.Itoa(i)+"xx", registry)
+	}
+	return r
+}
+
+// Own sets the conductor while this VM is the owner, and nil after.
+func (r *Receiver) Own(c *conductor.Conductor) { r.local.Store(c) }
+
+// Stop makes the VM not ready and has callers' connections closed after their
+// next answer.
+func (r *Receiver) Stop() { r.stopping.Store(true) }
+
+// Ready reports whether the balancer should send connections here.
+func (r *Receiver) Ready() bool {
+	lost := r.lost.Load()
+	return !r.stopping.Load() && (lost == 0 || r.now()-time.Duration(lost) < unreachedLimit)
+}
+
+// Readiness serves the balancer's look.
+func (r *Receiver) Readiness() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Handle registers the calls of other receivers, for while this VM is the owner.
+func (r *Receiver) Handle(mux messenger.Mux) {
+	messenger.Handle(r.messenger, mux, procedure, func(ctx context.Context, call *conductor.Call) (*conductor.Answer, error) {
+		c := r.local.Load()
+		if c == nil {
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("this VM is not the owner"))
+		}
+		answer := c.Serve(ctx, *call)
+		return &answer, nil
+	})
+}
+
+// ServeHTTP answers a caller.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	begun := r.now()
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, bodyLimit))
+	var answer conductor.Answer
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		answer = conductor.Answer{Status: http.StatusRequestEntityTooLarge, Body: platform.ErrorBody("body is too large")}
+	case err != nil:
+		answer = conductor.Answer{Status: http.StatusBadRequest, Body: platform.ErrorBody("body can't be read")}
+	default:
+		ctx, cancel := context.WithTimeout(request.Context(), platform.Budget(request.Header, defaultBudget))
+		answer = r.pass(ctx, conductor.Call{
+			Method: request.Method, Host: request.Host, Path: request.URL.Path, Key: platform.Key(request.Header), Body: body,
+		})
+		cancel()
+	}
+	r.passed.Update(r.now() - begun)
+	r.answers[min(answer.Status/100, 5)].Inc(1)
+	header := w.Header()
+	header["Content-Type"] = []string{"application/json"}
+	if answer.After > 0 {
+		header["Retry-After"] = []string{strconv.Itoa(answer.After)}
+	}
+	if r.stopping.Load() {
+		header["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(answer.Status)
+	if _, err := w.Write(answer.Body); err != nil {
+		r.log.Debug("caller is gone", "path", request.URL.Path, "error", err)
+	}
+}
+
+// pass gives a request to the owner. Every request may be repeated, as a job has
+// an id of its caller's; so it is tried again while the owner changes, as long as
+// the caller has patience.
+func (r *Receiver) pass(ctx context.Context, call conductor.Call) conductor.Answer {
+	waited := r.now()
+	maybe := false // an owner may have carried the request out
+	for {
+		answer, err := r.attempt(ctx, call)
+		if err == nil && answer.Status != http.StatusServiceUnavailable {
+			return answer
+		}
+		if err != nil {
+			maybe = maybe || connect.CodeOf(err) != connect.CodeUnavailable
+		}
+		if ctx.Err() != nil || r.now()-waited > ownerWait {
+			return r.giveUp(call, answer, maybe, err)
+		}
+		pause(ctx, ownerPause)
+	}
+}
+
+// giveUp answers a request that no owner has answered.
+func (r *Receiver) giveUp(call conductor.Call, answer conductor.Answer, maybe bool, err error) conductor.Answer {
+	r.log.Info("request not passed on", "method", call.Method, "path", call.Path, "sure", !maybe, "error", err)
+	switch {
+	case maybe:
+		return conductor.Answer{Status: http.StatusGatewayTimeout, Body: platform.ErrorBody("outcome unknown")}
+	case err == nil:
+		return answer
+	default:
+		return conductor.Answer{Status: http.StatusServiceUnavailable, Body: platform.ErrorBody("no owner in reach"), After: returnAfter}
+	}
+}
+
+// errNoOwner means that no VM is known to own the fleet.
+var errNoOwner = connect.NewError(connect.CodeUnavailable, errors.New("no owner"))
+
+func (r *Receiver) attempt(ctx context.Context, call conductor.Call) (conductor.Answer, error) {
+	if c := r.local.Load(); c != nil {
+		r.lost.Store(0)
+		return c.Serve(ctx, call), nil
+	}
+	owner, _, known := r.owner()
+	if !known || owner.ID() == r.self {
+		return conductor.Answer{}, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	answer, err := messenger.Call[conductor.Call, conductor.Answer](ctx, r.messenger, owner.Address(), procedure, &call)
+	if err != nil {
+		r.failed.Inc(1)
+		r.lost.CompareAndSwap(0, int64(r.now()))
+		return conductor.Answer{}, err
+	}
+	r.lost.Store(0)
+	return *answer, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,232 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"filberthaven.example/claimer"
+	"filberthaven.example/conductor"
+	"filberthaven.example/messenger"
+	"filberthaven.example/planner"
+	"filberthaven.example/platform"
+	"filberthaven.example/receiver"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+)
+
+const (
+	// memberWait is how long a watch for the owner and the entry VMs waits; each
+	// watch is priced.
+	memberWait = 10 * time.Second
+	// ownerWatch is how long the owner's watches wait: a watch that has gone
+	// silent must not hide a configuration for longer.
+	ownerWatch = 1200 * time.Millisecond
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 3 * time.Second
+	// idleTimeout ends callers' idle connections.
+	idleTimeout = 15 * time.Second
+	// headerLimit is the largest header of a request in bytes.
+	headerLimit = 16 << 10
+	// stopTimeout bounds the end of what is under way at a planned stop.
+	stopTimeout = 2500 * time.Millisecond
+	// peerConnections is the number of idle connections kept to an entry VM.
+	peerConnections = 16
+	// askProcedure is the call by which the owner has a VM ask for advice.
+	askProcedure = "/fleet/ask"
+)
+
+// Runner is one entry VM.
+type Runner struct {
+	settings  *Settings
+	log       hclog.Logger
+	registry  metrics.Registry
+	store     *platform.Store
+	orders    *platform.Orders
+	adviser   *platform.Adviser
+	messenger *messenger.Messenger
+	claimer   *claimer.Claimer
+	receiver  *receiver.Receiver
+}
+
+// question asks a VM to ask which workers may run a step.
+type question struct {
+	Step    string        `cbor:"1,keyasint"`
+	Workers []string      `cbor:"2,keyasint"`
+	Cost    time.Duration `cbor:"3,keyasint"`
+}
+
+// advised is the answer to a question.
+type advised struct {
+	Tickets map[string]string `cbor:"1,keyasint"`
+	Valid   time.Duration     `cbor:"2,keyasint"`
+}
+
+// NewLogger returns the logger that the settings ask for.
+func NewLogger(settings *Settings, w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name: "filberthaven", Level: hclog.LevelFromString(settings.Level()), JSONFormat: settings.JSON(), Output: w,
+	})
+}
+
+// New returns an entry VM with those settings.
+func New(settings *Settings, log hclog.Logger) (*Runner, error) {
+	r := &Runner{settings: settings, log: log, registry: metrics.NewRegistry()}
+	r.store = platform.NewStore(settings.store, memberWait, r.registry)
+	r.orders = platform.NewOrders()
+	if settings.advice != "" {
+		r.adviser = platform.NewAdviser(settings.advice)
+	}
+	var err error
+	if r.messenger, err = messenger.New(messenger.WithClient(platform.NewHTTPClient(peerConnections), "http")); err != nil {
+		return nil, err
+	}
+	r.claimer, err = claimer.New(r.store.Keeper(), settings.id, uuid.NewString(), settings.internal, settings.centre,
+		claimer.WithLogger(log), claimer.WithOwner(r.own))
+	if err != nil {
+		return nil, err
+	}
+	r.receiver = receiver.New(r.messenger, settings.id, r.claimer.Owner, log, r.registry)
+	return r, nil
+}
+
+// own runs the fleet while this VM is the owner.
+func (r *Runner) own(ctx context.Context, term uint64) {
+	c, err := conductor.New(r.store.Waiting(ownerWatch).Keeper(), r.orders, r.settings.id, term,
+		conductor.WithLease(r.settings.lease), conductor.WithLogger(r.log), conductor.WithRegistry(r.registry),
+		conductor.WithValid(func() bool { return r.claimer.Valid(term) }),
+		conductor.WithUnfit(func() { r.claimer.Resign(true) }),
+		conductor.WithMembers(r.claimer.Members, r.ask))
+	if err == nil {
+		r.receiver.Own(c)
+		err = c.Run(ctx)
+		r.receiver.Own(nil)
+	}
+	if err != nil && ctx.Err() == nil {
+		r.log.Error("fleet can't be run", "term", term, "error", err)
+		r.claimer.Resign(true)
+	}
+}
+
+// ask has a VM ask for advice, or this one when member has no id.
+func (r *Runner) ask(ctx context.Context, member claimer.Member, a planner.Action) (map[string]string, time.Duration, error) {
+	if member.ID() == "" || member.ID() == r.settings.id {
+		return r.askHere(ctx, a.Step, a.Workers, a.Cost)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Cost+platform.AdviceGrace)
+	defer cancel()
+	answer, err := messenger.Call[question, advised](ctx, r.messenger, member.Address(), askProcedure, &question{a.Step, a.Workers, a.Cost})
+	if err != nil {
+		return nil, 0, err
+	}
+	return answer.Tickets, answer.Valid, nil
+}
+
+func (r *Runner) askHere(ctx context.Context, step string, workers []string, cost time.Duration) (map[string]string, time.Duration, error) {
+	if r.adviser == nil {
+		return nil, 0, oops.In("runner").Errorf("settings name no advice service")
+	}
+	return r.adviser.Ask(ctx, step, workers, cost)
+}
+
+// internalHandler serves the calls of other entry VMs.
+func (r *Runner) internalHandler() http.Handler {
+	mux := http.NewServeMux()
+	r.receiver.Handle(mux)
+	messenger.Handle(r.messenger, mux, askProcedure, func(ctx context.Context, q *question) (*advised, error) {
+		tickets, valid, err := r.askHere(ctx, q.Step, q.Workers, q.Cost)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		return &advised{tickets, valid}, nil
+	})
+	return mux
+}
+
+// newServer returns an HTTP server with the limits of callers' requests.
+func (r *Runner) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
+		ErrorLog: r.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+// Run serves until ctx is done; then it stops in order: the ownership goes to
+// another VM, the balancer sends callers elsewhere, requests under way end.
+func (r *Runner) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers, failed, err := r.listen()
+	if err != nil {
+		return err
+	}
+	r.log.Info("serving", "vm", r.settings.id, "centre", r.settings.centre, "callers", r.settings.callers, "internal", r.settings.internal)
+	var parts sync.WaitGroup
+	parts.Go(func() { _ = r.claimer.Run(base) }) // ends with the context only
+	select {
+	case <-ctx.Done():
+		r.stop(servers)
+	case err = <-failed:
+		r.log.Error("server ended", "error", err)
+	}
+	cancel()
+	parts.Wait()
+	for _, server := range servers {
+		_ = server.Close() // what is left after the drain
+	}
+	r.log.Info("stopped", "vm", r.settings.id)
+	return err
+}
+
+// listen opens all listeners.
+func (r *Runner) listen() ([]*http.Server, <-chan error, error) {
+	var servers []*http.Server
+	failed := make(chan error, 4)
+	for _, part := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{r.settings.callers, r.receiver},
+		{r.settings.ready, r.receiver.Readiness()},
+		{r.settings.internal, r.internalHandler()},
+		{r.settings.metrics, metricsHandler(r.registry)},
+	} {
+		if part.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", part.address)
+		if err != nil {
+			return nil, nil, oops.In("runner").With("address", part.address).Wrapf(err, "address can't be listened on")
+		}
+		server := r.newServer(part.handler)
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return servers, failed, nil
+}
+
+// stop ends in order and cuts no request.
+func (r *Runner) stop(servers []*http.Server) {
+	r.log.Info("stopping", "vm", r.settings.id)
+	r.receiver.Stop()
+	r.claimer.Leave()
+	time.Sleep(r.settings.drain)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			r.log.Warn("requests were still under way at the end", "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/runner/settings.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"time"
+
+	"filberthaven.example/loader"
+	"github.com/samber/oops"
+)
+
+// Settings are those of one entry VM.
+type Settings struct {
+	id, centre string
+	callers    string // address for callers
+	ready      string // address for the balancer's look
+	internal   string // address for other entry VMs
+	metrics    string // address of the page of metrics, empty for none
+	store      string // address of the platform's store
+	advice     string // address of the advice service, empty for none
+	lease      time.Duration
+	drain      time.Duration
+	level      string
+	json       bool
+}
+
+// ID returns the name of the VM.
+func (s *Settings) ID() string { return s.id }
+
+// Level returns the lowest level of log lines written.
+func (s *Settings) Level() string { return s.level }
+
+// JSON reports whether log lines are JSON objects.
+func (s *Settings) JSON() bool { return s.json }
+
+const (
+	// defaultDrain is how long a stopping VM serves callers until the balancer
+	// has noticed: two looks a second apart, with room.
+	defaultDrain = 2600 * time.Millisecond
+	// defaultLease is the longest lease that workers grant.
+	defaultLease = 6 * time.Second
+)
+
+// LoadSettings reads the settings from an INI file. An error holds all faults.
+func LoadSettings(path string) (*Settings, error) {
+	file, err := loader.ReadFile(path)
+	if err != nil {
+		return nil, oops.In("runner").Wrapf(err, "settings can't be read")
+	}
+	d := loader.NewDecoder(file)
+	s := &Settings{}
+	vm := d.One("vm")
+	s.id = loader.Require(vm, "id", loader.Word)
+	s.centre = loader.Require(vm, "centre", loader.Word)
+	s.callers = loader.Require(vm, "callers", loader.Address)
+	s.ready = loader.Require(vm, "ready", loader.Address)
+	s.internal = loader.Require(vm, "internal", loader.Address)
+	s.metrics = loader.Get(vm, "metrics", loader.Address, "")
+	s.drain = loader.Get(vm, "drain", loader.Duration, defaultDrain, loader.Between(0, time.Hour))
+	platform := d.One("platform")
+	s.store = loader.Require(platform, "store", loader.Address)
+	s.advice = loader.Get(platform, "advice", loader.Address, "")
+	s.lease = loader.Get(platform, "lease", loader.Duration, defaultLease, loader.Between(time.Second, time.Minute))
+	log := d.One("log")
+	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
+	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
