--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,12 +23,12 @@
 	// brings about.
 	tickTime = 250 * time.Millisecond
 	// journalRate is the number of segments a second: each is a priced write to
-	// the store, and the mean wait for one stays below 40 ms.
-	journalRate = 18
-	// journalSlots is the ring, a snapshot about every 14 s at the highest rate.
+	// the store, and the mean wait for one stays below 20 ms.
+	journalRate = 40
+	// journalSlots is the ring, a snapshot about every 6 s at the highest rate.
 	journalSlots = 512
 	// journalWindow is how long records gather when the journal is idle.
-	journalWindow = 12 * time.Millisecond
+	journalWindow = 8 * time.Millisecond
 	// expireTime is the time between two sweeps of ended jobs and lost workers.
 	expireTime = 2 * time.Second
 )
@@ -220,6 +220,7 @@
 	c.mu.Lock()
 	actions := c.planner.Decide(c.now(), wallClock())
 	c.mu.Unlock()
+	var starts []planner.Action
 	for _, a := range actions {
 		switch a.Kind {
 		case planner.Ask:
@@ -227,13 +228,16 @@
 		case planner.Start:
 			c.log.Info("start", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
 			c.figures.starts.Inc(1)
-			c.spawn(func() { c.start(a) })
+			starts = append(starts, a)
 		case planner.Stop:
 			c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
 			c.figures.stops.Inc(1)
 			c.spawn(func() { c.stop(a) })
 		}
 	}
+	if len(starts) > 0 {
+		c.begin(starts)
+	}
 }
 
 // spawn runs f as part of the ownership.
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -10,6 +10,43 @@
 // stopPause is the pause before a stop that got no answer is repeated.
 const stopPause = 300 * time.Millisecond
 
+// begin orders starts once the journal holds them, so that the next owner knows
+// where each task may run. Without the journal they are taken back.
+func (c *Conductor) begin(starts []planner.Action) {
+	record := planner.Record{At: wallClock()}
+	for _, a := range starts {
+		record.Begins = append(record.Begins, planner.Begin{Task: a.Task, Number: a.Number, Worker: a.Worker})
+	}
+	data, err := record.Encode()
+	if err == nil {
+		err = c.journal.Enqueue(data, func(err error) {
+			if err == nil {
+				err = c.ctx.Err()
+			}
+			if err != nil {
+				c.takeBack(starts, err)
+				return
+			}
+			for _, a := range starts {
+				c.spawn(func() { c.start(a) })
+			}
+		})
+	}
+	if err != nil {
+		c.takeBack(starts, err)
+	}
+}
+
+// takeBack tells the planner of starts that were not ordered.
+func (c *Conductor) takeBack(starts []planner.Action, err error) {
+	c.log.Info("starts taken back", "starts", len(starts), "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range starts {
+		c.planner.Started(a, planner.Withdrawn, c.now())
+	}
+}
+
 // start orders a run and tells the planner what came of it.
 func (c *Conductor) start(a planner.Action) {
 	c.mu.Lock()
@@ -20,7 +57,7 @@
 		until = l.until(now, c.lease)
 	}
 	if l == nil || until == 0 || !c.valid() {
-		c.planner.Started(a, planner.Refused, now)
+		c.planner.Started(a, planner.Withdrawn, now)
 		c.mu.Unlock()
 		return
 	}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -53,7 +53,8 @@
 const lateFactor = 3
 
 // Decide returns what to do now; wall is Unix milliseconds. Each Start is on the
-// books from now on and has to be answered by Started, each Stop by Halted, each
+// books from now on and is to be ordered once the journal holds it; it has to be
+// answered by Started, each Stop by Halted, each
 // Ask by Advised.
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.lapse(now)
@@ -64,7 +65,7 @@
 	for _, c := range p.candidates(now) {
 		for _, o := range c.job.rounds {
 			for _, s := range o.steps {
-				if s.ready && s.todo > 0 && !s.limbo {
+				if s.ready && s.todo > 0 {
 					p.place(s, c, now)
 				}
 			}
@@ -75,18 +76,20 @@
 	return out
 }
 
+// lateOrders is longer than the platform may take to carry out an order that got
+// no answer (12 s). A new life of a worker has a clock of its own, so that the end
+// of a lease given to an earlier life doesn't refuse such an order.
+const lateOrders = 15 * time.Second
+
 // lapse ends the runs of workers whose leases have surely lapsed.
 func (p *Planner) lapse(now time.Duration) {
 	for _, w := range p.workers {
 		if now < w.lapses || w.lapses == 0 {
 			continue
 		}
-		if !w.fenced {
-			w.fenced = true
-			p.settle(now)
-		}
+		w.fenced = true
 		for _, r := range w.runs {
-			if r.phase == running || r.phase == stopping {
+			if r.phase != sent && (r.crossed == 0 || now-r.crossed > lateOrders) {
 				p.endRun(r, Lapsed, r.saved, now)
 			}
 		}
--- a/planner/job.go
+++ b/planner/job.go
@@ -36,7 +36,6 @@
 	remaining int           // occurrences that are not finished
 	waiting   bool          // stands in the planner's list of jobs with tasks that wait
 	span      time.Duration // estimated chain of one occurrence, 0 until reckoned
-	inherited bool          // comes from an earlier owner's journal
 }
 
 // occurrence is one time that a job's steps run.
@@ -62,7 +61,6 @@
 	number    int  // newest run number, of a gang
 	failedRun int  // newest run number whose failure was counted, of a gang
 	advice    advice
-	limbo     bool // may run on workers that this owner has not heard yet
 }
 
 // task is one task of a step.
@@ -83,6 +81,7 @@
 	running                 // the worker has confirmed it
 	unanswered              // the order got no answer; it may be carried out yet
 	stopping                // a stop was ordered
+	recorded                // an earlier owner may have ordered it
 )
 
 // run is one start of a task on a worker. Its capacity is charged until it has
@@ -101,6 +100,7 @@
 	progress int           // percent as last listed
 	saved    string        // checkpoint as last listed
 	team     *team         // charged, nil once released
+	crossed  time.Duration // when its worker began a new life before the order was answered; else 0
 }
 
 func (r *run) key() runKey { return runKey{r.step.taskName(r.index), r.number} }
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -13,11 +13,12 @@
 	NoTicket                // refused for want of a valid ticket
 	NoRoom                  // refused for want of room
 	Deposed                 // refused because of a newer owner's fence
+	Withdrawn               // never ordered
 )
 
 // String returns the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"began", "refused", "no answer", "no ticket", "no room", "newer owner"}[o]
+	return [...]string{"began", "refused", "no answer", "no ticket", "no room", "newer owner", "withdrawn"}[o]
 }
 
 // Started tells what became of a start.
@@ -49,9 +50,11 @@
 		if outcome == NoRoom {
 			w.health.until = max(w.health.until, now+time.Second/2)
 		}
-		w.silent = 0
 		p.endRun(r, Stopped, "", now)
-		p.breakGang(r)
+		if outcome != Withdrawn {
+			w.silent = 0
+			p.breakGang(r)
+		}
 	}
 }
 
@@ -83,10 +86,7 @@
 	}
 	if !answered {
 		w.silent++
-		r.asked = false
-		if r.phase == stopping || r.phase == unanswered {
-			p.stop(r)
-		}
+		p.stop(r)
 		return
 	}
 	w.silent = 0
@@ -134,7 +134,6 @@
 		w.report.Born = l.Born
 	}
 	w.heard, w.silent = now, 0
-	fresh := !w.fenced
 	w.fenced = true
 	var ends []End
 	for _, e := range l.Ended {
@@ -151,16 +150,13 @@
 		p.listedRun(w, e, now)
 	}
 	for key, r := range w.runs {
-		if present[key] || r.answered >= l.Asked || r.phase != running && r.phase != stopping {
+		if present[key] || r.answered >= l.Asked || r.phase == sent || r.phase == unanswered {
 			continue
 		}
-		// It was confirmed before the call, and the worker has it no more: its
-		// end was listed to an earlier owner, or it never began.
+		// It was confirmed before the call, and the worker has it no more; or an
+		// earlier owner's order never arrived, and the fence refuses it now.
 		p.endRun(r, Lost, r.saved, now)
 	}
-	if fresh {
-		p.settle(now)
-	}
 	return ends
 }
 
@@ -197,8 +193,8 @@
 	}
 }
 
-// listedRun applies one run: it confirms a start, adopts an earlier owner's run,
-// or has a run stopped that should not be there.
+// listedRun applies one run: it confirms a start, of an earlier owner as well, or
+// has a run stopped that should not be there.
 func (p *Planner) listedRun(w *worker, e Entry, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress = e.Progress
@@ -208,7 +204,7 @@
 				r.step.tasks[r.index].checkpoint = e.Saved
 			}
 		}
-		if r.phase == sent {
+		if r.phase == sent || r.phase == recorded {
 			r.phase, r.answered = running, now
 		}
 		return
@@ -224,26 +220,11 @@
 	if len(t.runs) == 0 && !t.done {
 		s.todo--
 	}
-	foreign := t.done || len(t.runs) > 0 || !s.limbo || s.spec.Gang && s.foreign(e.Number)
+	// Every start is in the journal, so this one was given up since.
 	t.runs = append(t.runs, r)
 	t.number = max(t.number, e.Number)
 	s.number = max(s.number, e.Number)
-	s.round.job.started = true
-	if foreign {
-		p.giveUp(r)
-	}
-}
-
-// foreign reports whether members of another run of the gang are known.
-func (s *step) foreign(number int) bool {
-	for i := range s.tasks {
-		for _, r := range s.tasks[i].runs {
-			if r.number != number {
-				return true
-			}
-		}
-	}
-	return false
+	p.giveUp(r)
 }
 
 // stray has a run stopped whose job is not known any more. Its size is not known
@@ -290,38 +271,6 @@
 	}
 }
 
-// settle ends the limbo once every worker that an earlier owner may have used has
-// been heard or its leases have lapsed.
-func (p *Planner) settle(now time.Duration) {
-	if !p.limbo {
-		return
-	}
-	for id := range p.used {
-		if w := p.workers[id]; w != nil && !w.fenced {
-			return
-		}
-	}
-	p.limbo = false
-	for _, j := range p.jobs {
-		for _, o := range j.rounds {
-			for _, s := range o.steps {
-				s.limbo = false
-				if s.spec.Gang && s.todo > 0 && s.todo < len(s.tasks) {
-					p.stopAll(s)
-				}
-			}
-		}
-	}
-}
-
-func (p *Planner) stopAll(s *step) {
-	for i := range s.tasks {
-		for _, r := range s.tasks[i].runs {
-			p.giveUp(r)
-		}
-	}
-}
-
 // charge books a run on its worker and its team.
 func (p *Planner) charge(r *run) {
 	r.on.charge(r)
@@ -331,15 +280,20 @@
 	}
 }
 
-// endRun takes a run off the books and applies its end.
-func (p *Planner) endRun(r *run, how, saved string, now time.Duration) {
+// release takes a run off the books of its worker, its team and its task.
+func (p *Planner) release(r *run) {
 	r.on.release(r)
 	if r.team != nil {
 		r.team.used = r.team.used.Sub(r.size)
 		r.team = nil
 	}
+	r.step.drop(r)
+}
+
+// endRun takes a run off the books and applies its end.
+func (p *Planner) endRun(r *run, how, saved string, now time.Duration) {
+	p.release(r)
 	s := r.step
-	s.drop(r)
 	if s.round.job.ended != "" {
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -19,8 +19,6 @@
 	used    map[string]bool // workers that the journal names as possibly running tasks
 	jobs    map[string]*job // ended ones for as long as callers may ask
 	live    []*job          // stored and not ended, in order of arrival
-	owners  int             // owners before this one
-	limbo   bool            // an earlier owner's runs may go on unseen
 	shares  map[string]*share
 	load    load
 	out     []Action
@@ -185,7 +183,9 @@
 	w.fenced = true
 	for _, r := range w.runs {
 		if r.phase == unanswered || r.phase == sent {
+			r.crossed = now
 			r.asked = false
+			r.over = false
 			p.giveUp(r)
 			continue
 		}
--- a/planner/record.go
+++ b/planner/record.go
@@ -27,6 +27,13 @@
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
 }
 
+// Begin is a start that is ordered once the journal holds it.
+type Begin struct {
+	Task   string `cbor:"1,keyasint"`
+	Number int    `cbor:"2,keyasint"`
+	Worker string `cbor:"3,keyasint"`
+}
+
 // Record is one change in the journal. Replaying a record twice, or onto a state
 // that holds it, changes nothing.
 type Record struct {
@@ -36,6 +43,7 @@
 	Use    string   `cbor:"4,keyasint,omitempty"` // worker that may run tasks from now on
 	Drop   string   `cbor:"5,keyasint,omitempty"` // worker that runs none any more
 	At     int64    `cbor:"6,keyasint,omitempty"` // Unix ms
+	Begins []Begin  `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode returns the record as bytes.
@@ -46,7 +54,6 @@
 	Jobs    []storedJob `cbor:"1,keyasint"`
 	Ended   []storedEnd `cbor:"2,keyasint"`
 	Workers []string    `cbor:"3,keyasint"`
-	Owners  int         `cbor:"4,keyasint"`
 }
 
 // storedEnd is a job that has ended.
@@ -78,12 +85,13 @@
 	Checkpoint string `cbor:"7,keyasint,omitempty"`
 	FailedRun  int    `cbor:"9,keyasint,omitempty"`  // newest run number whose failure was counted
 	StepFailed int    `cbor:"8,keyasint,omitempty"`  // failed runs of its gang
+	Worker     string `cbor:"11,keyasint,omitempty"` // that may run it under Number
 	GangFailed int    `cbor:"10,keyasint,omitempty"` // newest of its gang whose failure was counted
 }
 
 // Snapshot returns the state for the journal; wall is Unix milliseconds.
 func (p *Planner) Snapshot(now time.Duration, wall int64) ([]byte, error) {
-	s := snapshot{Owners: p.owners}
+	s := snapshot{}
 	for id := range p.used {
 		s.Workers = append(s.Workers, id)
 	}
@@ -110,10 +118,14 @@
 				if t.number == 0 && !t.done {
 					continue
 				}
-				stored.Tasks = append(stored.Tasks, storedTask{
+				entry := storedTask{
 					K: o.index, Step: st.index, Index: i, Number: t.number, Failures: t.failures,
 					Done: t.done, Checkpoint: t.checkpoint, StepFailed: st.failures, FailedRun: t.failedRun, GangFailed: st.failedRun,
-				})
+				}
+				for _, r := range t.runs {
+					entry.Number, entry.Worker = r.number, r.on.report.ID
+				}
+				stored.Tasks = append(stored.Tasks, entry)
 			}
 		}
 	}
@@ -137,14 +149,11 @@
 		}
 		p.replay(r, now, wall)
 	}
-	p.owners++
 	p.inherit(until)
-	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.arrived, b.arrived) })
 	return nil
 }
 
 func (p *Planner) restoreSnapshot(s snapshot, now time.Duration, wall int64) {
-	p.owners = s.Owners
 	for _, id := range s.Workers {
 		p.used[id] = true
 	}
@@ -183,11 +192,32 @@
 	st.number = max(st.number, t.Number)
 	st.failures = max(st.failures, t.StepFailed)
 	task.failedRun, st.failedRun = t.FailedRun, max(st.failedRun, t.GangFailed)
+	if t.Worker != "" {
+		p.recorded(st, t.Index, t.Number, t.Worker)
+	}
 	if t.Done {
 		p.markDone(st, t.Index)
 	}
 }
 
+// recorded books a run that an earlier owner may have ordered. Its worker tells
+// whether it runs, when it is heard or its leases have lapsed.
+func (p *Planner) recorded(s *step, index, number int, worker string) {
+	t := &s.tasks[index]
+	for _, r := range slices.Clone(t.runs) {
+		p.release(r) // a later start proves that it had ended
+	}
+	r := &run{step: s, index: index, number: number, on: p.worker(worker), size: s.spec.Size, phase: recorded}
+	if len(t.runs) == 0 && !t.done {
+		s.todo--
+	}
+	t.runs = append(t.runs, r)
+	t.number = max(t.number, number)
+	s.number = max(s.number, number)
+	s.round.job.started = true
+	p.charge(r)
+}
+
 // step returns step index of occurrence k, nil when that has ended or not begun.
 func (j *job) step(k, index int) *step {
 	if index >= len(j.spec.Steps) {
@@ -208,7 +238,6 @@
 	spec.restore()
 	j := p.newJob(spec, now-time.Duration(max(0, wall-spec.Accepted))*time.Millisecond)
 	j.stored = true
-	j.inherited = true
 	p.jobs[spec.ID] = j
 	return j
 }
@@ -218,6 +247,11 @@
 	if r.Job != nil {
 		p.restoreJob(*r.Job, now, wall)
 	}
+	for _, b := range r.Begins {
+		if st, index := p.replayed(b.Task); st != nil && b.Number > st.tasks[index].number && !st.tasks[index].done {
+			p.recorded(st, index, b.Number, b.Worker)
+		}
+	}
 	for _, e := range r.Ends {
 		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond)
 	}
@@ -231,63 +265,56 @@
 	delete(p.used, r.Drop)
 }
 
-func (p *Planner) replayEnd(e End, at time.Duration) {
-	id, k, index, n, ok := parseTask(e.Task)
-	j := p.jobs[id]
-	if !ok || j == nil || j.ended != "" {
-		return
-	}
-	for j.next <= k && k < j.spec.Repeats {
-		j.rounds = append(j.rounds, newRound(j, j.next))
-		j.next++
+// replayed returns the step of a task in the journal, and begins its occurrence if
+// need be; nil when the job or occurrence has ended.
+func (p *Planner) replayed(name string) (*step, int) {
+	id, k, _, _, ok := parseTask(name)
+	if j := p.jobs[id]; ok && j != nil && j.ended == "" {
+		for j.next <= k && k < j.spec.Repeats {
+			j.rounds = append(j.rounds, newRound(j, j.next))
+			j.next++
+		}
 	}
-	st := j.step(k, index)
-	if st == nil || n >= len(st.tasks) {
+	return p.stepOf(name)
+}
+
+func (p *Planner) replayEnd(e End, at time.Duration) {
+	st, n := p.replayed(e.Task)
+	if st == nil {
 		return
 	}
 	t := &st.tasks[n]
 	t.number = max(t.number, e.Number)
+	st.number = max(st.number, e.Number)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
+	for _, r := range slices.Clone(t.runs) {
+		if r.number == e.Number {
+			p.release(r)
+		}
+	}
 	switch e.How {
 	case Done:
 		p.settleDone(st, n, at)
 	case Faulty:
 		p.countFailure(st, n, e.Number, at)
 	}
-	st.number = max(st.number, e.Number)
-	if j.ended != "" {
-		j.shown = true
-	}
+	st.round.job.shown = st.round.job.ended != ""
 }
 
-// inherit marks what an earlier owner may have started since its last record.
+// inherit marks the workers on which an earlier owner's runs may go on until
+// until, and takes over the jobs that have not ended.
 func (p *Planner) inherit(until time.Duration) {
 	for id := range p.used {
 		w := p.worker(id)
 		w.fenced = false
 		w.lapses = until
 	}
-	p.limbo = len(p.used) > 0
 	for _, j := range p.jobs {
 		if j.ended == "" {
 			p.live = append(p.live, j)
 		}
-		for _, o := range j.rounds {
-			for _, s := range o.steps {
-				s.limbo = p.limbo
-				// Numbers of starts that no record tells of stay below this.
-				s.number = max(s.number, p.owners*numbersPerOwner)
-				for i := range s.tasks {
-					s.tasks[i].number = max(s.tasks[i].number, p.owners*numbersPerOwner)
-				}
-			}
-		}
 	}
+	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.arrived, b.arrived) })
 }
-
-// numbersPerOwner is the span of run numbers that one owner may use for a task
-// before those of its successor begin: more than the runs that a task has in
-// the life of an owner.
-const numbersPerOwner = 64
