planner: End the endless loop over the members of a gang that is done

Change: runs are marked, not taken off. Workers that a new owner hasn't heard yet count as capacity (it refused work as overload). A worker that left its newest call unanswered gets no starts.

--- a/planner/admit.go
+++ b/planner/admit.go
@@ -80,7 +80,8 @@
 func (p *Planner) reckon(now time.Duration) {
 	l := load{at: now, backlog: make([]float64, maxPriority+1), teams: map[string]float64{}}
 	for _, w := range p.workers {
-		if w.open(now) && !p.closed[w.report.Centre] {
+		// Workers that a new owner has not heard yet count too.
+		if w.listed && !w.report.Draining && !p.closed[w.report.Centre] {
 			l.capacity += float64(w.report.Capacity.CPU())
 		}
 	}
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -324,16 +324,12 @@
 		p.markDone(s, index)
 	}
 	for i := range s.tasks {
-		t := &s.tasks[i]
-		for t.done && len(t.runs) > 0 {
-			r := t.runs[0]
+		for _, r := range s.tasks[i].runs {
 			if s.spec.Gang {
-				// Members end by themselves; capacity stays charged until listed.
-				r.over = true
-				s.drop(r)
-				continue
+				r.over = true // members end by themselves
+			} else if s.tasks[i].done {
+				p.giveUp(r)
 			}
-			p.giveUp(r)
 		}
 	}
 	if s.done == len(s.tasks) {
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,270 @@
+package planner
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"filberthaven.example/placer"
+	"github.com/frankban/quicktest"
+)
+
+const (
+	second = time.Second
+	wall   = int64(1_700_000_000_000) // Unix ms at time 0
+)
+
+// bench drives a planner by hand.
+type bench struct {
+	*quicktest.C
+	p       *Planner
+	now     time.Duration
+	actions []Action
+	records [][]byte
+}
+
+func newBench(t *testing.T, workers int, queues ...Queue) *bench {
+	b := &bench{C: quicktest.New(t), p: New()}
+	if len(queues) == 0 {
+		queues = []Queue{{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: second}}
+	}
+	b.p.Configure(Config{Version: 1, Queues: queues, Teams: []Team{{Name: "team", Weight: 1}}}, 0)
+	for i := range workers {
+		b.add("w" + strconv.Itoa(i))
+	}
+	return b
+}
+
+// add lists a worker with 4 processors.
+func (b *bench) add(id string) {
+	b.p.Report(Report{ID: id, Centre: "c", Service: "s", Born: 1, Capacity: placer.NewResources(4000, 4096, 0), Labels: []string{"a", "r1"}}, b.now)
+	b.p.Use(id)
+	b.keep(Record{Use: id})
+}
+
+func (b *bench) keep(r Record) {
+	r.At = wall + b.now.Milliseconds()
+	data, err := r.Encode()
+	b.Assert(err, quicktest.IsNil)
+	b.records = append(b.records, data)
+}
+
+// submit hands a job in and has it stored.
+func (b *bench) submit(id string, steps ...StepSpec) {
+	spec := JobSpec{ID: id, Queue: "q", Team: "team", Payload: "p", Steps: steps, Accepted: wall + b.now.Milliseconds()}
+	_, err := b.p.Submit(spec, b.now)
+	b.Assert(err, quicktest.IsNil)
+	b.keep(Record{Job: &spec})
+	b.p.Stored(id)
+}
+
+// decide keeps the actions of one decision, and its starts in the journal.
+func (b *bench) decide() []Action {
+	b.actions = b.p.Decide(b.now, wall+b.now.Milliseconds())
+	var begins []Begin
+	for _, a := range b.actions {
+		if a.Kind == Start {
+			begins = append(begins, Begin{a.Task, a.Number, a.Worker})
+		}
+	}
+	if len(begins) > 0 {
+		b.keep(Record{Begins: begins})
+	}
+	return b.actions
+}
+
+// starts returns the starts of one decision, confirmed.
+func (b *bench) starts() []Action {
+	var starts []Action
+	for _, a := range b.decide() {
+		if a.Kind == Start {
+			b.p.Started(a, Began, b.now)
+			starts = append(starts, a)
+		}
+	}
+	return starts
+}
+
+// end lists the end of a run and keeps it in the journal.
+func (b *bench) end(a Action, serial uint64, how string) {
+	ends := b.p.Listed(Listing{Worker: a.Worker, Born: 1, Asked: b.now, Ended: []EndEntry{{serial, End{Task: a.Task, Number: a.Number, How: how}}}}, b.now)
+	b.keep(Record{Ends: ends})
+	for _, id := range b.p.Ended() {
+		b.p.Show(id)
+	}
+}
+
+func (b *bench) assertState(id string, want State) {
+	b.Helper()
+	state, known := b.p.State(id, "q", "team")
+	b.Assert(known, quicktest.IsTrue)
+	b.Assert(state, quicktest.Equals, want)
+}
+
+// succeed replaces the planner by one that takes over from the journal.
+func (b *bench) succeed(until time.Duration) {
+	config := b.p.config
+	b.p = New()
+	b.Assert(b.p.Restore(nil, b.records, b.now, wall+b.now.Milliseconds(), until), quicktest.IsNil)
+	b.p.Configure(config, b.now)
+}
+
+func tasks(n int) StepSpec { return StepSpec{Tasks: n, CPU: 1000, Memory: 100, Estimate: 1000} }
+
+func TestSteps(t *testing.T) {
+	b := newBench(t, 1)
+	next := tasks(1)
+	next.After = []int{0}
+	b.submit("j", tasks(2), next)
+	first := b.starts()
+	b.Assert(first, quicktest.HasLen, 2)
+	b.end(first[0], 1, Done)
+	b.Assert(b.starts(), quicktest.HasLen, 0)
+	b.end(first[1], 2, Done)
+	last := b.starts()
+	b.Assert(last, quicktest.HasLen, 1)
+	b.assertState("j", Running)
+	b.end(last[0], 3, Done)
+	b.assertState("j", Completed)
+}
+
+// A start without an answer may be carried out late: its task must not start
+// elsewhere before the stop of that run was answered and the worker lists it no
+// more.
+func TestUnansweredStart(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("j", tasks(1))
+	start := b.decide()[0]
+	b.p.Started(start, Unsure, b.now)
+	halt := b.decide()
+	b.Assert(halt, quicktest.HasLen, 1)
+	b.Assert(halt[0].Kind, quicktest.Equals, Stop)
+	b.now += second / 10
+	b.p.Halted(halt[0], true, b.now)
+	b.Assert(b.starts(), quicktest.HasLen, 0)
+	b.now += second / 10
+	b.p.Listed(Listing{Worker: start.Worker, Born: 1, Asked: b.now}, b.now)
+	again := b.starts()
+	b.Assert(again, quicktest.HasLen, 1)
+	b.Assert(again[0].Number, quicktest.Equals, 2)
+}
+
+// Attempts that an earlier owner counted hold for the next one, although it reads
+// its journal before it knows the queues.
+func TestAttemptsOutlastOwner(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("j", tasks(1))
+	b.end(b.starts()[0], 1, Faulty)
+	b.end(b.starts()[0], 2, Faulty)
+	b.assertState("j", Failed)
+	b.succeed(0)
+	b.add("w0")
+	b.now += second
+	b.Assert(b.starts(), quicktest.HasLen, 0)
+	b.Assert(b.p.Verdict("j"), quicktest.Equals, Failed)
+}
+
+// A job restored from a snapshot goes on after the steps that are done.
+func TestSnapshotKeepsFinishedSteps(t *testing.T) {
+	b := newBench(t, 1)
+	next := tasks(1)
+	next.After = []int{0}
+	b.submit("j", tasks(1), next)
+	b.end(b.starts()[0], 1, Done)
+	state, err := b.p.Snapshot(b.now, wall)
+	b.Assert(err, quicktest.IsNil)
+	config := b.p.config
+	b.p = New()
+	b.Assert(b.p.Restore(state, nil, b.now, wall, second), quicktest.IsNil)
+	b.p.Configure(config, b.now)
+	b.add("w0")
+	b.now += second
+	starts := b.starts()
+	b.Assert(starts, quicktest.HasLen, 1)
+	b.Assert(starts[0].Task, quicktest.Equals, "j.0.1.0")
+}
+
+// A new owner starts nothing twice: a task whose start the journal holds waits
+// until its worker was heard or its lease has lapsed; other tasks start at once.
+func TestTakeover(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("known", tasks(1))
+	b.Assert(b.starts(), quicktest.HasLen, 1)
+	b.submit("waiting", tasks(1))
+	b.succeed(6 * second)
+	b.add("w1")
+	starts := b.starts()
+	b.Assert(starts, quicktest.HasLen, 1)
+	b.Assert(starts[0].Task, quicktest.Equals, "waiting.0.0.0")
+	b.now = 5 * second
+	b.Assert(b.starts(), quicktest.HasLen, 0)
+	b.now = 7 * second
+	lapsed := b.starts()
+	b.Assert(lapsed, quicktest.HasLen, 1)
+	b.Assert(lapsed[0].Task, quicktest.Equals, "known.0.0.0")
+	b.Assert(lapsed[0].Number, quicktest.Equals, 2)
+}
+
+// A gang whose members run on is done as a whole by the end of one, also when a
+// new owner replays that from the journal; members still on the books must not
+// hang the replay.
+func TestGangDoneInReplay(t *testing.T) {
+	b := newBench(t, 1)
+	gang := tasks(3)
+	gang.Gang = true
+	b.submit("j", gang)
+	starts := b.starts()
+	b.Assert(starts, quicktest.HasLen, 3)
+	b.Assert(starts[0].Number, quicktest.Equals, starts[2].Number)
+	b.end(starts[0], 1, Done)
+	b.assertState("j", Completed)
+	b.succeed(6 * second)
+	b.Assert(b.p.Verdict("j"), quicktest.Equals, Completed)
+}
+
+// A task that is done while a stray run of it is on the books has that stopped.
+func TestDoneWithSecondRun(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("j", tasks(2))
+	start := b.starts()[0]
+	other := "w0"
+	if start.Worker == other {
+		other = "w1"
+	}
+	b.p.Listed(Listing{Worker: other, Born: 1, Asked: b.now, Running: []Entry{{Task: start.Task, Number: 9}}}, b.now)
+	b.end(start, 1, Done)
+	var stopped []int
+	for _, a := range b.decide() {
+		if a.Kind == Stop {
+			stopped = append(stopped, a.Number)
+		}
+	}
+	b.Assert(stopped, quicktest.DeepEquals, []int{9})
+}
+
+// A worker that answers no call gets no longer lease, so that its runs lapse.
+func TestSilentWorkerLapses(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("j", tasks(1))
+	b.starts()
+	b.p.Held("w0", 6*second)
+	b.Assert(b.p.Renewable("w0"), quicktest.IsTrue)
+	b.p.Silent("w0")
+	b.Assert(b.p.Renewable("w0"), quicktest.IsFalse)
+	b.add("w1")
+	b.now = 6 * second
+	again := b.starts()
+	b.Assert(again, quicktest.HasLen, 1)
+	b.Assert(again[0].Worker, quicktest.Equals, "w1")
+}
+
+// Just after a takeover no worker was heard yet; that is no overload.
+func TestNoRefusalBeforeWorkersWereHeard(t *testing.T) {
+	b := newBench(t, 4)
+	b.submit("old", tasks(8))
+	b.succeed(6 * second)
+	for i := range 4 {
+		b.p.Report(Report{ID: "w" + strconv.Itoa(i), Centre: "c", Service: "s", Capacity: placer.NewResources(4000, 4096, 0)}, b.now)
+	}
+	b.submit("new", tasks(1))
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -52,8 +52,8 @@
 }
 
 // maxSilent is the number of unanswered calls in a row after which nothing
-// starts on a worker until it answers.
-const maxSilent = 2
+// starts on a worker until it answers: what is sent into a partition is late.
+const maxSilent = 1
 
 // free returns the capacity that nothing is charged for.
 func (w *worker) free() placer.Resources { return w.report.Capacity.Sub(w.used) }
