planner: Try keeping room free for urgent work

Change: other work leaves 1.5 times the urgent demand on each worker free, at most 35%; teams that send more than their rate are refused first while work waits.

--- a/planner/admit.go
+++ b/planner/admit.go
@@ -18,18 +18,21 @@
 // loadInterval.
 type load struct {
 	at       time.Duration
-	capacity float64            // thousandths of processors of open workers
-	backlog  []float64          // core-ms that are not done, by priority, up to maxPriority
-	teams    map[string]float64 // core-ms that are not done, by team
-	weights  float64            // of teams with such work
+	capacity float64   // thousandths of processors of workers that take work
+	backlog  []float64 // core-ms, of thousandths, that are not done, by priority, up to maxPriority
 }
 
 const (
 	loadInterval = 100 * time.Millisecond
 	maxPriority  = 8 // queues of lower precedence count as this one
-	// hopeless is the multiple of a job's slack at which every team is refused,
-	// not just those above their share.
-	hopeless = 2.0
+	// busy is the part of a job's slack that the backlog ahead may take before
+	// teams beyond their rate are refused.
+	busy = 0.25
+	// hopeless is the multiple of a job's slack at which every team is refused: its
+	// job would be late even if a third of the work ahead were cancelled.
+	hopeless = 1.5
+	// rateBurst is how many seconds of its rate a team may send at once.
+	rateBurst = 2.0
 	// leastReturn and mostReturn bound the time after which a refused caller
 	// comes back.
 	leastReturn = time.Second
@@ -37,39 +40,59 @@
 )
 
 // admit returns why a job is refused, nil when it is admitted. It answers an
-// overload: what could not be done in time is refused at once, first from teams
-// that have more waiting than their share, with the time in which the backlog
-// ahead of it will be worked off.
+// overload by one team or by all: a team that sends more than its rate is refused
+// as soon as work waits; what can't be done in time is refused from everybody,
+// with the time in which the work ahead will be done.
 func (p *Planner) admit(j *job, now time.Duration) *Refusal {
-	if p.load.teams == nil || now-p.load.at >= loadInterval {
+	if p.load.backlog == nil || now-p.load.at >= loadInterval {
 		p.reckon(now)
 	}
 	l := &p.load
+	over := j.team.spend(now)
+	work := p.work(j)
+	priority := min(j.queue.Priority, maxPriority)
+	defer func() { l.backlog[priority] += work }()
 	if l.capacity <= 0 {
 		return nil // nothing is known of the workers yet
 	}
 	ahead := 0.0
-	for priority := 0; priority <= min(j.queue.Priority, maxPriority); priority++ {
-		ahead += l.backlog[priority]
+	for _, waiting := range l.backlog[:priority+1] {
+		ahead += waiting
 	}
 	wait := time.Duration(ahead/l.capacity) * time.Millisecond
 	slack := j.objective() - j.span
-	work := j.work()
-	if wait > slack {
-		fair := 1.0
-		if j.team != nil && l.weights > 0 {
-			fair = j.team.spec.Weight / l.weights
-		}
-		over := l.teams[j.spec.Team]+work > fair*ahead
-		if over || float64(wait) > hopeless*float64(slack) {
-			return &Refusal{"the work ahead can't be done in time", returnAfter(wait - slack)}
-		}
+	switch {
+	case over && float64(wait) > busy*float64(slack):
+		work = 0
+		return &Refusal{"the team sends more than its rate while work waits", returnAfter(wait)}
+	case float64(wait) > hopeless*float64(slack):
+		work = 0
+		return &Refusal{"the work ahead can't be done in time", returnAfter(wait - slack)}
+	}
+	if priority == 0 {
+		p.urgent.add(work, now)
 	}
-	l.backlog[min(j.queue.Priority, maxPriority)] += work
-	l.teams[j.spec.Team] += work
 	return nil
 }
 
+// spend takes one job off the team's rate, and reports whether the team is over
+// it.
+func (t *team) spend(now time.Duration) bool {
+	if t == nil || t.spec.Weight <= 0 {
+		return false
+	}
+	if t.credit == 0 && t.spent == 0 {
+		t.credit = rateBurst * t.spec.Weight
+	}
+	t.credit = min(t.credit+(now-t.spent).Seconds()*t.spec.Weight, rateBurst*t.spec.Weight)
+	t.spent = now
+	if t.credit < 1 {
+		return true
+	}
+	t.credit--
+	return false
+}
+
 // returnAfter rounds a wait to whole seconds within the bounds.
 func returnAfter(wait time.Duration) time.Duration {
 	seconds := time.Duration(math.Ceil(wait.Seconds())) * time.Second
@@ -78,7 +101,7 @@
 
 // reckon sums up the backlog.
 func (p *Planner) reckon(now time.Duration) {
-	l := load{at: now, backlog: make([]float64, maxPriority+1), teams: map[string]float64{}}
+	l := load{at: now, backlog: make([]float64, maxPriority+1)}
 	for _, w := range p.workers {
 		// Workers that a new owner has not heard yet count too.
 		if w.listed && !w.report.Draining && !p.closed[w.report.Centre] {
@@ -86,28 +109,21 @@
 		}
 	}
 	for _, j := range p.live {
-		if j.ended != "" || len(j.rounds) == 0 {
-			continue
-		}
-		work := j.work()
-		l.backlog[min(j.queue.Priority, maxPriority)] += work
-		l.teams[j.spec.Team] += work
-	}
-	for name := range l.teams {
-		if t := p.teams[name]; t != nil {
-			l.weights += t.spec.Weight
+		if j.ended == "" && len(j.rounds) > 0 {
+			l.backlog[min(j.queue.Priority, maxPriority)] += p.work(j)
 		}
 	}
 	p.load = l
 }
 
-// work returns the core-ms, in thousandths of a processor, that are not done.
-func (j *job) work() float64 {
+// work returns the core-ms, in thousandths of a processor, that are not done, by
+// the declared times and what the queue's runs have shown of them.
+func (p *Planner) work(j *job) float64 {
 	sum := 0.0
 	for _, o := range j.rounds {
 		for _, s := range o.steps {
 			sum += float64(s.spec.CPU) * float64(s.spec.Estimate) * float64(len(s.tasks)-s.done)
 		}
 	}
-	return sum
+	return sum * p.ratio(j.spec.Queue)
 }
--- a/planner/learn.go
+++ b/planner/learn.go
@@ -24,3 +24,11 @@
 	ratio := float64((now - r.began).Milliseconds()) / float64(r.step.spec.Estimate)
 	s.ratio += learnRate * (min(ratio, 4) - s.ratio)
 }
+
+// ratio returns the true run time as a multiple of the declared one.
+func (p *Planner) ratio(queue string) float64 {
+	if s := p.shares[queue]; s != nil {
+		return s.ratio
+	}
+	return 1
+}
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -7,13 +7,13 @@
 
 // Outcomes of a start.
 const (
-	Began    Outcome = iota // the worker runs it, or has run it
-	Refused                 // it surely does not run
-	Unsure                  // no answer; it may run, or begin yet
-	NoTicket                // refused for want of a valid ticket
-	NoRoom                  // refused for want of room
-	Deposed                 // refused because of a newer owner's fence
-	Withdrawn               // never ordered
+	Began     Outcome = iota // the worker runs it, or has run it
+	Refused                  // it surely does not run
+	Unsure                   // no answer; it may run, or begin yet
+	NoTicket                 // refused for want of a valid ticket
+	NoRoom                   // refused for want of room
+	Deposed                  // refused because of a newer owner's fence
+	Withdrawn                // never ordered
 )
 
 // String returns the outcome for logs.
@@ -273,6 +273,7 @@
 
 // charge books a run on its worker and its team.
 func (p *Planner) charge(r *run) {
+	r.urgent = r.step.round.job.queue.Priority == 0
 	r.on.charge(r)
 	if t := r.step.round.job.team; t != nil {
 		t.used = t.used.Add(r.size)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,6 +21,8 @@
 	live    []*job          // stored and not ended, in order of arrival
 	shares  map[string]*share
 	load    load
+	urgent  demand
+	part    float64 // of each worker that is kept for urgent work in this decision
 	out     []Action
 	awaited map[string][]func(error) // callers who handed a job in again while it is stored
 	shown   []string                 // jobs that ended since the last call of Ended
@@ -61,9 +63,10 @@
 
 // team is what a customer has running and may have.
 type team struct {
-	spec    Team
-	used    placer.Resources // of all runs that are charged
-	pending int64            // core-ms of accepted work that is not done
+	spec   Team
+	used   placer.Resources // of all runs that are charged
+	credit float64          // jobs that it may send at once
+	spent  time.Duration    // when credit was reckoned
 }
 
 // allows reports whether n tasks more of that size keep the team's limit.
