--- a/planner/admit.go
+++ b/planner/admit.go
@@ -69,9 +69,6 @@
 		work = 0
 		return &Refusal{"the work ahead can't be done in time", returnAfter(wait - slack)}
 	}
-	if priority == 0 {
-		p.urgent.add(work, now)
-	}
 	return nil
 }
 
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -76,7 +76,7 @@
 		if !good || w == nil || !p.eligible(s, w, now) {
 			continue
 		}
-		n := p.fill(s, w)
+		n := s.fill(w)
 		if n == 0 {
 			continue
 		}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"filberthaven.example/placer"
 )
 
 // Kind is what an action does.
@@ -61,7 +59,6 @@
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.lapse(now)
 	p.begin(wall, now)
-	p.part = p.keepFree(now)
 	for _, w := range p.workers {
 		w.reserve = nil
 	}
@@ -199,7 +196,7 @@
 	var left int64
 	near := false
 	for _, w := range p.workers {
-		if !p.permits(s, w, now) || !p.fits(s, w, w.free()) || !s.apart(w, 0) {
+		if !p.permits(s, w, now) || !s.spec.Size.Fits(w.free()) || !s.apart(w, 0) {
 			continue
 		}
 		at := s.spec.Rack != "" && w.has(s.spec.Rack)
@@ -211,15 +208,6 @@
 	return best
 }
 
-// fits reports whether one task of the step fits into what is free on the worker,
-// beside what is kept for urgent work.
-func (p *Planner) fits(s *step, w *worker, free placer.Resources) bool {
-	if !s.spec.Size.Fits(free) {
-		return false
-	}
-	return s.round.job.queue.Priority == 0 || w.leaves(w.free().Sub(free).Add(s.spec.Size), p.part)
-}
-
 // permits reports whether tasks of the step may start on the worker, room apart.
 func (p *Planner) permits(s *step, w *worker, now time.Duration) bool {
 	return p.eligible(s, w, now) && (s.round.job.queue.Advice == nil || s.advice.holds(w, now))
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -59,7 +59,7 @@
 		if !p.permits(s, w, now) {
 			continue
 		}
-		if n := p.fill(s, w); n > 0 {
+		if n := s.fill(w); n > 0 {
 			spots = append(spots, spot{w, n})
 			total += n
 		}
@@ -117,9 +117,9 @@
 }
 
 // fill returns how many tasks of the step fit on the worker now.
-func (p *Planner) fill(s *step, w *worker) int {
+func (s *step) fill(w *worker) int {
 	n := 0
-	for free := w.free(); n < len(s.tasks) && p.fits(s, w, free) && s.apart(w, n); n++ {
+	for free := w.free(); n < len(s.tasks) && s.spec.Size.Fits(free) && s.apart(w, n); n++ {
 		free = free.Sub(s.spec.Size)
 	}
 	return n
--- a/planner/job.go
+++ b/planner/job.go
@@ -93,7 +93,6 @@
 	on       *worker
 	size     placer.Resources
 	phase    phase
-	urgent   bool // of a queue of priority 0
 	began    time.Duration
 	answered time.Duration // when the worker confirmed it
 	over     bool          // it was given up, or its gang is done; it is to end
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -273,7 +273,6 @@
 
 // charge books a run on its worker and its team.
 func (p *Planner) charge(r *run) {
-	r.urgent = r.step.round.job.queue.Priority == 0
 	r.on.charge(r)
 	if t := r.step.round.job.team; t != nil {
 		t.used = t.used.Add(r.size)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,8 +21,6 @@
 	live    []*job          // stored and not ended, in order of arrival
 	shares  map[string]*share
 	load    load
-	urgent  demand
-	part    float64 // of each worker that is kept for urgent work in this decision
 	out     []Action
 	awaited map[string][]func(error) // callers who handed a job in again while it is stored
 	shown   []string                 // jobs that ended since the last call of Ended
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -30,7 +30,6 @@
 	report  Report
 	listed  bool // whether the platform's list has it
 	used    placer.Resources
-	urgent  placer.Resources // part of used, by queues of priority 0
 	runs    map[runKey]*run
 	seen    uint64        // number of the newest end processed, of this incarnation
 	fenced  bool          // it has answered a call of this owner, or all older leases have lapsed
@@ -66,9 +65,6 @@
 func (w *worker) charge(r *run) {
 	w.runs[r.key()] = r
 	w.used = w.used.Add(r.size)
-	if r.urgent {
-		w.urgent = w.urgent.Add(r.size)
-	}
 }
 
 // release takes a run off the books.
@@ -78,9 +74,6 @@
 	}
 	delete(w.runs, r.key())
 	w.used = w.used.Sub(r.size)
-	if r.urgent {
-		w.urgent = w.urgent.Sub(r.size)
-	}
 }
 
 // health tells workers that fail what they start from tasks that fail by
