conductor: Resign when the owner is cut off; acknowledge stored cancels only

The owner resigns when more workers are silent than have answered lately; the VMs of its data centre let others claim first, by a leased mark in the store.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -27,10 +27,10 @@
 	validMargin = 200 * time.Millisecond
 	// claimSpread spreads the claims of VMs that see the owner go.
 	claimSpread = 40 * time.Millisecond
-	// unfitDelay is added for a VM that has just resigned because it reached too
-	// few workers; it claims if nobody else does.
+	// unfitDelay is added for the VMs of a data centre whose owner has just
+	// resigned because it reached too few workers; they claim if nobody else does.
 	unfitDelay = 1500 * time.Millisecond
-	// unfitTime is how long a VM counts as unfit after that.
+	// unfitTime is how long the VMs of its data centre let others go first.
 	unfitTime = 8 * time.Second
 	// gatherPause is how long changes of the records gather; a new owner is to be
 	// known at once.
@@ -46,6 +46,7 @@
 	livePrefix = "live/"
 	ownerKey   = livePrefix + "owner"
 	vmPrefix   = livePrefix + "vm/"
+	unfitKey   = livePrefix + "unfit/" // followed by a data centre whose VMs let others claim first
 )
 
 // record is what an entry VM tells others of itself.
@@ -82,7 +83,7 @@
 	mu      sync.Mutex
 	term    uint64        // of the ownership held, 0 when none
 	valid   time.Duration // until when the lease of the ownership surely runs
-	unfit   time.Duration // until when others are to claim first
+	unfit   bool          // this ownership ends because too few workers are in reach
 	leaving bool          // the VM claims nothing any more
 	drop    context.CancelFunc
 }
@@ -284,12 +285,16 @@
 	drop()
 	work.Wait()
 	c.mu.Lock()
-	c.term = 0
+	unfit := c.unfit
+	c.term, c.unfit = 0, false
 	c.mu.Unlock()
 	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.ttl)
 	defer cancel()
+	if unfit {
+		c.mark(after)
+	}
 	c.end(after, lease)
-	c.log.Info("ownership ended", "term", term)
+	c.log.Info("ownership ended", "term", term, "unfit", unfit)
 	c.wake()
 }
 
@@ -334,9 +339,7 @@
 func (c *Claimer) Resign(unfit bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if unfit {
-		c.unfit = c.now() + unfitTime
-	}
+	c.unfit = c.unfit || unfit && c.term != 0
 	if c.drop != nil {
 		c.drop()
 	}
@@ -356,15 +359,27 @@
 	return c.leaving
 }
 
+// handicap returns how long this VM lets others claim first.
 func (c *Claimer) handicap() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.now() < c.unfit {
+	if _, marked := c.mirror.Get(unfitKey + c.self.Centre); marked {
 		return unfitDelay
 	}
 	return 0
 }
 
+// mark tells the VMs of this data centre to let others claim first.
+func (c *Claimer) mark(ctx context.Context) {
+	lease, err := c.store.Grant(ctx, unfitTime)
+	if err == nil {
+		key := unfitKey + c.self.Centre
+		entry, _ := c.mirror.Get(key)
+		_, err = c.store.Put(ctx, key, []byte(c.self.ID), entry.Version(), lease)
+	}
+	if err != nil {
+		c.log.Info("data centre not marked as unfit", "error", err)
+	}
+}
+
 // Owner returns the VM that owns the fleet as far as this one knows, and its term.
 func (c *Claimer) Owner() (Member, uint64, bool) {
 	entry, owned := c.mirror.Get(ownerKey)
--- a/conductor/call.go
+++ b/conductor/call.go
@@ -213,28 +213,31 @@
 	}
 }
 
-// cancel ends a job; the caller is told once the journal holds that.
+// cancel ends a job; the caller is told once the journal holds that, also when the
+// job had ended before.
 func (c *Conductor) cancel(ctx context.Context, team, id string) Answer {
-	now := c.now()
+	stored := make(chan struct{}, 1)
 	c.mu.Lock()
-	known, ended := c.planner.Cancel(id, team, now)
+	cancelled := c.planner.Cancel(id, team, c.now())
 	jobs := c.planner.Ended()
+	if cancelled.Known && !cancelled.Shown {
+		c.planner.Await(id, func(error) { stored <- struct{}{} })
+	}
 	c.mu.Unlock()
 	switch {
-	case !known:
+	case !cancelled.Known:
 		return plain(http.StatusGone, "no such job")
-	case ended:
+	case cancelled.Shown:
 		return Answer{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
+	case !cancelled.Ended:
+		c.log.Info("job cancelled", "job", id, "team", team)
+		c.keep(planner.Record{Cancel: id}, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.show(jobs)
+		})
+		c.wake()
 	}
-	c.log.Info("job cancelled", "job", id, "team", team)
-	stored := make(chan struct{})
-	c.keep(planner.Record{Cancel: id}, func() {
-		c.mu.Lock()
-		c.show(jobs)
-		c.mu.Unlock()
-		close(stored)
-	})
-	c.wake()
 	select {
 	case <-stored:
 		return Answer{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -218,8 +218,14 @@
 // decide carries out what the planner decides.
 func (c *Conductor) decide() {
 	c.mu.Lock()
-	actions := c.planner.Decide(c.now(), wallClock())
+	now := c.now()
+	cut := c.planner.CutOff(now)
+	actions := c.planner.Decide(now, wallClock())
 	c.mu.Unlock()
+	if cut {
+		c.log.Warn("more workers are silent than in reach; resigning")
+		c.unfit()
+	}
 	var starts []planner.Action
 	for _, a := range actions {
 		switch a.Kind {
@@ -243,7 +249,7 @@
 // spawn runs f as part of the ownership.
 func (c *Conductor) spawn(f func()) { c.tasks.Go(f) }
 
-// sweep forgets what is over, and resigns when too few workers are in reach.
+// sweep forgets what is over.
 func (c *Conductor) sweep(now time.Duration) {
 	c.mu.Lock()
 	c.planner.Expire(now)
@@ -251,16 +257,11 @@
 	for _, id := range gone {
 		delete(c.links, id)
 	}
-	heard, listed := c.planner.Reach()
 	c.mu.Unlock()
 	for _, id := range gone {
 		c.log.Info("worker forgotten", "worker", id)
 		c.keep(planner.Record{Drop: id}, nil)
 	}
-	if listed > 0 && heard*2 < listed {
-		c.log.Warn("too few workers in reach; resigning", "heard", heard, "listed", listed)
-		c.unfit()
-	}
 }
 
 // keep writes a record of what has happened; it is tried for as long as the
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -9,9 +9,9 @@
 
 const (
 	// holdWait is how long a worker may wait for an end before it answers a
-	// hold; the platform's own limit. It is also the interval of renewals, of
-	// which a lease bears the loss of two.
-	holdWait = 2 * time.Second
+	// hold. It is also the interval of renewals, of which a lease bears the loss
+	// of two, and the time after which a silent worker is noticed.
+	holdWait = 1200 * time.Millisecond
 	// holdGap is the time from an answer to the next hold of a worker, so that
 	// ends gather: each hold is priced.
 	holdGap = 150 * time.Millisecond
@@ -159,6 +159,9 @@
 		case planner.Cancelled:
 			c.figures.cancelled.Inc(1)
 		}
+		for _, tell := range c.planner.Awaited(id) {
+			tell(nil)
+		}
 	}
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -244,18 +244,24 @@
 	}
 }
 
-// Cancel ends a job at once and reports whether it is known. Its runs are stopped
-// by the next Decide.
-func (p *Planner) Cancel(id, team string, now time.Duration) (known, ended bool) {
+// Cancellation is the answer to a cancel.
+type Cancellation struct {
+	Known bool // the job was handed in by that team
+	Ended bool // it had ended before
+	Shown bool // and the journal holds that
+}
+
+// Cancel ends a job at once. Its runs are stopped by the next Decide.
+func (p *Planner) Cancel(id, team string, now time.Duration) Cancellation {
 	j := p.find(id, team)
 	if j == nil {
-		return false, false
+		return Cancellation{}
 	}
 	if j.ended != "" {
-		return true, true
+		return Cancellation{Known: true, Ended: true, Shown: j.shown}
 	}
 	p.end(j, Cancelled, now)
-	return true, false
+	return Cancellation{Known: true}
 }
 
 // Known reports whether the job was handed in by that team.
@@ -389,26 +395,36 @@
 	return w != nil && w.fenced && w.silent == 0
 }
 
-// Reach returns how many of the listed workers answered their newest calls.
-func (p *Planner) Reach() (heard, listed int) {
+// reachSpan is the time within which a worker's answer proves that it is in reach.
+const reachSpan = 2500 * time.Millisecond
+
+// CutOff reports whether more workers are silent than have answered lately. It
+// answers a data centre that is cut off with the owner in it: the owner has to
+// make way for one that reaches more.
+func (p *Planner) CutOff(now time.Duration) bool {
+	silent, heard := 0, 0
 	for _, w := range p.workers {
-		if !w.listed {
-			continue
-		}
-		listed++
-		if w.silent < maxSilent {
+		switch {
+		case !w.listed:
+		case w.silent > 0:
+			silent++
+		case w.heard > 0 && now-w.heard < reachSpan:
 			heard++
 		}
 	}
-	return heard, listed
+	return silent > heard && silent >= leastSilent
 }
 
-// Await has tell called with the outcome of a submission that is being stored.
+// leastSilent is the number of silent workers below which nothing is concluded.
+const leastSilent = 4
+
+// Await has tell called once the journal holds a submission or the end of a job,
+// or with the error of the submission.
 func (p *Planner) Await(id string, tell func(error)) {
 	p.awaited[id] = append(p.awaited[id], tell)
 }
 
-// Awaited returns whom to tell that the outcome of a submission is known.
+// Awaited returns whom to tell of that, once.
 func (p *Planner) Awaited(id string) []func(error) {
 	waiting := p.awaited[id]
 	delete(p.awaited, id)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -268,3 +268,63 @@
 	}
 	b.submit("new", tasks(1))
 }
+
+// An owner in a data centre that is cut off sees more workers silent than
+// answering; a few lost workers are no sign of that.
+func TestCutOff(t *testing.T) {
+	for _, test := range []struct {
+		silent int
+		want   bool
+	}{{0, false}, {3, false}, {5, true}} {
+		b := newBench(t, 8)
+		b.now = second
+		for i := range 8 {
+			id := "w" + strconv.Itoa(i)
+			if i < test.silent {
+				b.p.Silent(id)
+				continue
+			}
+			b.p.Listed(Listing{Worker: id, Born: 1, Asked: b.now}, b.now)
+		}
+		b.Assert(b.p.CutOff(b.now), quicktest.Equals, test.want)
+	}
+}
+
+// A job that was cancelled in memory but whose record is not stored yet must not
+// be acknowledged as cancelled: the next owner would run it.
+func TestCancelIsShownWhenStored(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("j", tasks(1))
+	b.Assert(b.p.Cancel("j", "team", b.now), quicktest.Equals, Cancellation{Known: true})
+	b.Assert(b.p.Cancel("j", "team", b.now), quicktest.Equals, Cancellation{Known: true, Ended: true})
+	b.p.Show("j")
+	b.Assert(b.p.Cancel("j", "team", b.now), quicktest.Equals, Cancellation{Known: true, Ended: true, Shown: true})
+	b.Assert(b.p.Cancel("other", "team", b.now), quicktest.Equals, Cancellation{})
+}
+
+// A team that sends four times its rate on a busy fleet is refused, the others
+// are not; on an idle fleet nobody is.
+func TestHotTeam(t *testing.T) {
+	queue := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: second, Priority: 1}
+	b := newBench(t, 1, queue)
+	b.p.Configure(Config{Version: 2, Queues: []Queue{queue}, Teams: []Team{{Name: "team", Weight: 1}, {Name: "calm", Weight: 1}}}, 0)
+	refused := map[string]int{}
+	send := func(team string, n int) {
+		id := team + strconv.Itoa(n)
+		_, err := b.p.Submit(JobSpec{ID: id, Queue: "q", Team: team, Payload: "p", Steps: []StepSpec{tasks(2)}}, b.now)
+		if err != nil {
+			refused[team]++
+			return
+		}
+		b.p.Stored(id)
+	}
+	for n := range 12 {
+		send("team", n)
+		if n%4 == 0 {
+			send("calm", n)
+		}
+		b.now += second / 4
+	}
+	b.Assert(refused["team"] > 3, quicktest.IsTrue, quicktest.Commentf("refused %v", refused))
+	b.Assert(refused["calm"], quicktest.Equals, 0)
+}
