relayer: Reach the store through a peer while it turns this VM away

Change: calls that surely were not carried out are made through another entry VM; a write of unknown outcome is not repeated.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -60,6 +60,9 @@
 // Member is an entry VM that is registered.
 type Member struct{ id, address, centre string }
 
+// NewMember returns an entry VM that its peers call at address.
+func NewMember(id, address, centre string) Member { return Member{id, address, centre} }
+
 // ID returns the name of the VM.
 func (m Member) ID() string { return m.id }
 
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,100 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthaven.example/claimer"
+	"filberthaven.example/emulator"
+	"filberthaven.example/keeper"
+	"filberthaven.example/messenger"
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+)
+
+// turnedAway is a store that refuses or does not answer a VM.
+func turnedAway(failure error) keeper.Store {
+	return keeper.Store{
+		Get: func(context.Context, string) (keeper.Entry, error) { return keeper.Entry{}, failure },
+		Put: func(context.Context, string, []byte, uint64, keeper.LeaseID) (uint64, error) { return 0, failure },
+		Watch: func(context.Context, string, uint64) ([]keeper.Entry, uint64, error) {
+			return nil, 0, failure
+		},
+		Grant:  func(context.Context, time.Duration) (keeper.LeaseID, error) { return 0, failure },
+		Renew:  func(context.Context, keeper.LeaseID) error { return failure },
+		Revoke: func(context.Context, keeper.LeaseID) error { return failure },
+	}
+}
+
+// pair returns a VM over the direct store, with a peer over another.
+func pair(t *testing.T, direct, peers keeper.Store) *Relayer {
+	c := quicktest.New(t)
+	m, err := messenger.New()
+	c.Assert(err, quicktest.IsNil)
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	members := func() []claimer.Member {
+		return []claimer.Member{claimer.NewMember("peer", strings.TrimPrefix(server.URL, "http://"), "c")}
+	}
+	New(peers, peers, "peer", m, members, hclog.NewNullLogger(), metrics.NewRegistry()).Handle(mux)
+	return New(direct, direct, "self", m, members, hclog.NewNullLogger(), metrics.NewRegistry())
+}
+
+func TestTurnedAway(t *testing.T) {
+	c := quicktest.New(t)
+	store := emulator.NewStore()
+	s := pair(t, turnedAway(keeper.ErrUnavailable), store.Seam()).Store()
+	ctx := t.Context()
+	lease, err := s.Grant(ctx, time.Minute)
+	c.Assert(err, quicktest.IsNil)
+	version, err := s.Put(ctx, "k", []byte("v"), 0, lease)
+	c.Assert(err, quicktest.IsNil)
+	_, err = s.Put(ctx, "k", []byte("w"), 0, 0)
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrConflict)
+	got, err := s.Get(ctx, "k")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(string(got.Value()), quicktest.Equals, "v")
+	c.Assert(got.Version(), quicktest.Equals, version)
+	_, err = s.Get(ctx, "absent")
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrNotFound)
+	changes, next, err := s.Watch(ctx, "k", 0) // relayed, as other calls have failed
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(changes, quicktest.HasLen, 1)
+	c.Assert(next >= version, quicktest.IsTrue)
+	c.Assert(s.Renew(ctx, lease), quicktest.IsNil)
+	c.Assert(s.Revoke(ctx, lease), quicktest.IsNil)
+	c.Assert(s.Renew(ctx, lease), quicktest.ErrorIs, keeper.ErrLeaseExpired)
+}
+
+// A write that may have been carried out must not be repeated through a peer.
+func TestUnknownWriteIsNotRepeated(t *testing.T) {
+	c := quicktest.New(t)
+	store := emulator.NewStore()
+	s := pair(t, turnedAway(keeper.ErrUnknown), store.Seam()).Store()
+	_, err := s.Put(t.Context(), "k", []byte("v"), 0, 0)
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrUnknown)
+	_, err = store.Seam().Get(t.Context(), "k")
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrNotFound)
+}
+
+func TestDownForAll(t *testing.T) {
+	c := quicktest.New(t)
+	s := pair(t, turnedAway(keeper.ErrUnavailable), turnedAway(keeper.ErrUnavailable)).Store()
+	_, err := s.Put(t.Context(), "k", []byte("v"), 0, 0)
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrUnavailable)
+}
+
+// A watch that is cut is made anew, not relayed: its history may be gone.
+func TestCutWatchIsNotRelayed(t *testing.T) {
+	c := quicktest.New(t)
+	store := emulator.NewStore()
+	s := pair(t, turnedAway(keeper.ErrUnavailable), store.Seam()).Store()
+	_, _, err := s.Watch(t.Context(), "k", 1)
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrUnavailable)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
 	"filberthaven.example/receiver"
+	"filberthaven.example/relayer"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -54,6 +55,7 @@
 	messenger *messenger.Messenger
 	claimer   *claimer.Claimer
 	receiver  *receiver.Receiver
+	relayer   *relayer.Relayer
 }
 
 // question asks a VM to ask which workers may run a step.
@@ -88,7 +90,8 @@
 	if r.messenger, err = messenger.New(messenger.WithClient(platform.NewHTTPClient(peerConnections), "http")); err != nil {
 		return nil, err
 	}
-	r.claimer, err = claimer.New(r.store.Keeper(), settings.id, uuid.NewString(), settings.internal, settings.centre,
+	r.relayer = relayer.New(r.store.Keeper(), r.store.Waiting(ownerWatch).Keeper(), settings.id, r.messenger, func() []claimer.Member { return r.claimer.Members() }, log, r.registry)
+	r.claimer, err = claimer.New(r.relayer.Store(), settings.id, uuid.NewString(), settings.internal, settings.centre,
 		claimer.WithLogger(log), claimer.WithOwner(r.own))
 	if err != nil {
 		return nil, err
@@ -99,7 +102,7 @@
 
 // own runs the fleet while this VM is the owner.
 func (r *Runner) own(ctx context.Context, term uint64) {
-	c, err := conductor.New(r.store.Waiting(ownerWatch).Keeper(), r.orders, r.settings.id, term,
+	c, err := conductor.New(r.relayer.Over(r.store.Waiting(ownerWatch).Keeper()), r.orders, r.settings.id, term,
 		conductor.WithLease(r.settings.lease), conductor.WithLogger(r.log), conductor.WithRegistry(r.registry),
 		conductor.WithValid(func() bool { return r.claimer.Valid(term) }),
 		conductor.WithUnfit(func() { r.claimer.Resign(true) }),
@@ -140,6 +143,7 @@
 func (r *Runner) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	r.receiver.Handle(mux)
+	r.relayer.Handle(mux)
 	messenger.Handle(r.messenger, mux, askProcedure, func(ctx context.Context, q *question) (*advised, error) {
 		tickets, valid, err := r.askHere(ctx, q.Step, q.Workers, q.Cost)
 		if err != nil {
