conductor: Let calls for advice wait in the planner's order

Change: a call is given to a VM only if its queue is short; else the planner asks again later. The timeout counts from when the call should be answered.

--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
 
 	"filberthaven.example/claimer"
 	"filberthaven.example/planner"
+	"filberthaven.example/platform"
 )
 
 // asker spreads calls for advice over the entry VMs. The advice service handles
@@ -21,6 +23,11 @@
 const (
 	// badTime is how long a VM whose call failed is left out.
 	badTime = 2 * time.Second
+	// urgentQueue and slowQueue are the longest queues of a VM at which another
+	// call is added. What is not asked yet is asked in the order in which the
+	// planner wants it then; tickets are short-lived anyway.
+	urgentQueue = 150 * time.Millisecond
+	slowQueue   = 300 * time.Millisecond
 	// askOverhead is added to the expected time of a call, for its way.
 	askOverhead = 4 * time.Millisecond
 )
@@ -29,10 +36,11 @@
 	return asker{free: map[string]time.Duration{}, bad: map[string]time.Duration{}}
 }
 
-// choose returns the VM whose queue is empty first and books the call there. A
-// third of the VMs, rounded up, serve urgent queues only, so that these are never
+// choose returns the VM whose queue is empty first, books the call there and
+// returns when it should be answered; false when every queue is full. It answers
+// a backlog that asks for more advice than there is, as after a takeover. A third of the VMs, rounded up, serve urgent queues only, so that these are never
 // behind a slow call; the owner itself comes last.
-func (k *asker) choose(members []claimer.Member, self string, a planner.Action, now time.Duration) (claimer.Member, bool) {
+func (k *asker) choose(members []claimer.Member, self string, a planner.Action, now time.Duration) (claimer.Member, time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	usable := make([]claimer.Member, 0, len(members))
@@ -42,7 +50,7 @@
 		}
 	}
 	if len(usable) == 0 {
-		return claimer.Member{}, false
+		return claimer.Member{}, 0, false
 	}
 	slices.SortFunc(usable, func(x, y claimer.Member) int {
 		if (x.ID() == self) != (y.ID() == self) {
@@ -59,8 +67,15 @@
 	best := slices.MinFunc(usable, func(x, y claimer.Member) int {
 		return cmp.Compare(max(now, k.free[x.ID()]), max(now, k.free[y.ID()]))
 	})
-	k.free[best.ID()] = max(now, k.free[best.ID()]) + a.Cost + askOverhead
-	return best, true
+	begin, limit := max(now, k.free[best.ID()]), slowQueue
+	if a.Urgent {
+		limit = urgentQueue
+	}
+	if begin-now > limit {
+		return claimer.Member{}, 0, false
+	}
+	k.free[best.ID()] = begin + a.Cost + askOverhead
+	return best, k.free[best.ID()], true
 }
 
 // failed leaves a VM out for a while.
@@ -73,15 +88,24 @@
 
 // ask has an entry VM ask which workers may run a step.
 func (c *Conductor) ask(a planner.Action) {
-	member, found := c.asker.choose(c.members(), c.self, a, c.now())
+	members := c.members()
+	if len(members) == 0 {
+		members = []claimer.Member{claimer.NewMember(c.self, "", "")}
+	}
+	member, due, found := c.asker.choose(members, c.self, a, c.now())
 	if !found {
-		member = claimer.Member{} // this VM itself
+		c.mu.Lock()
+		c.planner.Advised(planner.Answer{Step: a.Step})
+		c.mu.Unlock()
+		return
 	}
 	c.log.Info("ask", "step", a.Step, "workers", len(a.Workers), "vm", member.ID(), "reason", a.Reason)
 	c.figures.asks.Inc(1)
 	c.spawn(func() {
 		begun := c.now()
-		tickets, valid, err := c.asking(c.ctx, member, a)
+		ctx, cancel := context.WithTimeout(c.ctx, due-begun+platform.AdviceGrace)
+		defer cancel()
+		tickets, valid, err := c.asking(ctx, member, a)
 		if c.ctx.Err() != nil {
 			return
 		}
@@ -89,9 +113,7 @@
 		if err != nil {
 			c.figures.asksFailed.Inc(1)
 			c.log.Info("no advice", "step", a.Step, "vm", member.ID(), "error", err)
-			if member.ID() != "" {
-				c.asker.failed(member.ID(), c.now())
-			}
+			c.asker.failed(member.ID(), c.now())
 			c.sleep(askOverhead)
 		} else {
 			now := c.now()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,9 +60,8 @@
 
 // question asks a VM to ask which workers may run a step.
 type question struct {
-	Step    string        `cbor:"1,keyasint"`
-	Workers []string      `cbor:"2,keyasint"`
-	Cost    time.Duration `cbor:"3,keyasint"`
+	Step    string   `cbor:"1,keyasint"`
+	Workers []string `cbor:"2,keyasint"`
 }
 
 // advised is the answer to a question.
@@ -118,25 +117,23 @@
 	}
 }
 
-// ask has a VM ask for advice, or this one when member has no id.
+// ask has a VM ask for advice until ctx ends.
 func (r *Runner) ask(ctx context.Context, member claimer.Member, a planner.Action) (map[string]string, time.Duration, error) {
-	if member.ID() == "" || member.ID() == r.settings.id {
-		return r.askHere(ctx, a.Step, a.Workers, a.Cost)
+	if member.ID() == r.settings.id {
+		return r.askHere(ctx, a.Step, a.Workers)
 	}
-	ctx, cancel := context.WithTimeout(ctx, a.Cost+platform.AdviceGrace)
-	defer cancel()
-	answer, err := messenger.Call[question, advised](ctx, r.messenger, member.Address(), askProcedure, &question{a.Step, a.Workers, a.Cost})
+	answer, err := messenger.Call[question, advised](ctx, r.messenger, member.Address(), askProcedure, &question{a.Step, a.Workers})
 	if err != nil {
 		return nil, 0, err
 	}
 	return answer.Tickets, answer.Valid, nil
 }
 
-func (r *Runner) askHere(ctx context.Context, step string, workers []string, cost time.Duration) (map[string]string, time.Duration, error) {
+func (r *Runner) askHere(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error) {
 	if r.adviser == nil {
 		return nil, 0, oops.In("runner").Errorf("settings name no advice service")
 	}
-	return r.adviser.Ask(ctx, step, workers, cost)
+	return r.adviser.Ask(ctx, step, workers)
 }
 
 // internalHandler serves the calls of other entry VMs.
@@ -145,7 +142,7 @@
 	r.receiver.Handle(mux)
 	r.relayer.Handle(mux)
 	messenger.Handle(r.messenger, mux, askProcedure, func(ctx context.Context, q *question) (*advised, error) {
-		tickets, valid, err := r.askHere(ctx, q.Step, q.Workers, q.Cost)
+		tickets, valid, err := r.askHere(ctx, q.Step, q.Workers)
 		if err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
