--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -206,3 +206,6 @@
 	case <-ctx.Done():
 	}
 }
+
+// Owns reports whether this VM runs the fleet.
+func (r *Receiver) Owns() bool { return r.local.Load() != nil }
--- /dev/null
+++ b/runner/day_test.go
@@ -0,0 +1,191 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"filberthaven.example/platform/imitator"
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+// day is a fleet of entry VMs in this process on an imitated platform.
+type day struct {
+	*quicktest.C
+	platform *imitator.Platform
+	vms      []*vm
+	logs     *syncBuffer
+}
+
+// vm is one entry VM.
+type vm struct {
+	runner  *Runner
+	address string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// syncBuffer is a buffer for several writers.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(data)
+}
+
+func (b *syncBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.String()
+}
+
+// port returns an address on loopback that is free now.
+func port(c *quicktest.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newDay(t *testing.T, vms int) *day {
+	d := &day{C: quicktest.New(t), platform: imitator.New(7), logs: &syncBuffer{}}
+	t.Cleanup(d.platform.Close)
+	d.Assert(d.platform.Put("op/config", map[string]any{
+		"version": 3,
+		"routes": []any{map[string]any{
+			"name": "q", "host": "h.example", "prefix": "/q/", "service": "s", "priority": 0, "attempts": 3, "stretch": 2.0,
+			"slo-ms": 1000, "advice": map[string]any{"decide-ms": 1, "each-ms": 0.1, "valid-ms": 2000},
+		}},
+		"services": []any{map[string]any{"name": "s"}},
+		"tenants":  []any{map[string]any{"name": "t", "api-keys": []string{"key"}, "weight": 1000, "cap": map[string]any{}}},
+	}), quicktest.IsNil)
+	for n := range 4 {
+		d.Assert(d.platform.Add(fmt.Sprintf("w%d", n), "s", "a", 4000), quicktest.IsNil)
+	}
+	for n := range vms {
+		d.start(n)
+	}
+	return d
+}
+
+func (d *day) start(n int) {
+	settings := &Settings{
+		id: fmt.Sprintf("vm%d", n), centre: "a", callers: port(d.C), ready: port(d.C), internal: port(d.C),
+		store: d.platform.Address, advice: d.platform.Advice, lease: 2 * time.Second, drain: 100 * time.Millisecond,
+	}
+	runner, err := New(settings, hclog.New(&hclog.LoggerOptions{Name: "filberthaven", Output: d.logs}))
+	d.Assert(err, quicktest.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	v := &vm{runner: runner, address: settings.callers, stop: stop, ended: make(chan error, 1)}
+	go func() { v.ended <- runner.Run(ctx) }()
+	d.vms = append(d.vms, v)
+	d.Cleanup(func() { stop(); <-v.ended })
+}
+
+// call makes a caller's request on some VM and returns status and body.
+func (d *day) call(n int, method, path, key, body string) (int, string) {
+	request, err := http.NewRequest(method, "http://"+d.vms[n%len(d.vms)].address+path, strings.NewReader(body))
+	d.Assert(err, quicktest.IsNil)
+	request.Host = "h.example"
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	d.Assert(err, quicktest.IsNil)
+	return response.StatusCode, string(data)
+}
+
+// until tries f until it holds, for at most limit.
+func (d *day) until(limit time.Duration, what string, f func() bool) {
+	d.Helper()
+	for end := time.Now().Add(limit); !f(); time.Sleep(30 * time.Millisecond) {
+		if time.Now().After(end) {
+			d.Fatalf("not within %v: %s\n%s", limit, what, tail(d.logs.text()))
+		}
+	}
+}
+
+func tail(text string) string { return text[max(0, len(text)-6000):] }
+
+const (
+	jobBody = `{"spec":"x","steps":[{"num-tasks":3,"cpu":1000,"mem-mb":10,"est-ms":150},{"num-tasks":2,"cpu":1000,"mem-mb":10,"est-ms":150,"after":[0],"gang":true}]}`
+	// patience is what a loaded CI machine may need for anything here.
+	patience = 60 * time.Second
+)
+
+func (d *day) owner() *vm {
+	for _, v := range d.vms {
+		if v.runner.receiver.Owns() {
+			return v
+		}
+	}
+	return nil
+}
+
+// A short day: jobs are handed in on all VMs while orders are carried out late,
+// answers get lost and the owner is stopped. Every job that was accepted completes
+// and no promise is broken.
+func TestShortDay(t *testing.T) {
+	d := newDay(t, 3)
+	d.until(patience, "an owner", func() bool { status, _ := d.call(0, "GET", "/q/", "key", ""); return status == 200 })
+	d.platform.SetFaults(0.05, 0.05)
+	accepted := 0
+	for n := range 30 {
+		id := fmt.Sprintf("%016x", n)
+		d.until(patience, "job "+id+" accepted", func() bool { status, _ := d.call(n, "POST", "/q/"+id, "key", jobBody); return status == 200 })
+		accepted++
+		if n == 12 {
+			d.owner().runner.claimer.Resign(false)
+		}
+	}
+	for n := range accepted {
+		path := fmt.Sprintf("/q/%016x", n)
+		d.until(patience, path+" completed", func() bool { _, body := d.call(n, "GET", path, "key", ""); return body == `{"state":"completed"}` })
+	}
+	d.Assert(d.platform.Broken(), quicktest.HasLen, 0)
+	d.Assert(strings.Count(d.logs.text(), "ownership claimed") >= 2, quicktest.IsTrue)
+}
+
+// Bad input gets a clear answer, and nothing of it is accepted.
+func TestBadInput(t *testing.T) {
+	d := newDay(t, 2)
+	d.until(patience, "an owner", func() bool { status, _ := d.call(0, "GET", "/q/", "key", ""); return status == 200 })
+	const id = "/q/00000000000000aa"
+	for _, test := range []struct {
+		name, method, path, key, body string
+		want                          int
+	}{
+		{"no key", "POST", id, "", jobBody, 401},
+		{"unknown key", "GET", id, "other", "", 401},
+		{"unknown queue", "POST", "/other/00000000000000aa", "key", jobBody, 404},
+		{"damaged body", "POST", id, "key", `{"spec":`, 400},
+		{"wrong type", "POST", id, "key", `{"spec":7,"steps":[]}`, 400},
+		{"no steps", "POST", id, "key", `{"spec":"x","steps":[]}`, 400},
+		{"cycle", "POST", id, "key", `{"spec":"x","steps":[{"num-tasks":1,"cpu":1,"after":[0]}]}`, 400},
+		{"not an id", "POST", "/q/zz", "key", jobBody, 400},
+		{"oversized", "POST", id, "key", strings.Repeat("x", 300<<10), 413},
+		{"unknown method", "PUT", id, "key", "", 405},
+		{"unknown job", "GET", id, "key", "", 410},
+		{"cancel of an unknown job", "DELETE", id, "key", "", 410},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			status, body := d.call(1, test.method, test.path, test.key, test.body)
+			quicktest.New(t).Assert(status, quicktest.Equals, test.want, quicktest.Commentf("%s", body))
+		})
+	}
+}
