conductor: Act on fresh knowledge only; story of a job from logs

Change: the owner answers callers and starts tasks only if both of its watches were answered within 1.7 s; watches wait 0.8 s; after the store failed a VM, calls go through a peer for 3 s. 'filberthaven story' tells a job's story from logs.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -74,8 +74,9 @@
 
 // Serve answers a caller's request.
 func (c *Conductor) Serve(ctx context.Context, call Call) Answer {
+	fresh := c.fresh()
 	c.mu.Lock()
-	if !c.open || !c.valid() {
+	if !c.open || !fresh || !c.valid() {
 		c.mu.Unlock()
 		return unavailable("the owner is not ready")
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -55,11 +55,13 @@
 	tasks   sync.WaitGroup
 	asker   asker
 
-	mu      sync.Mutex // guards what follows
-	planner *planner.Planner
-	links   map[string]*link
-	table   table
-	open    bool // the journal has been read and the configuration is known
+	mu        sync.Mutex // guards what follows
+	planner   *planner.Planner
+	operators *keeper.Mirror // set before open
+	workers   *keeper.Mirror
+	links     map[string]*link
+	table     table
+	open      bool // the journal has been read and the configuration is known
 }
 
 // Option changes a Conductor under construction.
@@ -204,7 +206,7 @@
 			}
 		case <-ticker.C:
 		}
-		if !c.valid() {
+		if !c.valid() || !c.fresh() {
 			continue
 		}
 		c.decide()
--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -10,6 +10,10 @@
 )
 
 const (
+	// freshness is the greatest age of what is known of the operators' wishes and
+	// the workers: a configuration has to be in force 2 s after it was
+	// acknowledged, and nothing starts on a worker 2 s after it drains.
+	freshness = 1700 * time.Millisecond
 	// operatorPause is how long changes of the operators gather.
 	operatorPause = 20 * time.Millisecond
 	// workerPause is how long changes of the workers' entries gather: each worker
@@ -20,10 +24,13 @@
 // follow keeps the planner told of the operators' configuration and of the
 // workers' entries.
 func (c *Conductor) follow(ctx context.Context) {
-	operators := keeper.NewMirror(c.store, platform.OperatorPrefix, keeper.WithPause(operatorPause), keeper.WithLogger(c.log))
+	operators := keeper.NewMirror(c.store, platform.OperatorPrefix, keeper.WithPause(operatorPause), keeper.WithGap(freshness), keeper.WithLogger(c.log))
 	operators.Subscribe(platform.OperatorPrefix, c.operatorChange)
-	workers := keeper.NewMirror(c.store, platform.ExecutorsPrefix, keeper.WithPause(workerPause), keeper.WithLogger(c.log))
+	workers := keeper.NewMirror(c.store, platform.ExecutorsPrefix, keeper.WithPause(workerPause), keeper.WithGap(freshness), keeper.WithLogger(c.log))
 	workers.Subscribe(platform.ExecutorsPrefix, c.workerChange)
+	c.mu.Lock()
+	c.operators, c.workers = operators, workers
+	c.mu.Unlock()
 	c.spawn(func() { _ = operators.Run(ctx) }) // ends with the context only
 	c.spawn(func() { _ = workers.Run(ctx) })
 }
@@ -101,6 +108,16 @@
 	c.wake()
 }
 
+// fresh reports whether what is known of operators and workers is young enough to
+// act on. It answers a watch that is silent: what is not known to be in force is
+// not acted upon.
+func (c *Conductor) fresh() bool {
+	c.mu.Lock()
+	operators, workers := c.operators, c.workers
+	c.mu.Unlock()
+	return operators != nil && operators.Contact() > 0 && workers.Contact() > 0
+}
+
 func (c *Conductor) unlist(id, reason string) {
 	c.mu.Lock()
 	c.planner.Unlist(id)
--- /dev/null
+++ b/narrator/narrator_test.go
@@ -0,0 +1,56 @@
+package narrator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+const id = "5c0e7a21d94b36f8"
+
+func TestStory(t *testing.T) {
+	for _, test := range []struct{ name, cause, first, second string }{
+		{
+			"refused under load", "the work ahead of it could not be done in time, so it was refused",
+			`2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: job refused: job=` + id + ` reason="the work ahead can't be done in time" after=3s`,
+			``,
+		},
+		{
+			"late after a change of owner", "it completed; the fleet changed its owner meanwhile",
+			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: job accepted: job=" + id,
+			"2026-01-20T01:58:44.000Z [INFO]  filberthaven.conductor: fleet taken over: term=9\n" +
+				"2026-01-20T01:58:45.000Z [INFO]  filberthaven.conductor: job ended: job=" + id + " state=completed",
+		},
+		{
+			"lost with its executor", "it completed; a run was lost with its executor",
+			"2026-01-20T01:58:45.000Z [INFO]  filberthaven.conductor: job ended: job=" + id + " state=completed",
+			"2026-01-20T01:58:43.000Z [INFO]  filberthaven.conductor: end: task=" + id + ".0.0.1 run=1 worker=i-1 how=lost",
+		},
+		{
+			"no owner", "the entry VM reached no owner of the fleet",
+			"2026-01-20T01:58:45.000Z [INFO]  filberthaven.receiver: request not passed on: method=POST path=/q/" + id + " sure=true",
+			"2026-01-20T01:58:45.000Z [INFO]  filberthaven.conductor: job ended: job=other state=failed",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := New(id)
+			c.Assert(s.Read(strings.NewReader(test.first)), quicktest.IsNil)
+			c.Assert(s.Read(strings.NewReader(test.second)), quicktest.IsNil)
+			c.Assert(s.Cause(), quicktest.Equals, test.cause)
+		})
+	}
+}
+
+// Lines of several logs come in the order of time, and those of other jobs not at
+// all.
+func TestOrder(t *testing.T) {
+	c := quicktest.New(t)
+	s := New(id)
+	c.Assert(s.Read(strings.NewReader("2026-01-20T01:58:45.000Z b "+id+"\n2026-01-20T01:58:46.000Z other")), quicktest.IsNil)
+	c.Assert(s.Read(strings.NewReader("2026-01-20T01:58:44.000Z a "+id)), quicktest.IsNil)
+	var out strings.Builder
+	c.Assert(s.Write(&out), quicktest.IsNil)
+	c.Assert(out.String(), quicktest.Equals, "2026-01-20T01:58:44.000Z a "+id+"\n2026-01-20T01:58:45.000Z b "+id+"\n\ncause: the logs don't tell\n")
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -22,7 +22,7 @@
 	procedure = "/store/relay"
 	// directPause is how long calls go to a peer first after the store failed
 	// this VM; then the store itself is tried again.
-	directPause = time.Second
+	directPause = 3 * time.Second
 	// peerPause is how long peers are left alone after one found the store away
 	// too: then the store is down for all.
 	peerPause = 500 * time.Millisecond
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,7 +29,7 @@
 	memberWait = 10 * time.Second
 	// ownerWatch is how long the owner's watches wait: a watch that has gone
 	// silent must not hide a configuration for longer.
-	ownerWatch = 1200 * time.Millisecond
+	ownerWatch = 800 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 3 * time.Second
 	// idleTimeout ends callers' idle connections.
