--- a/commands/story.go
+++ b/commands/story.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -48,6 +49,5 @@
 	if err != nil {
 		return err
 	}
-	defer file.Close()
-	return story.Read(file)
+	return errors.Join(story.Read(file), file.Close())
 }
--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -87,7 +87,7 @@
 }
 
 // ask has an entry VM ask which workers may run a step.
-func (c *Conductor) ask(a planner.Action) {
+func (c *Conductor) ask(ctx context.Context, a planner.Action) {
 	members := c.members()
 	if len(members) == 0 {
 		members = []claimer.Member{claimer.NewMember(c.self, "", "")}
@@ -103,10 +103,10 @@
 	c.figures.asks.Inc(1)
 	c.spawn(func() {
 		begun := c.now()
-		ctx, cancel := context.WithTimeout(c.ctx, due-begun+platform.AdviceGrace)
+		bounded, cancel := context.WithTimeout(ctx, due-begun+platform.AdviceGrace)
 		defer cancel()
-		tickets, valid, err := c.asking(ctx, member, a)
-		if c.ctx.Err() != nil {
+		tickets, valid, err := c.asking(bounded, member, a)
+		if ctx.Err() != nil {
 			return
 		}
 		answer := planner.Answer{Step: a.Step}
--- a/conductor/call.go
+++ b/conductor/call.go
@@ -193,7 +193,7 @@
 
 // refuse tells why a job was not accepted. Nothing of it runs.
 func (c *Conductor) refuse(id string, queue planner.Queue, team string, err error) Answer {
-	var refusal *planner.Refusal
+	var refusal *planner.RefusalError
 	switch {
 	case errors.As(err, &refusal):
 		c.figures.refused.Inc(1)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -209,7 +209,7 @@
 		if !c.valid() || !c.fresh() {
 			continue
 		}
-		c.decide()
+		c.decide(ctx)
 		if now := c.now(); now-swept > expireTime {
 			swept = now
 			c.sweep(now)
@@ -218,7 +218,7 @@
 }
 
 // decide carries out what the planner decides.
-func (c *Conductor) decide() {
+func (c *Conductor) decide(ctx context.Context) {
 	c.mu.Lock()
 	now := c.now()
 	cut := c.planner.CutOff(now)
@@ -232,7 +232,7 @@
 	for _, a := range actions {
 		switch a.Kind {
 		case planner.Ask:
-			c.ask(a)
+			c.ask(ctx, a)
 		case planner.Start:
 			c.log.Info("start", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
 			c.figures.starts.Inc(1)
--- a/conductor/figures.go
+++ b/conductor/figures.go
@@ -16,15 +16,24 @@
 }
 
 func newFigures(r metrics.Registry) figures {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
 	return figures{
-		accepted: counter("jobs.accepted"), refused: counter("jobs.refused"), unavailable: counter("jobs.unavailable"),
-		completed: counter("jobs.completed"), failed: counter("jobs.failed"), cancelled: counter("jobs.cancelled"),
-		starts: counter("orders.starts"), stops: counter("orders.stops"),
-		begun: counter("starts.begun"), turned: counter("starts.refused"), unsure: counter("starts.unsure"),
-		ends: counter("runs.ended"), holds: counter("holds"), silences: counter("holds.unanswered"),
-		asks: counter("advice.asked"), asksFailed: counter("advice.failed"),
-		askWait:    metrics.GetOrRegisterTimer("advice.time", r),
-		acceptTime: metrics.GetOrRegisterTimer("jobs.accept.time", r),
+		accepted:    metrics.GetOrRegisterCounter("jobs.accepted", r),
+		refused:     metrics.GetOrRegisterCounter("jobs.refused", r),
+		unavailable: metrics.GetOrRegisterCounter("jobs.unavailable", r),
+		completed:   metrics.GetOrRegisterCounter("jobs.completed", r),
+		failed:      metrics.GetOrRegisterCounter("jobs.failed", r),
+		cancelled:   metrics.GetOrRegisterCounter("jobs.cancelled", r),
+		starts:      metrics.GetOrRegisterCounter("orders.starts", r),
+		stops:       metrics.GetOrRegisterCounter("orders.stops", r),
+		begun:       metrics.GetOrRegisterCounter("starts.begun", r),
+		turned:      metrics.GetOrRegisterCounter("starts.refused", r),
+		unsure:      metrics.GetOrRegisterCounter("starts.unsure", r),
+		ends:        metrics.GetOrRegisterCounter("runs.ended", r),
+		holds:       metrics.GetOrRegisterCounter("holds.sent", r),
+		silences:    metrics.GetOrRegisterCounter("holds.unanswered", r),
+		asks:        metrics.GetOrRegisterCounter("advice.asked", r),
+		asksFailed:  metrics.GetOrRegisterCounter("advice.failed", r),
+		askWait:     metrics.GetOrRegisterTimer("advice.time", r),
+		acceptTime:  metrics.GetOrRegisterTimer("jobs.accept.time", r),
 	}
 }
--- a/runner/metrics.go
+++ b/exporter/exporter.go
@@ -1,4 +1,5 @@
-package runner
+// Package exporter shows the metrics of a registry as a page.
+package exporter
 
 import (
 	"fmt"
@@ -18,9 +19,9 @@
 // quantiles are those reported of histograms and timers.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
-// metricsHandler returns a page of all metrics of the registry in the text
+// Handler returns a page of all metrics of the registry in the text
 // format of Prometheus.
-func metricsHandler(registry metrics.Registry) http.Handler {
+func Handler(registry metrics.Registry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", metricsFormat)
 		writeMetrics(w, registry)
--- a/planner/admit.go
+++ b/planner/admit.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// Refusal is a job that was turned away at once; nothing of it runs.
-type Refusal struct {
+// RefusalError is a job that was turned away at once; nothing of it runs.
+type RefusalError struct {
 	Reason string
 	After  time.Duration // when the caller may come back
 }
 
 // Error returns the reason.
-func (r *Refusal) Error() string { return r.Reason }
+func (r *RefusalError) Error() string { return r.Reason }
 
 // load is what is waiting and running in a fleet, reckoned at most every
 // loadInterval.
@@ -43,7 +43,7 @@
 // overload by one team or by all: a team that sends more than its rate is refused
 // as soon as work waits; what can't be done in time is refused from everybody,
 // with the time in which the work ahead will be done.
-func (p *Planner) admit(j *job, now time.Duration) *Refusal {
+func (p *Planner) admit(j *job, now time.Duration) *RefusalError {
 	if p.load.backlog == nil || now-p.load.at >= loadInterval {
 		p.reckon(now)
 	}
@@ -64,10 +64,10 @@
 	switch {
 	case over && float64(wait) > busy*float64(slack):
 		work = 0
-		return &Refusal{"the team sends more than its rate while work waits", returnAfter(wait)}
+		return &RefusalError{"the team sends more than its rate while work waits", returnAfter(wait)}
 	case float64(wait) > hopeless*float64(slack):
 		work = 0
-		return &Refusal{"the work ahead can't be done in time", returnAfter(wait - slack)}
+		return &RefusalError{"the work ahead can't be done in time", returnAfter(wait - slack)}
 	}
 	return nil
 }
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -42,7 +42,6 @@
 	// adviser's own limit.
 	leastNamed = 8
 	mostNamed  = 100
-	// startMargin is the least life of a ticket worth a start.
 )
 
 // seek asks which workers may run the step: it renews the tickets of good workers
@@ -116,7 +115,7 @@
 	return named
 }
 
-// Advice is the answer to an Ask; a failed one has no workers named.
+// Answer is what came of an Ask; a failed one has no workers named.
 type Answer struct {
 	Step    string
 	Named   []string
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -58,7 +58,7 @@
 // Ask by Advised.
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.lapse(now)
-	p.begin(wall, now)
+	p.begin(wall)
 	for _, w := range p.workers {
 		w.reserve = nil
 	}
@@ -97,7 +97,7 @@
 }
 
 // begin adds the occurrences that are due.
-func (p *Planner) begin(wall int64, now time.Duration) {
+func (p *Planner) begin(wall int64) {
 	for _, j := range p.live {
 		for j.ended == "" && j.spec.Repeats > 0 && j.next < j.spec.Repeats && j.spec.First+int64(j.next)*j.spec.Interval <= wall {
 			j.rounds = append(j.rounds, newRound(j, j.next))
--- a/planner/job.go
+++ b/planner/job.go
@@ -34,7 +34,6 @@
 	rounds    []*occurrence // unfinished ones that are due or nearly
 	next      int           // number of the next occurrence to begin
 	remaining int           // occurrences that are not finished
-	waiting   bool          // stands in the planner's list of jobs with tasks that wait
 	span      time.Duration // estimated chain of one occurrence, 0 until reckoned
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -201,7 +201,7 @@
 }
 
 // Submit admits a job, or tells why not: ErrInvalidJob, ErrUnsupported or a
-// *Refusal. The caller stores it and then calls Stored or Forget.
+// *RefusalError. The caller stores it and then calls Stored or Forget.
 func (p *Planner) Submit(spec JobSpec, now time.Duration) (Submission, error) {
 	if known := p.jobs[spec.ID]; known != nil {
 		return Submission{Known: true, Stored: known.stored}, nil
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -54,20 +54,33 @@
 	log       hclog.Logger
 	passed    metrics.Timer
 	failed    metrics.Counter
-	answers   [6]metrics.Counter // by the hundreds of the status
+	succeeded metrics.Counter // answers of status 2xx
+	declined  metrics.Counter // 4xx
+	broken    metrics.Counter // 5xx
 }
 
 // New returns a receiver on the VM called self, which finds the owner by owner.
 func New(m *messenger.Messenger, self string, owner func() (claimer.Member, uint64, bool), log hclog.Logger, registry metrics.Registry) *Receiver {
-	r := &Receiver{
+	return &Receiver{
 		messenger: m, owner: owner, self: self, now: claimer.Now, log: log.Named("receiver"),
-		passed: metrics.GetOrRegisterTimer("requests.time", registry),
-		failed: metrics.GetOrRegisterCounter("requests.owner.unreached", registry),
+		passed:    metrics.GetOrRegisterTimer("requests.time", registry),
+		failed:    metrics.GetOrRegisterCounter("requests.owner.unreached", registry),
+		succeeded: metrics.GetOrRegisterCounter("requests.2xx", registry),
+		declined:  metrics.GetOrRegisterCounter("requests.4xx", registry),
+		broken:    metrics.GetOrRegisterCounter("requests.5xx", registry),
 	}
-	for i := range r.answers {
-		r.answers[i] = metrics.GetOrRegisterCounter("requests.status."+strconv.Itoa(i)+"xx", registry)
+}
+
+// count counts an answer by its status.
+func (r *Receiver) count(status int) {
+	switch {
+	case status >= http.StatusInternalServerError:
+		r.broken.Inc(1)
+	case status >= http.StatusBadRequest:
+		r.declined.Inc(1)
+	default:
+		r.succeeded.Inc(1)
 	}
-	return r
 }
 
 // Own sets the conductor while this VM is the owner, and nil after.
@@ -125,7 +138,7 @@
 		cancel()
 	}
 	r.passed.Update(r.now() - begun)
-	r.answers[min(answer.Status/100, 5)].Inc(1)
+	r.count(answer.Status)
 	header := w.Header()
 	header["Content-Type"] = []string{"application/json"}
 	if answer.After > 0 {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"filberthaven.example/claimer"
 	"filberthaven.example/conductor"
+	"filberthaven.example/exporter"
 	"filberthaven.example/messenger"
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
@@ -173,7 +174,7 @@
 	parts.Go(func() { _ = r.claimer.Run(base) }) // ends with the context only
 	select {
 	case <-ctx.Done():
-		r.stop(servers)
+		r.stop(base, servers)
 	case err = <-failed:
 		r.log.Error("server ended", "error", err)
 	}
@@ -197,7 +198,7 @@
 		{r.settings.callers, r.receiver},
 		{r.settings.ready, r.receiver.Readiness()},
 		{r.settings.internal, r.internalHandler()},
-		{r.settings.metrics, metricsHandler(r.registry)},
+		{r.settings.metrics, exporter.Handler(r.registry)},
 	} {
 		if part.address == "" {
 			continue
@@ -218,12 +219,12 @@
 }
 
 // stop ends in order and cuts no request.
-func (r *Runner) stop(servers []*http.Server) {
+func (r *Runner) stop(ctx context.Context, servers []*http.Server) {
 	r.log.Info("stopping", "vm", r.settings.id)
 	r.receiver.Stop()
 	r.claimer.Leave()
 	time.Sleep(r.settings.drain)
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"filberthaven.example/authenticator"
 	"filberthaven.example/configurer"
 	"filberthaven.example/elector"
+	"filberthaven.example/exporter"
 	"filberthaven.example/granter"
 	"filberthaven.example/keeper"
 	"filberthaven.example/messenger"
@@ -269,7 +270,7 @@
 		router.WithReady(s.ready),
 		router.WithCentre(s.settings.Centre()),
 		router.WithPeers(router.NewPeerTransport(s.security.client()), s.security.scheme()),
-		router.WithMetrics(metricsHandler(s.registry)),
+		router.WithMetrics(exporter.Handler(s.registry)),
 		router.WithStatus(NewStatusHandler(s.status)),
 		router.WithPage(page),
 		router.WithOperators(operators),
