--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,7 +16,7 @@
 // registers lists the commands in the order of the help.
 func registers() []register {
 	return []register{
-		addServe, addEntry, addStory, addDev, addInit, addStatus,
+		addServe, addEntry, addDev, addInit, addStatus,
 		addSubmit, addWait, addCancel, addExplain,
 		addCheck, addPlan, addApply, addDiff, addExport, addHistory, addRollback,
 		addMeasure, addDrain, addReturn, addLimit, addKeys, addGrant, addWithdraw, addCerts,
--- a/planner/spec.go
+++ b/planner/spec.go
@@ -29,7 +29,6 @@
 	Version uint64 // rises with each change
 	Queues  []Queue
 	Teams   []Team
-	Guarded map[string]bool // services whose workers refuse what does not fit
 }
 
 // Queue takes the jobs of one kind and sends them to the workers of a service.
--- a/runner/day_test.go
+++ b/runner/day_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"filberthaven.example/emulator"
+	"filberthaven.example/narrator"
 	"filberthaven.example/platform/imitator"
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
@@ -189,3 +191,28 @@
 		})
 	}
 }
+
+// An on-call engineer finds the cause of a failed request from its id and the
+// logs alone.
+func TestCauseFromLogs(t *testing.T) {
+	d := newDay(t, 1)
+	d.until(patience, "an owner", func() bool { status, _ := d.call(0, "GET", "/q/", "key", ""); return status == 200 })
+	cause := func(id string) string {
+		story := narrator.New(id)
+		d.Assert(story.Read(strings.NewReader(d.logs.text())), quicktest.IsNil)
+		return story.Cause()
+	}
+	handIn := func(id, body string) int { status, _ := d.call(0, "POST", "/q/"+id, "key", body); return status }
+
+	const completed, away = "00000000000000c1", "00000000000000c2"
+	d.until(patience, "a job accepted", func() bool { return handIn(completed, jobBody) == 200 })
+	d.until(patience, "it completed", func() bool {
+		_, body := d.call(0, "GET", "/q/"+completed, "key", "")
+		return body == `{"state":"completed"}`
+	})
+	d.Assert(cause(completed), quicktest.Equals, "it completed")
+
+	d.platform.SetStoreFaults(emulator.Down())
+	d.until(patience, "a request refused", func() bool { return handIn(away, jobBody) == 503 })
+	d.Assert(cause(away), quicktest.Matches, ".*(reached no owner|could not take it).*")
+}
