--- a/planner/admit.go
+++ b/planner/admit.go
@@ -1,7 +1,9 @@
 package planner
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,13 +20,19 @@
 // loadInterval.
 type load struct {
 	at       time.Duration
-	capacity float64   // thousandths of processors of workers that take work
-	backlog  []float64 // core-ms, of thousandths, that are not done, by priority, up to maxPriority
+	capacity float64 // thousandths of processors of workers that take work
+	backlog  []claim // in the order in which the work is served
+	late     float64 // core-ms, of thousandths, that were admitted since
+}
+
+// claim is work of a job that is not done.
+type claim struct {
+	latest time.Duration // when the job has to start; urgent work always goes first
+	work   float64       // core-ms, of thousandths
 }
 
 const (
 	loadInterval = 100 * time.Millisecond
-	maxPriority  = 8 // queues of lower precedence count as this one
 	// busy is the part of a job's slack that the backlog ahead may take before
 	// teams beyond their rate are refused.
 	busy = 0.25
@@ -40,38 +48,47 @@
 )
 
 // admit returns why a job is refused, nil when it is admitted. It answers an
-// overload by one team or by all: a team that sends more than its rate is refused
+// overload by one team or by all. The work ahead is that which is served first by
+// its slack, not all that waits. A team that sends more than its rate is refused
 // as soon as work waits; what can't be done in time is refused from everybody,
 // with the time in which the work ahead will be done.
 func (p *Planner) admit(j *job, now time.Duration) *RefusalError {
-	if p.load.backlog == nil || now-p.load.at >= loadInterval {
+	if p.load.at == 0 || now-p.load.at >= loadInterval {
 		p.reckon(now)
 	}
 	l := &p.load
 	over := j.team.spend(now)
-	work := p.work(j)
-	priority := min(j.queue.Priority, maxPriority)
-	defer func() { l.backlog[priority] += work }()
 	if l.capacity <= 0 {
 		return nil // nothing is known of the workers yet
 	}
-	ahead := 0.0
-	for _, waiting := range l.backlog[:priority+1] {
-		ahead += waiting
+	ahead := l.late
+	for _, c := range l.backlog {
+		if c.latest > j.latest() {
+			break
+		}
+		ahead += c.work
 	}
 	wait := time.Duration(ahead/l.capacity) * time.Millisecond
 	slack := j.objective() - j.span
 	switch {
 	case over && float64(wait) > busy*float64(slack):
-		work = 0
 		return &RefusalError{"the team sends more than its rate while work waits", returnAfter(wait)}
 	case float64(wait) > hopeless*float64(slack):
-		work = 0
 		return &RefusalError{"the work ahead can't be done in time", returnAfter(wait - slack)}
 	}
+	l.late += p.work(j)
 	return nil
 }
 
+// latest returns when the job has to start to meet its objective; urgent jobs go
+// before all others.
+func (j *job) latest() time.Duration {
+	if j.queue.Priority == 0 {
+		return 0
+	}
+	return j.arrived + j.objective() - j.span
+}
+
 // spend takes one job off the team's rate, and reports whether the team is over
 // it.
 func (t *team) spend(now time.Duration) bool {
@@ -98,7 +115,7 @@
 
 // reckon sums up the backlog.
 func (p *Planner) reckon(now time.Duration) {
-	l := load{at: now, backlog: make([]float64, maxPriority+1)}
+	l := load{at: now}
 	for _, w := range p.workers {
 		// Workers that a new owner has not heard yet count too.
 		if w.listed && !w.report.Draining && !p.closed[w.report.Centre] {
@@ -107,9 +124,10 @@
 	}
 	for _, j := range p.live {
 		if j.ended == "" && len(j.rounds) > 0 {
-			l.backlog[min(j.queue.Priority, maxPriority)] += p.work(j)
+			l.backlog = append(l.backlog, claim{j.latest(), p.work(j)})
 		}
 	}
+	slices.SortFunc(l.backlog, func(a, b claim) int { return cmp.Compare(a.latest, b.latest) })
 	p.load = l
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -328,3 +328,17 @@
 	b.Assert(refused["team"] > 3, quicktest.IsTrue, quicktest.Commentf("refused %v", refused))
 	b.Assert(refused["calm"], quicktest.Equals, 0)
 }
+
+// A job with little slack is not refused because of a backlog that can wait longer:
+// it is served before that.
+func TestBacklogThatCanWait(t *testing.T) {
+	patient := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: 100 * second, Priority: 2}
+	hurried := Queue{Name: "hurried", Service: "s", Attempts: 2, Stretch: 2, Objective: second, Priority: 2}
+	b := newBench(t, 1, patient, hurried)
+	for n := range 10 {
+		b.submit("patient"+strconv.Itoa(n), tasks(8))
+	}
+	b.now += second
+	_, err := b.p.Submit(JobSpec{ID: "hurried", Queue: "hurried", Team: "calm", Payload: "p", Steps: []StepSpec{tasks(1)}}, b.now)
+	b.Assert(err, quicktest.IsNil)
+}
