conductor: Tell those who wait for a cancel of the cancel only

Cause: found by reading: a cancel of a job that was being stored waited in the same list as repeated submissions, and was acknowledged when the submission was stored. Change: each event of a job has its own list. Conclusion: an acknowledgement says what it should.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -141,7 +141,7 @@
 	case err == nil && submission.Known && submission.Stored:
 		stored <- nil
 	case err == nil && submission.Known:
-		c.planner.Await(id, func(err error) { stored <- err })
+		c.planner.Await(id, planner.Submitted, func(err error) { stored <- err })
 	case err == nil:
 		err = c.journal.Enqueue(record, func(err error) { c.settle(id, err, stored) })
 		if err != nil {
@@ -176,7 +176,7 @@
 	} else {
 		c.planner.Forget(id)
 	}
-	waiting := c.planner.Awaited(id)
+	waiting := c.planner.Awaited(id, planner.Submitted)
 	c.mu.Unlock()
 	stored <- err
 	for _, tell := range waiting {
@@ -222,7 +222,7 @@
 	cancelled := c.planner.Cancel(id, team, c.now())
 	jobs := c.planner.Ended()
 	if cancelled.Known && !cancelled.Shown {
-		c.planner.Await(id, func(error) { stored <- struct{}{} })
+		c.planner.Await(id, planner.Concluded, func(error) { stored <- struct{}{} })
 	}
 	c.mu.Unlock()
 	switch {
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -159,7 +159,7 @@
 		case planner.Cancelled:
 			c.figures.cancelled.Inc(1)
 		}
-		for _, tell := range c.planner.Awaited(id) {
+		for _, tell := range c.planner.Awaited(id, planner.Concluded) {
 			tell(nil)
 		}
 	}
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -10,7 +10,7 @@
 // looks for workers to gather room on: a fraction of the usual slack of a gang.
 const soon = 1500 * time.Millisecond
 
-// place is a number of a gang's tasks on one worker.
+// spot is a number of a gang's tasks on one worker.
 type spot struct {
 	worker *worker
 	tasks  int
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -22,8 +22,8 @@
 	shares  map[string]*share
 	load    load
 	out     []Action
-	awaited map[string][]func(error) // callers who handed a job in again while it is stored
-	shown   []string                 // jobs that ended since the last call of Ended
+	awaited map[occasion][]func(error) // callers who wait for the journal
+	shown   []string                   // jobs that ended since the last call of Ended
 }
 
 // settings are what options change.
@@ -55,7 +55,7 @@
 		used:     map[string]bool{},
 		jobs:     map[string]*job{},
 		shares:   map[string]*share{},
-		awaited:  map[string][]func(error){},
+		awaited:  map[occasion][]func(error){},
 	}
 }
 
@@ -418,15 +418,32 @@
 // leastSilent is the number of silent workers below which nothing is concluded.
 const leastSilent = 4
 
-// Await has tell called once the journal holds a submission or the end of a job,
-// or with the error of the submission.
-func (p *Planner) Await(id string, tell func(error)) {
-	p.awaited[id] = append(p.awaited[id], tell)
+// Event is what the journal may come to hold of a job.
+type Event int
+
+// Events of a job.
+const (
+	Submitted Event = iota
+	Concluded
+)
+
+// occasion is an event of one job.
+type occasion struct {
+	id    string
+	event Event
+}
+
+// Await has tell called once the journal holds an event of a job, or with the
+// error of the submission.
+func (p *Planner) Await(id string, event Event, tell func(error)) {
+	key := occasion{id, event}
+	p.awaited[key] = append(p.awaited[key], tell)
 }
 
-// Awaited returns whom to tell of that, once.
-func (p *Planner) Awaited(id string) []func(error) {
-	waiting := p.awaited[id]
-	delete(p.awaited, id)
+// Awaited returns whom to tell of an event, once.
+func (p *Planner) Awaited(id string, event Event) []func(error) {
+	key := occasion{id, event}
+	waiting := p.awaited[key]
+	delete(p.awaited, key)
 	return waiting
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -342,3 +342,16 @@
 	_, err := b.p.Submit(JobSpec{ID: "hurried", Queue: "hurried", Team: "calm", Payload: "p", Steps: []StepSpec{tasks(1)}}, b.now)
 	b.Assert(err, quicktest.IsNil)
 }
+
+// Who waits for a cancel to be stored is not told when the submission is.
+func TestAwaitedEvents(t *testing.T) {
+	b := newBench(t, 1)
+	told := 0
+	b.p.Await("j", Concluded, func(error) { told++ })
+	b.Assert(b.p.Awaited("j", Submitted), quicktest.HasLen, 0)
+	for _, tell := range b.p.Awaited("j", Concluded) {
+		tell(nil)
+	}
+	b.Assert(told, quicktest.Equals, 1)
+	b.Assert(b.p.Awaited("j", Concluded), quicktest.HasLen, 0)
+}
