receiver: Say 'not run' only if no owner can have the request

Found beside it by reading: an append of unknown outcome was answered 503 too. Change: a request that was sent and got no answer is answered 504, as is an append of unknown outcome.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"filberthaven.example/journaler"
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
 )
@@ -191,7 +192,8 @@
 	return c.planner.Version()
 }
 
-// refuse tells why a job was not accepted. Nothing of it runs.
+// refuse tells why a job was not accepted. Nothing of it runs, unless the answer
+// says that the outcome is unknown.
 func (c *Conductor) refuse(id string, queue planner.Queue, team string, err error) Answer {
 	var refusal *planner.RefusalError
 	switch {
@@ -207,6 +209,10 @@
 	case errors.Is(err, planner.ErrUnsupported):
 		c.log.Info("job refused", "job", id, "queue", queue.Name, "team", team, "reason", err)
 		return plain(http.StatusServiceUnavailable, err.Error())
+	case errors.Is(err, journaler.ErrUnknown):
+		c.figures.unavailable.Inc(1)
+		c.log.Warn("outcome of a job unknown", "job", id, "queue", queue.Name, "team", team, "error", err)
+		return plain(http.StatusGatewayTimeout, "outcome unknown")
 	default:
 		c.figures.unavailable.Inc(1)
 		c.log.Warn("job not stored", "job", id, "queue", queue.Name, "team", team, "error", err)
--- /dev/null
+++ b/conductor/call_test.go
@@ -0,0 +1,36 @@
+package conductor
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"filberthaven.example/journaler"
+	"filberthaven.example/planner"
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+)
+
+// A job that the journal may yet hold must not be answered as not run.
+func TestRefusalIsTrue(t *testing.T) {
+	c := &Conductor{figures: newFigures(metrics.NewRegistry()), log: hclog.NewNullLogger()}
+	for _, test := range []struct {
+		name          string
+		err           error
+		status, after int
+	}{
+		{"unknown", errors.Join(journaler.ErrUnknown), http.StatusGatewayTimeout, 0},
+		{"deposed", journaler.ErrDeposed, http.StatusServiceUnavailable, 1},
+		{"unavailable", journaler.ErrUnavailable, http.StatusServiceUnavailable, 1},
+		{"refused", &planner.RefusalError{Reason: "r", After: 3 * time.Second}, http.StatusTooManyRequests, 3},
+		{"invalid", planner.ErrInvalidJob, http.StatusBadRequest, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			answer := c.refuse("id", planner.Queue{}, "team", test.err)
+			quicktest.Assert(t, answer.Status, quicktest.Equals, test.status)
+			quicktest.Assert(t, answer.After, quicktest.Equals, test.after)
+		})
+	}
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -164,9 +166,7 @@
 		if err == nil && answer.Status != http.StatusServiceUnavailable {
 			return answer
 		}
-		if err != nil {
-			maybe = maybe || connect.CodeOf(err) != connect.CodeUnavailable
-		}
+		maybe = maybe || err != nil && !errors.Is(err, errNotRun)
 		if ctx.Err() != nil || r.now()-waited > ownerWait {
 			return r.giveUp(call, answer, maybe, err)
 		}
@@ -187,8 +187,11 @@
 	}
 }
 
-// errNoOwner means that no VM is known to own the fleet.
-var errNoOwner = connect.NewError(connect.CodeUnavailable, errors.New("no owner"))
+// Errors of an attempt after which nothing of the request can have run.
+var (
+	errNotRun  = errors.New("request not run")
+	errNoOwner = fmt.Errorf("%w: no owner", errNotRun)
+)
 
 func (r *Receiver) attempt(ctx context.Context, call conductor.Call) (conductor.Answer, error) {
 	if c := r.local.Load(); c != nil {
@@ -201,10 +204,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	answer, err := messenger.Call[conductor.Call, conductor.Answer](ctx, r.messenger, owner.Address(), procedure, &call)
+	sent := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	answer, err := messenger.Call[conductor.Call, conductor.Answer](traced, r.messenger, owner.Address(), procedure, &call)
 	if err != nil {
 		r.failed.Inc(1)
 		r.lost.CompareAndSwap(0, int64(r.now()))
+		// A connection that breaks after the request was sent leaves its outcome
+		// open; only a VM that says it is not the owner has surely not run it.
+		if !sent || connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
+			err = errors.Join(errNotRun, err)
+		}
 		return conductor.Answer{}, err
 	}
 	r.lost.Store(0)
