claimer: Let large VMs own the fleet

Change: VMs register the part of a core that they may use; small ones let those at least half as large again claim first.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -32,6 +32,15 @@
 	unfitDelay = 1500 * time.Millisecond
 	// unfitTime is how long the VMs of its data centre let others go first.
 	unfitTime = 8 * time.Second
+	// smallDelay is how long a VM lets much larger ones claim first; longer than the
+	// 0.3 s within which the platform starts all.
+	smallDelay = 400 * time.Millisecond
+	// muchLarger is the multiple of its own processor at which a VM makes way: the
+	// owner of a large fleet uses up to 0.25 of a core.
+	muchLarger = 1.5
+	// companyTime is how long VMs that start without an owner wait for each other, so
+	// that a large one claims; the platform starts all within 0.3 s.
+	companyTime = 400 * time.Millisecond
 	// gatherPause is how long changes of the records gather; a new owner is to be
 	// known at once.
 	gatherPause = 5 * time.Millisecond
@@ -55,6 +64,8 @@
 	Life    string `json:"life"` // differs with each start of the process
 	Address string `json:"address"`
 	Centre  string `json:"centre"`
+	// Processor is the part of a core that the VM may use; 0 when it isn't told.
+	Processor float64 `json:"processor,omitempty"`
 }
 
 // Member is an entry VM that is registered.
@@ -97,6 +108,10 @@
 // WithTTL sets the lease of the owner.
 func WithTTL(ttl time.Duration) Option { return func(c *Claimer) { c.ttl = ttl } }
 
+// WithProcessor sets the part of a core that this VM may use. Of VMs that differ
+// much, the larger ones claim first.
+func WithProcessor(cores float64) Option { return func(c *Claimer) { c.self.Processor = cores } }
+
 // WithClock sets the steady clock that counts suspension.
 func WithClock(now func() time.Duration) Option { return func(c *Claimer) { c.now = now } }
 
@@ -117,7 +132,7 @@
 	}
 	c := &Claimer{
 		store:   store,
-		self:    record{id, life, address, centre},
+		self:    record{ID: id, Life: life, Address: address, Centre: centre},
 		ttl:     DefaultTTL,
 		now:     Now,
 		log:     hclog.NewNullLogger(),
@@ -198,6 +213,14 @@
 
 // claimOn claims the ownership whenever there is no owner.
 func (c *Claimer) claimOn(ctx context.Context) {
+	// Nothing tells of a change if there was no owner to begin with.
+	for ctx.Err() == nil && c.mirror.Contact() == 0 {
+		sleep(ctx, gatherPause)
+	}
+	if _, owned := c.mirror.Get(ownerKey); !owned {
+		sleep(ctx, companyTime)
+	}
+	c.wake()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -362,11 +385,21 @@
 	return c.leaving
 }
 
-// handicap returns how long this VM lets others claim first.
+// handicap returns how long this VM lets others claim first. It answers a fleet
+// so large that its owner would use up the processor of a small VM.
 func (c *Claimer) handicap() time.Duration {
 	if _, marked := c.mirror.Get(unfitKey + c.self.Centre); marked {
 		return unfitDelay
 	}
+	for _, entry := range c.mirror.List(vmPrefix) {
+		var r record
+		if json.Unmarshal(entry.Value(), &r) != nil {
+			continue // a damaged record is of no VM
+		}
+		if _, marked := c.mirror.Get(unfitKey + r.Centre); !marked && r.Processor > muchLarger*c.self.Processor {
+			return smallDelay
+		}
+	}
 	return 0
 }
 
--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,143 @@
+package claimer_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthaven.example/claimer"
+	"filberthaven.example/emulator"
+	qt "github.com/frankban/quicktest"
+)
+
+// vm is one process of an entry VM.
+type vm struct {
+	*claimer.Claimer
+	client *emulator.Client
+	cancel context.CancelFunc
+	term   atomic.Uint64 // under which it runs the fleet, 0 while it doesn't
+}
+
+// start starts a process of the VM with that id.
+func start(c *qt.C, store *emulator.Store, id, life string, options ...claimer.Option) *vm {
+	c.Helper()
+	v := &vm{client: store.Client(id + "/" + life)}
+	begun := time.Now()
+	options = append([]claimer.Option{
+		claimer.WithClock(func() time.Duration { return time.Since(begun) + time.Hour }),
+		claimer.WithOwner(func(ctx context.Context, term uint64) {
+			v.term.Store(term)
+			<-ctx.Done()
+			v.term.Store(0)
+		}),
+	}, options...)
+	built, err := claimer.New(v.client.Seam(), id, life, id+":1", "pianura-a", options...)
+	c.Assert(err, qt.IsNil)
+	v.Claimer = built
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = v.Run(ctx)
+	}()
+	c.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return v
+}
+
+// assertOwner checks that just that VM of the list runs the fleet.
+func assertOwner(c *qt.C, owner *vm, others ...*vm) {
+	c.Helper()
+	c.Assert(owner.term.Load(), qt.Not(qt.Equals), uint64(0))
+	c.Assert(owner.Valid(owner.term.Load()), qt.IsTrue)
+	for _, other := range others {
+		c.Assert(other.term.Load(), qt.Equals, uint64(0))
+	}
+}
+
+// TestLargeFirst replays the start of a fleet of which some VMs have a quarter of
+// the others' processor: the owner of 350 workers used up a small one, and urgent
+// work started late.
+func TestLargeFirst(t *testing.T) {
+	for _, order := range [][]string{{"small-1", "small-2", "large"}, {"large", "small-1", "small-2"}} {
+		t.Run(order[0]+" first", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := emulator.NewStore()
+				vms := map[string]*vm{}
+				for _, id := range order {
+					share := 0.192
+					if id == "large" {
+						share = 0.8
+					}
+					vms[id] = start(c, store, id, "1", claimer.WithProcessor(share))
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				assertOwner(c, vms["large"], vms["small-1"], vms["small-2"])
+			})
+		})
+	}
+	t.Run("a small one when no other is left", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := emulator.NewStore()
+			large := start(c, store, "large", "1", claimer.WithProcessor(0.8))
+			time.Sleep(50 * time.Millisecond)
+			small := start(c, store, "small", "1", claimer.WithProcessor(0.192))
+			time.Sleep(2 * time.Second)
+			assertOwner(c, large, small)
+			large.Leave()
+			time.Sleep(time.Second)
+			assertOwner(c, small, large)
+		})
+	})
+}
+
+// TestTakeover checks who owns the fleet, and how soon, after the owner is lost.
+func TestTakeover(t *testing.T) {
+	t.Run("a lone VM claims", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			a := start(c, emulator.NewStore(), "a", "1")
+			time.Sleep(1200 * time.Millisecond)
+			assertOwner(c, a)
+		})
+	})
+	t.Run("another VM within the lease and a second", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := emulator.NewStore()
+			a := start(c, store, "a", "1")
+			time.Sleep(2 * time.Second)
+			b := start(c, store, "b", "1")
+			time.Sleep(2 * time.Second)
+			assertOwner(c, a, b)
+			first := a.term.Load()
+			a.client.SetFaults(emulator.Cut())
+			time.Sleep(claimer.DefaultTTL)
+			c.Assert(a.Valid(first), qt.IsFalse)
+			time.Sleep(time.Second)
+			c.Assert(b.term.Load() > first, qt.IsTrue)
+			c.Assert(b.Valid(b.term.Load()), qt.IsTrue)
+		})
+	})
+	t.Run("a new life of the owner at once", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := emulator.NewStore()
+			a := start(c, store, "a", "1")
+			time.Sleep(2 * time.Second)
+			first := a.term.Load()
+			a.client.SetFaults(emulator.Cut())
+			again := start(c, store, "a", "2")
+			time.Sleep(1200 * time.Millisecond)
+			c.Assert(again.term.Load() > first, qt.IsTrue)
+		})
+	})
+}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -14,6 +14,7 @@
 	ready      string // address for the balancer's look
 	internal   string // address for other entry VMs
 	metrics    string // address of the page of metrics, empty for none
+	processor  float64 // part of a core that the VM may use, 0 when it isn't told
 	store      string // address of the platform's store
 	advice     string // address of the advice service, empty for none
 	lease      time.Duration
@@ -54,6 +55,7 @@
 	s.ready = loader.Require(vm, "ready", loader.Address)
 	s.internal = loader.Require(vm, "internal", loader.Address)
 	s.metrics = loader.Get(vm, "metrics", loader.Address, "")
+	s.processor = loader.Get(vm, "processor", loader.Float, 0, loader.Between(0.0, 1024.0))
 	s.drain = loader.Get(vm, "drain", loader.Duration, defaultDrain, loader.Between(0, time.Hour))
 	platform := d.One("platform")
 	s.store = loader.Require(platform, "store", loader.Address)
