planner: Ask a worker before its recorded runs count as lapsed

Change: a listed worker that the new owner has not called yet keeps its runs on the books until a call to it was answered or got no answer. TestSnapshotKeepsFinishedSteps relied on the early lapse; it now checks that nothing starts before the worker is heard, and then the same as before.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -87,6 +87,9 @@
 		if now < w.lapses || w.lapses == 0 {
 			continue
 		}
+		if !w.fenced && w.listed && !w.tried {
+			continue // it may list ends of the runs, after a takeover that took long
+		}
 		w.fenced = true
 		for _, r := range w.runs {
 			if r.phase != sent && (r.crossed == 0 || now-r.crossed > lateOrders) {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -133,7 +133,7 @@
 		}
 		w.report.Born = l.Born
 	}
-	w.heard, w.silent = now, 0
+	w.heard, w.silent, w.tried = now, 0, true
 	w.fenced = true
 	var ends []End
 	for _, e := range l.Ended {
@@ -261,6 +261,7 @@
 func (p *Planner) Silent(id string) {
 	if w := p.workers[id]; w != nil {
 		w.silent++
+		w.tried = true
 	}
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -179,6 +179,8 @@
 	b.p.Configure(config, b.now)
 	b.add("w0")
 	b.now += second
+	b.Assert(b.starts(), quicktest.HasLen, 0) // the worker has not been heard
+	b.p.Listed(Listing{Worker: "w0", Born: 1, Asked: b.now}, b.now)
 	starts := b.starts()
 	b.Assert(starts, quicktest.HasLen, 1)
 	b.Assert(starts[0].Task, quicktest.Equals, "j.0.1.0")
@@ -371,3 +373,44 @@
 	b.Assert(again, quicktest.HasLen, 1)
 	b.Assert(again[0].Number, quicktest.Equals, 2)
 }
+
+// TestSlowTakeover replays a takeover that took longer than any lease: the journal
+// was read over a slow link. A worker that can be asked is asked before its runs
+// count as lapsed; it may list their ends yet.
+func TestSlowTakeover(t *testing.T) {
+	takeOver := func(t *testing.T) (*bench, Action) {
+		b := newBench(t, 2)
+		b.submit("j", tasks(1))
+		first := b.starts()
+		b.Assert(first, quicktest.HasLen, 1)
+		b.now = 30 * second
+		b.succeed(12 * second)
+		b.add("w0")
+		b.add("w1")
+		for _, id := range []string{"w0", "w1"} {
+			if id != first[0].Worker {
+				b.p.Listed(Listing{Worker: id, Born: 1, Asked: b.now}, b.now)
+			}
+		}
+		b.Assert(b.starts(), quicktest.HasLen, 0)
+		return b, first[0]
+	}
+	t.Run("the end is listed", func(t *testing.T) {
+		b, first := takeOver(t)
+		b.end(first, 1, Done)
+		b.Assert(b.starts(), quicktest.HasLen, 0)
+		b.assertState("j", Completed)
+	})
+	t.Run("no answer", func(t *testing.T) {
+		b, first := takeOver(t)
+		b.p.Silent(first.Worker)
+		again := b.starts()
+		b.Assert(again, quicktest.HasLen, 1)
+		b.Assert(again[0].Number, quicktest.Equals, 2)
+	})
+	t.Run("not listed any more", func(t *testing.T) {
+		b, first := takeOver(t)
+		b.p.Unlist(first.Worker)
+		b.Assert(b.starts(), quicktest.HasLen, 1)
+	})
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -35,6 +35,7 @@
 	fenced  bool          // it has answered a call of this owner, or all older leases have lapsed
 	lapses  time.Duration // when the newest lease given out has surely lapsed
 	heard   time.Duration // when it last answered
+	tried   bool          // a call of this owner was answered or remained without an answer
 	silent  int           // calls in a row without an answer
 	health  health
 	reserve *step // a gang that gathers room here in this round, else nil
