receiver: Keep requests from an owner that is not ready

Requests that the planner refuses as unsupported were held back for 0.4 s by the same loop. Change: a gate for each owner lets one request through every 100 ms until it serves; requests wait for 0.4 s as before, and are refused at once when the owner has not been ready for longer. Answers say whether trying again helps, so that final ones go out at once.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -26,6 +26,10 @@
 	Status int    `cbor:"1,keyasint"`
 	Body   []byte `cbor:"2,keyasint,omitempty"`
 	After  int    `cbor:"3,keyasint,omitempty"` // s, when to come back
+	// Again means that the request has not run and may be served if it is tried
+	// again soon; NotReady that the owner serves nobody yet.
+	Again    bool `cbor:"4,keyasint,omitempty"`
+	NotReady bool `cbor:"5,keyasint,omitempty"`
 }
 
 // table finds the queue of a request and the team of a key.
@@ -69,7 +73,7 @@
 
 func unavailable(reason string) Answer {
 	a := plain(http.StatusServiceUnavailable, reason)
-	a.After = returnAfter
+	a.After, a.Again = returnAfter, true
 	return a
 }
 
@@ -79,7 +83,9 @@
 	c.mu.Lock()
 	if !c.open || !fresh || !c.valid() {
 		c.mu.Unlock()
-		return unavailable("the owner is not ready")
+		a := unavailable("the owner is not ready")
+		a.NotReady = true
+		return a
 	}
 	queue, found := c.table.queue(call.Host, call.Path)
 	team, known := c.table.teams[call.Key]
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -51,6 +51,7 @@
 	self      string
 	local     atomic.Pointer[conductor.Conductor] // set while this VM is the owner
 	stopping  atomic.Bool
+	gate      gate
 	lost      atomic.Int64 // steady ns since when the owner is out of reach; 0 while it answers
 	now       func() time.Duration
 	log       hclog.Logger
@@ -163,11 +164,11 @@
 	maybe := false // an owner may have carried the request out
 	for {
 		answer, err := r.attempt(ctx, call)
-		if err == nil && answer.Status != http.StatusServiceUnavailable {
+		if err == nil && !answer.Again {
 			return answer
 		}
 		maybe = maybe || err != nil && !errors.Is(err, errNotRun)
-		if ctx.Err() != nil || r.now()-waited > ownerWait {
+		if ctx.Err() != nil || r.now()-waited > ownerWait || errors.Is(err, errShut) {
 			return r.giveUp(call, answer, maybe, err)
 		}
 		pause(ctx, ownerPause)
@@ -191,6 +192,10 @@
 var (
 	errNotRun  = errors.New("request not run")
 	errNoOwner = fmt.Errorf("%w: no owner", errNotRun)
+	errGated   = fmt.Errorf("%w: the owner is not ready", errNotRun)
+	// errShut means that the owner has not been ready for so long that waiting is
+	// of no use.
+	errShut = fmt.Errorf("%w: the owner has not been ready for long", errNotRun)
 )
 
 func (r *Receiver) attempt(ctx context.Context, call conductor.Call) (conductor.Answer, error) {
@@ -198,10 +203,16 @@
 		r.lost.Store(0)
 		return c.Serve(ctx, call), nil
 	}
-	owner, _, known := r.owner()
+	owner, term, known := r.owner()
 	if !known || owner.ID() == r.self {
 		return conductor.Answer{}, errNoOwner
 	}
+	if !r.gate.pass(term, r.now()) {
+		if r.gate.shut(term, r.now()) > ownerWait {
+			return conductor.Answer{}, errShut
+		}
+		return conductor.Answer{}, errGated
+	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	sent := false
@@ -209,6 +220,7 @@
 	answer, err := messenger.Call[conductor.Call, conductor.Answer](traced, r.messenger, owner.Address(), procedure, &call)
 	if err != nil {
 		r.failed.Inc(1)
+		r.gate.told(term, false, r.now())
 		r.lost.CompareAndSwap(0, int64(r.now()))
 		// A connection that breaks after the request was sent leaves its outcome
 		// open; only a VM that says it is not the owner has surely not run it.
@@ -218,6 +230,7 @@
 		return conductor.Answer{}, err
 	}
 	r.lost.Store(0)
+	r.gate.told(term, !answer.NotReady, r.now())
 	return *answer, nil
 }
 
