conductor: Probe a VM that gave no advice by one call

Cause: a VM that was killed stays registered for 6 s. Change: after a failure one call finds out; rests double up to 8 s; urgent calls are given up 0.4 s after they were due. The limits are a decision and moved here from platform.

--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -9,20 +9,33 @@
 
 	"filberthaven.example/claimer"
 	"filberthaven.example/planner"
-	"filberthaven.example/platform"
 )
 
 // asker spreads calls for advice over the entry VMs. The advice service handles
 // one call at a time for each calling VM, so a VM's calls queue.
 type asker struct {
-	mu   sync.Mutex
-	free map[string]time.Duration // when a VM's queue of calls is expected to be empty
-	bad  map[string]time.Duration // until when a VM is left out after a failure
+	mu  sync.Mutex
+	vms map[string]*askedVM
+}
+
+// askedVM is what is known of one entry VM's calls for advice.
+type askedVM struct {
+	free     time.Duration // when its queue of calls is expected to be empty
+	bad      time.Duration // until when it is left out after a failure
+	failures int           // in a row, calls that were out together counted once
+	failed   time.Duration // when the newest of them was counted
+	probing  bool          // after a failure: one call is out that finds out
 }
 
 const (
-	// badTime is how long a VM whose call failed is left out.
-	badTime = 2 * time.Second
+	// badTime is how long a VM whose call failed is left out, doubled with each
+	// failure more up to badLimit. A VM that is gone stays registered for 6 s.
+	badTime  = 2 * time.Second
+	badLimit = 8 * time.Second
+	// urgentGrace and slowGrace are added to the time at which a call should be
+	// answered; the VM's queue is never longer than the time that is booked.
+	urgentGrace = 400 * time.Millisecond
+	slowGrace   = 1500 * time.Millisecond
 	// urgentQueue and slowQueue are the longest queues of a VM at which another
 	// call is added. What is not asked yet is asked in the order in which the
 	// planner wants it then; tickets are short-lived anyway.
@@ -33,19 +46,34 @@
 )
 
 func newAsker() asker {
-	return asker{free: map[string]time.Duration{}, bad: map[string]time.Duration{}}
+	return asker{vms: map[string]*askedVM{}}
+}
+
+// vm returns what is known of a VM. The lock is held.
+func (k *asker) vm(id string) *askedVM {
+	v := k.vms[id]
+	if v == nil {
+		v = &askedVM{}
+		k.vms[id] = v
+	}
+	return v
 }
 
+// usable reports whether the VM may be asked: after a failure by one call first,
+// so that a VM that is gone holds up no other.
+func (v *askedVM) usable(now time.Duration) bool { return v.bad <= now && !v.probing }
+
 // choose returns the VM whose queue is empty first, books the call there and
 // returns when it should be answered; false when every queue is full. It answers
-// a backlog that asks for more advice than there is, as after a takeover. A third of the VMs, rounded up, serve urgent queues only, so that these are never
-// behind a slow call; the owner itself comes last.
+// a backlog that asks for more advice than there is, as after a takeover. A third
+// of the VMs, rounded up, serve urgent queues only, so that these are never behind
+// a slow call; the owner itself comes last.
 func (k *asker) choose(members []claimer.Member, self string, a planner.Action, now time.Duration) (claimer.Member, time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	usable := make([]claimer.Member, 0, len(members))
 	for _, m := range members {
-		if k.bad[m.ID()] <= now {
+		if k.vm(m.ID()).usable(now) {
 			usable = append(usable, m)
 		}
 	}
@@ -65,25 +93,42 @@
 		usable = usable[reserved:]
 	}
 	best := slices.MinFunc(usable, func(x, y claimer.Member) int {
-		return cmp.Compare(max(now, k.free[x.ID()]), max(now, k.free[y.ID()]))
+		return cmp.Compare(max(now, k.vm(x.ID()).free), max(now, k.vm(y.ID()).free))
 	})
-	begin, limit := max(now, k.free[best.ID()]), slowQueue
+	v := k.vm(best.ID())
+	begin, limit := max(now, v.free), slowQueue
 	if a.Urgent {
 		limit = urgentQueue
 	}
 	if begin-now > limit {
 		return claimer.Member{}, 0, false
 	}
-	k.free[best.ID()] = begin + a.Cost + askOverhead
-	return best, k.free[best.ID()], true
+	v.free = begin + a.Cost + askOverhead
+	v.probing = v.failures > 0
+	return best, v.free, true
 }
 
-// failed leaves a VM out for a while.
-func (k *asker) failed(id string, now time.Duration) {
+// failed leaves a VM out for a while after a call that was made at begun.
+func (k *asker) failed(id string, begun, now time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.bad[id] = now + badTime
-	k.free[id] = now
+	v := k.vm(id)
+	v.free = now
+	if v.failures > 0 && begun < v.failed {
+		return // it was out when an earlier failure was noted
+	}
+	v.failures++
+	v.failed = now
+	v.probing = false
+	v.bad = now + min(badTime<<(v.failures-1), badLimit)
+}
+
+// answered notes that a VM answered.
+func (k *asker) answered(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.vm(id)
+	v.failures, v.probing, v.bad = 0, false, 0
 }
 
 // ask has an entry VM ask which workers may run a step.
@@ -95,7 +140,7 @@
 	member, due, found := c.asker.choose(members, c.self, a, c.now())
 	if !found {
 		c.mu.Lock()
-		c.planner.Advised(planner.Answer{Step: a.Step})
+		c.planner.Unasked(a, c.now())
 		c.mu.Unlock()
 		return
 	}
@@ -103,7 +148,11 @@
 	c.figures.asks.Inc(1)
 	c.spawn(func() {
 		begun := c.now()
-		bounded, cancel := context.WithTimeout(ctx, due-begun+platform.AdviceGrace)
+		grace := slowGrace
+		if a.Urgent {
+			grace = urgentGrace
+		}
+		bounded, cancel := context.WithTimeout(ctx, due-begun+grace)
 		defer cancel()
 		tickets, valid, err := c.asking(bounded, member, a)
 		if ctx.Err() != nil {
@@ -113,10 +162,11 @@
 		if err != nil {
 			c.figures.asksFailed.Inc(1)
 			c.log.Info("no advice", "step", a.Step, "vm", member.ID(), "error", err)
-			c.asker.failed(member.ID(), c.now())
+			c.asker.failed(member.ID(), begun, c.now())
 			c.sleep(askOverhead)
 		} else {
 			now := c.now()
+			c.asker.answered(member.ID())
 			c.figures.askWait.Update(now - begun)
 			answer.Named, answer.Tickets, answer.Until = a.Workers, tickets, now+valid
 		}
--- a/conductor/ask_test.go
+++ b/conductor/ask_test.go
@@ -40,9 +40,36 @@
 	c := quicktest.New(t)
 	members := []claimer.Member{claimer.NewMember("a", "", "")}
 	k := newAsker()
-	k.failed("a", 0)
+	k.failed("a", 0, 0)
 	_, _, found := k.choose(members, "self", planner.Action{}, badTime-1)
 	c.Assert(found, quicktest.IsFalse)
 	_, _, found = k.choose(members, "self", planner.Action{}, badTime)
 	c.Assert(found, quicktest.IsTrue)
 }
+
+// A VM that is gone stays registered for seconds. One call at a time finds out
+// whether it is back, ever more rarely; 85 urgent calls a second used to hang there
+// for a second each.
+func TestGoneVM(t *testing.T) {
+	c := quicktest.New(t)
+	members := []claimer.Member{claimer.NewMember("gone", "", ""), claimer.NewMember("sound", "", "")}
+	k := newAsker()
+	urgent := planner.Action{Kind: planner.Ask, Cost: time.Millisecond, Urgent: true}
+	out := map[time.Duration]int{} // calls to the VM that is gone, by when they were made
+	hung := 0
+	for now := time.Duration(0); now < 6*time.Second; now += 10 * time.Millisecond {
+		for range out[now-urgentGrace] {
+			k.failed("gone", now-urgentGrace, now)
+		}
+		member, _, found := k.choose(members, "self", urgent, now)
+		c.Assert(found, quicktest.IsTrue)
+		if member.ID() == "gone" {
+			out[now]++
+			hung++
+		}
+	}
+	// Those of the first 0.4 s, then a probe after 2 s more; the next is due after 6 s.
+	c.Assert(hung <= int(urgentGrace/(10*time.Millisecond))+2, quicktest.IsTrue, quicktest.Commentf("%d calls", hung))
+	k.answered("gone")
+	c.Assert(k.vm("gone").usable(6*time.Second), quicktest.IsTrue)
+}
