planner: Admit by the room that comes free; serve late urgent work later

With 500 waiting steps a decision looked at every worker for every step. Change: the wait is the time until as much room has come free, by what workers list of progress, as the work ahead needs at once, in the scarcest resource; learned ratios are ratios of sums. Late urgent jobs go after urgent ones that can be in time. Steps look at workers they have tickets for only, and rest 15 ms when the queues for advice are full. Refusals are logged with the wait and the slack.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -205,7 +205,8 @@
 	switch {
 	case errors.As(err, &refusal):
 		c.figures.refused.Inc(1)
-		c.log.Info("job refused", "job", id, "queue", queue.Name, "team", team, "reason", refusal.Reason, "after", refusal.After)
+		c.log.Info("job refused", "job", id, "queue", queue.Name, "team", team, "reason", refusal.Reason, "after", refusal.After,
+			"wait", refusal.Wait, "slack", refusal.Slack)
 		a := plain(http.StatusTooManyRequests, refusal.Reason)
 		a.After = int(refusal.After / time.Second)
 		return a
--- a/planner/admit.go
+++ b/planner/admit.go
@@ -1,9 +1,7 @@
 package planner
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -11,28 +9,14 @@
 type RefusalError struct {
 	Reason string
 	After  time.Duration // when the caller may come back
+	Wait   time.Duration // reckoned until the job could start
+	Slack  time.Duration // that the job has
 }
 
 // Error returns the reason.
 func (r *RefusalError) Error() string { return r.Reason }
 
-// load is what is waiting and running in a fleet, reckoned at most every
-// loadInterval.
-type load struct {
-	at       time.Duration
-	capacity float64 // thousandths of processors of workers that take work
-	backlog  []claim // in the order in which the work is served
-	late     float64 // core-ms, of thousandths, that were admitted since
-}
-
-// claim is work of a job that is not done.
-type claim struct {
-	latest time.Duration // when the job has to start; urgent work always goes first
-	work   float64       // core-ms, of thousandths
-}
-
 const (
-	loadInterval = 100 * time.Millisecond
 	// busy is the part of a job's slack that the backlog ahead may take before
 	// teams beyond their rate are refused.
 	busy = 0.25
@@ -53,30 +37,20 @@
 // as soon as work waits; what can't be done in time is refused from everybody,
 // with the time in which the work ahead will be done.
 func (p *Planner) admit(j *job, now time.Duration) *RefusalError {
-	if p.load.at == 0 || now-p.load.at >= loadInterval {
-		p.reckon(now)
-	}
-	l := &p.load
+	p.reckon(now)
 	over := j.team.spend(now)
-	if l.capacity <= 0 {
+	if p.load.capacity <= 0 {
 		return nil // nothing is known of the workers yet
 	}
-	ahead := l.late
-	for _, c := range l.backlog {
-		if c.latest > j.latest() {
-			break
-		}
-		ahead += c.work
-	}
-	wait := time.Duration(ahead/l.capacity) * time.Millisecond
+	wait := p.load.wait(j.latest())
 	slack := j.objective() - j.span
 	switch {
 	case over && float64(wait) > busy*float64(slack):
-		return &RefusalError{"the team sends more than its rate while work waits", returnAfter(wait)}
+		return &RefusalError{"the team sends more than its rate while work waits", returnAfter(wait), wait, slack}
 	case float64(wait) > hopeless*float64(slack):
-		return &RefusalError{"the work ahead can't be done in time", returnAfter(wait - slack)}
+		return &RefusalError{"the work ahead can't be done in time", returnAfter(wait - slack), wait, slack}
 	}
-	l.late += p.work(j)
+	p.load.add(p.claim(j))
 	return nil
 }
 
@@ -112,33 +86,3 @@
 	seconds := time.Duration(math.Ceil(wait.Seconds())) * time.Second
 	return min(max(seconds, leastReturn), mostReturn)
 }
-
-// reckon sums up the backlog.
-func (p *Planner) reckon(now time.Duration) {
-	l := load{at: now}
-	for _, w := range p.workers {
-		// Workers that a new owner has not heard yet count too.
-		if w.listed && !w.report.Draining && !p.closed[w.report.Centre] {
-			l.capacity += float64(w.report.Capacity.CPU())
-		}
-	}
-	for _, j := range p.live {
-		if j.ended == "" && len(j.rounds) > 0 {
-			l.backlog = append(l.backlog, claim{j.latest(), p.work(j)})
-		}
-	}
-	slices.SortFunc(l.backlog, func(a, b claim) int { return cmp.Compare(a.latest, b.latest) })
-	p.load = l
-}
-
-// work returns the core-ms, in thousandths of a processor, that are not done, by
-// the declared times and what the queue's runs have shown of them.
-func (p *Planner) work(j *job) float64 {
-	sum := 0.0
-	for _, o := range j.rounds {
-		for _, s := range o.steps {
-			sum += float64(s.spec.CPU) * float64(s.spec.Estimate) * float64(len(s.tasks)-s.done)
-		}
-	}
-	return sum * p.ratio(j.spec.Queue)
-}
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -18,15 +17,19 @@
 type ticket struct {
 	text  string
 	until time.Duration
-	born  int64
+	on    *worker
+	born  int64 // of the life that the ticket is for
 }
 
+// valid reports whether the ticket still lets tasks start.
+func (t ticket) valid(now time.Duration) bool { return now < t.until && t.born == t.on.report.Born }
+
 // ticketMargin is kept to the end of a ticket's life, for the order's way.
 const ticketMargin = 150 * time.Millisecond
 
 func (a *advice) holds(w *worker, now time.Duration) bool {
 	t, held := a.tickets[w.report.ID]
-	return held && now < t.until && t.born == w.report.Born
+	return held && t.valid(now)
 }
 
 func (a *advice) ticket(w *worker) string { return a.tickets[w.report.ID].text }
@@ -48,7 +51,8 @@
 // that have room, else it asks about workers that are not known yet.
 func (p *Planner) seek(s *step, c candidate, now time.Duration) {
 	price := s.round.job.queue.Advice
-	if price == nil || s.advice.asking {
+	urgent := c.rank == urgentRank || c.rank == lateUrgentRank
+	if price == nil || s.advice.asking || now < p.rests[urgent] {
 		return
 	}
 	named, reason := p.renewable(s, now), "tickets have run out"
@@ -60,7 +64,7 @@
 	}
 	s.advice.asking = true
 	p.out = append(p.out, Action{
-		Kind: Ask, Step: s.name, Workers: named, Queue: s.round.job.spec.Queue, Urgent: c.rank == urgentRank,
+		Kind: Ask, Step: s.name, Workers: named, Queue: s.round.job.spec.Queue, Urgent: urgent,
 		Cost: price.Base + time.Duration(len(named))*price.Each, Reason: reason,
 	})
 }
@@ -94,27 +98,35 @@
 // unknown returns workers that have not been asked about, those with the most
 // room first.
 func (p *Planner) unknown(s *step, price *Advice, now time.Duration) []string {
-	var list []*worker
-	for id, w := range p.workers {
-		if _, known := s.advice.good[id]; !known && p.eligible(s, w, now) && s.spec.Size.Fits(w.report.Capacity) {
-			list = append(list, w)
-		}
-	}
-	slices.SortFunc(list, func(a, b *worker) int {
-		return cmp.Or(-cmp.Compare(a.free().CPU(), b.free().CPU()), cmp.Compare(a.report.ID, b.report.ID))
-	})
 	limit := mostNamed
 	if price.Each > 0 {
 		limit = int(namedCost * float64(price.Base) / float64(price.Each))
 	}
-	limit = min(max(limit, leastNamed), mostNamed, len(list))
-	named := make([]string, limit)
-	for i := range named {
-		named[i] = list[i].report.ID
+	limit = min(max(limit, leastNamed), mostNamed)
+	var named []string
+	for _, w := range p.byRoom() {
+		if len(named) == limit {
+			break
+		}
+		if _, known := s.advice.good[w.report.ID]; !known && p.eligible(s, w, now) && s.spec.Size.Fits(w.report.Capacity) {
+			named = append(named, w.report.ID)
+		}
 	}
 	return named
 }
 
+// adviceRest is how long steps of a kind ask for no advice after the VMs' queues of
+// calls were full.
+const adviceRest = 15 * time.Millisecond
+
+// Unasked notes that an Ask was not made as the VMs' queues of calls are full. It
+// answers a backlog that lacks advice: without rest the whole of it would ask anew
+// at each decision.
+func (p *Planner) Unasked(a Action, now time.Duration) {
+	p.Advised(Answer{Step: a.Step})
+	p.rests[a.Urgent] = now + adviceRest
+}
+
 // Answer is what came of an Ask; a failed one has no workers named.
 type Answer struct {
 	Step    string
@@ -141,7 +153,7 @@
 		text, good := a.Tickets[id]
 		s.advice.good[id] = good
 		if w := p.workers[id]; good && w != nil {
-			s.advice.tickets[id] = ticket{text, a.Until - ticketMargin, w.report.Born}
+			s.advice.tickets[id] = ticket{text, a.Until - ticketMargin, w, w.report.Born}
 		}
 	}
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -42,10 +44,11 @@
 
 // Ranks of candidates.
 const (
-	urgentRank  = iota // queues of priority 0
-	timelyRank         // can still meet their objective
-	lateRank           // can't
-	expiredRank        // are worth nothing to their caller any more
+	urgentRank     = iota // of queues of priority 0, can still meet their objective
+	lateUrgentRank        // of queues of priority 0, can't
+	timelyRank            // can still meet their objective
+	lateRank              // can't
+	expiredRank           // are worth nothing to their caller any more
 )
 
 // lateFactor times the objective is the time after which a job is worth nothing
@@ -59,8 +62,12 @@
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.lapse(now)
 	p.begin(wall)
+	p.roomy, p.most = nil, 0
 	for _, w := range p.workers {
 		w.reserve = nil
+		if w.listed {
+			p.most = max(p.most, w.free().CPU())
+		}
 	}
 	for _, c := range p.candidates(now) {
 		for _, o := range c.job.rounds {
@@ -149,14 +156,16 @@
 	age := now - j.arrived
 	slack := objective - age - chain
 	switch {
-	case j.queue.Priority == 0:
+	case slack >= 0 && j.queue.Priority == 0:
 		return candidate{j, urgentRank, slack}
 	case slack >= 0:
 		return candidate{j, timelyRank, slack}
-	case age+chain < lateFactor*objective:
-		return candidate{j, lateRank, slack}
-	default:
+	case age+chain >= lateFactor*objective:
 		return candidate{j, expiredRank, -slack}
+	case j.queue.Priority == 0:
+		return candidate{j, lateUrgentRank, slack}
+	default:
+		return candidate{j, lateRank, slack}
 	}
 }
 
@@ -198,8 +207,11 @@
 	var best *worker
 	var left int64
 	near := false
-	for _, w := range p.workers {
-		if !p.permits(s, w, now) || !s.spec.Size.Fits(w.free()) || !s.apart(w, 0) {
+	if s.spec.Size.CPU() > p.most {
+		return nil
+	}
+	for w := range p.hosts(s, now) {
+		if !s.spec.Size.Fits(w.free()) || !s.apart(w, 0) {
 			continue
 		}
 		at := s.spec.Rack != "" && w.has(s.spec.Rack)
@@ -211,9 +223,35 @@
 	return best
 }
 
-// permits reports whether tasks of the step may start on the worker, room apart.
-func (p *Planner) permits(s *step, w *worker, now time.Duration) bool {
-	return p.eligible(s, w, now) && (s.round.job.queue.Advice == nil || s.advice.holds(w, now))
+// hosts returns the workers on which tasks of the step may start, room apart: with
+// advice, those it has tickets for. A full fleet has hundreds of steps that wait.
+func (p *Planner) hosts(s *step, now time.Duration) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		if s.round.job.queue.Advice == nil {
+			for _, w := range p.workers {
+				if p.eligible(s, w, now) && !yield(w) {
+					return
+				}
+			}
+			return
+		}
+		for _, t := range s.advice.tickets {
+			if t.valid(now) && p.eligible(s, t.on, now) && !yield(t.on) {
+				return
+			}
+		}
+	}
+}
+
+// byRoom returns all workers, those with the most room at the time of this decision
+// first.
+func (p *Planner) byRoom() []*worker {
+	if p.roomy == nil {
+		p.roomy = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int {
+			return cmp.Or(-cmp.Compare(a.free().CPU(), b.free().CPU()), cmp.Compare(a.report.ID, b.report.ID))
+		})
+	}
+	return p.roomy
 }
 
 // eligible reports whether tasks of the step could start on the worker with a
--- /dev/null
+++ b/planner/decide_test.go
@@ -0,0 +1,101 @@
+package planner
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestLateUrgentWork replays a burst after a gap without an owner: urgent jobs that
+// can't be in time any more used to go first, by their slack, and made those late
+// that still could.
+func TestLateUrgentWork(t *testing.T) {
+	urgent := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 1.5, Objective: second / 4, Priority: 0}
+	deferred := Queue{Name: "deferred", Service: "s", Attempts: 2, Stretch: 9, Objective: 9 * second, Priority: 2}
+	b := newBench(t, 0, urgent, deferred)
+	step := tasks(1)
+	step.CPU, step.Estimate = 4000, 1000
+	b.submit("late", step)
+	b.now = 1200 * time.Millisecond
+	b.submit("fresh", step)
+	_, err := b.p.Submit(JobSpec{ID: "deferred", Queue: "deferred", Team: "team", Steps: []StepSpec{step}}, b.now)
+	b.Assert(err, quicktest.IsNil)
+	b.p.Stored("deferred")
+	for n, want := range []string{"fresh.0.0.0", "late.0.0.0", "deferred.0.0.0"} {
+		b.add("w" + strconv.Itoa(n))
+		starts := b.starts()
+		b.Assert(starts, quicktest.HasLen, 1)
+		b.Assert(starts[0].Task, quicktest.Equals, want)
+	}
+}
+
+// asks returns the asks of one decision.
+func (b *bench) asks() []Action {
+	var asks []Action
+	for _, a := range b.decide() {
+		if a.Kind == Ask {
+			asks = append(asks, a)
+		}
+	}
+	return asks
+}
+
+// TestAdviceShort replays a backlog for which there is not enough advice: steps
+// that could not ask rest, and those of other kinds don't.
+func TestAdviceShort(t *testing.T) {
+	price := &Advice{Base: 10 * time.Millisecond, Each: time.Millisecond, Valid: 2 * second}
+	urgent := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 1.5, Objective: 60 * second, Priority: 0, Advice: price}
+	slow := Queue{Name: "slow", Service: "s", Attempts: 2, Stretch: 9, Objective: 9 * second, Priority: 2, Advice: price}
+	b := newBench(t, 3, urgent, slow)
+	for n := range 30 {
+		b.submit("j"+strconv.Itoa(n), tasks(1))
+	}
+	asks := b.asks()
+	b.Assert(asks, quicktest.HasLen, 30)
+	for _, a := range asks {
+		b.p.Unasked(a, b.now)
+	}
+	_, err := b.p.Submit(JobSpec{ID: "slow", Queue: "slow", Team: "team", Steps: []StepSpec{tasks(1)}}, b.now)
+	b.Assert(err, quicktest.IsNil)
+	b.p.Stored("slow")
+	asks = b.asks()
+	b.Assert(asks, quicktest.HasLen, 1)
+	b.Assert(asks[0].Step, quicktest.Equals, "slow.0.0")
+	b.now += adviceRest
+	b.Assert(b.asks(), quicktest.HasLen, 30)
+}
+
+// BenchmarkBacklog measures a decision on a full fleet of 350 workers where 500
+// steps wait with tickets, as after a takeover under load.
+func BenchmarkBacklog(b *testing.B) {
+	price := &Advice{Base: 10 * time.Millisecond, Each: 100 * time.Microsecond, Valid: 2 * second}
+	p := New()
+	p.Configure(Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s", Stretch: 99, Objective: 99 * second, Priority: 1, Advice: price}}}, 0)
+	for n := range 350 {
+		id := "w" + strconv.Itoa(n)
+		p.Report(labelled(id, 1000), 0)
+		p.Use(id)
+	}
+	for n := range 850 {
+		id := "j" + strconv.Itoa(n)
+		step := StepSpec{Tasks: 1, CPU: 1000, Memory: 1, Estimate: 1000}
+		if _, err := p.Submit(JobSpec{ID: id, Queue: "q", Steps: []StepSpec{step}}, 0); err != nil {
+			b.Fatal(err)
+		}
+		p.Stored(id)
+	}
+	for _, a := range p.Decide(0, wall) {
+		tickets := map[string]string{}
+		for _, id := range a.Workers {
+			tickets[id] = "t"
+		}
+		p.Advised(Answer{Step: a.Step, Named: a.Workers, Tickets: tickets, Until: time.Hour})
+	}
+	p.Decide(0, wall)
+	b.ResetTimer()
+	for range b.N {
+		p.Decide(0, wall)
+	}
+}
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -53,12 +53,12 @@
 // fills the workers with the least room first, and keeps to one rack if the gang
 // asks for that and one has room.
 func (p *Planner) gather(s *step, now time.Duration) []spot {
+	if s.spec.Size.CPU() > p.most {
+		return nil
+	}
 	var spots []spot
 	total := 0
-	for _, w := range p.workers {
-		if !p.permits(s, w, now) {
-			continue
-		}
+	for w := range p.hosts(s, now) {
 		if n := s.fill(w); n > 0 {
 			spots = append(spots, spot{w, n})
 			total += n
@@ -161,10 +161,16 @@
 
 // remaining returns the time that a run is expected to go on.
 func (p *Planner) remaining(r *run, now time.Duration) time.Duration {
-	expected := time.Duration(r.step.spec.Estimate) * time.Millisecond
-	elapsed := now - r.began
-	if r.progress > 10 {
-		expected = elapsed * 100 / time.Duration(r.progress)
+	expected := time.Duration(float64(r.step.spec.Estimate)*p.ratio(r.step.round.job.spec.Queue)) * time.Millisecond
+	if r.began == 0 {
+		return expected * time.Duration(100-min(r.progress, 100)) / 100
+	}
+	if r.progress >= tellingProgress {
+		expected = (r.told - r.began) * 100 / time.Duration(r.progress)
 	}
-	return max(0, expected-elapsed)
+	return max(0, r.began+expected-now)
 }
+
+// tellingProgress is the percentage from which on the progress of a run tells more
+// of its length than what was declared and learned.
+const tellingProgress = 10
--- a/planner/job.go
+++ b/planner/job.go
@@ -92,11 +92,12 @@
 	on       *worker
 	size     placer.Resources
 	phase    phase
-	began    time.Duration
+	began    time.Duration // when it was ordered, 0 when an earlier owner did
 	answered time.Duration // when the worker confirmed it
 	over     bool          // it was given up, or its gang is done; it is to end
 	asked    bool          // a stop is under way
 	progress int           // percent as last listed
+	told     time.Duration // when that was
 	saved    string        // checkpoint as last listed
 	team     *team         // charged, nil once released
 	crossed  time.Duration // when its worker began a new life before the order was answered; else 0
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -197,7 +197,7 @@
 // has a run stopped that should not be there.
 func (p *Planner) listedRun(w *worker, e Entry, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		r.progress = e.Progress
+		r.progress, r.told = e.Progress, now
 		if e.Saved != "" {
 			r.saved = e.Saved
 			if !r.over {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,6 +21,9 @@
 	live    []*job          // stored and not ended, in order of arrival
 	shares  map[string]*share
 	load    load
+	most    int64                  // most thousandths of a processor free on a worker, of the decision under way
+	roomy   []*worker              // by room, of the decision under way; nil until needed
+	rests   map[bool]time.Duration // until when urgent steps, or others, ask for no advice
 	out     []Action
 	awaited map[occasion][]func(error) // callers who wait for the journal
 	shown   []string                   // jobs that ended since the last call of Ended
@@ -55,6 +58,7 @@
 		used:     map[string]bool{},
 		jobs:     map[string]*job{},
 		shares:   map[string]*share{},
+		rests:    map[bool]time.Duration{},
 		awaited:  map[occasion][]func(error){},
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -414,3 +414,16 @@
 		b.Assert(b.starts(), quicktest.HasLen, 1)
 	})
 }
+
+// An end of a run that an earlier owner began tells nothing of its length.
+func TestLearnFromOwnRunsOnly(t *testing.T) {
+	b := newBench(t, 1)
+	b.now = 1000 * second
+	b.submit("j", tasks(1))
+	first := b.starts()[0]
+	b.succeed(1006 * second)
+	b.add("w0")
+	b.end(first, 1, Done)
+	b.assertState("j", Completed)
+	b.Assert(b.p.ratio("q"), quicktest.Equals, 1.0)
+}
