spooler: Write log lines in the background, within bounds

Change: lines go through a bounded queue (2 MiB) and, by kind, a rate ([log] rate, 4,000 a second; warnings and errors always); what is dropped is counted (log.dropped) and told; a planned stop flushes for 0.5 s. TestBlockedReader fails with a direct writer: it hangs.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -8,9 +8,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"filberthaven.example/runner"
+	"filberthaven.example/spooler"
 	"github.com/jessevdk/go-flags"
+	"github.com/rcrowley/go-metrics"
 )
 
 // entryCommand runs one entry VM on the users' platform.
@@ -60,9 +63,27 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	vm, err := runner.New(settings, runner.NewLogger(settings, c.env.out))
+	registry := metrics.NewRegistry()
+	log, err := spooler.New(c.env.out, spooler.WithRate(settings.Rate()), spooler.WithJSON(settings.JSON()), spooler.WithRegistry(registry))
+	if err != nil {
+		return err
+	}
+	defer flush(log)
+	vm, err := runner.New(settings, runner.NewLogger(settings, log), registry)
 	if err != nil {
 		return err
 	}
 	return vm.Run(ctx)
 }
+
+// flushTime bounds the writing of the last log lines at the end.
+const flushTime = 500 * time.Millisecond
+
+// flush writes the last log lines, unless nobody reads them.
+func flush(log *spooler.Spooler) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	if err := log.Close(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "filberthaven: last log lines were not read:", err)
+	}
+}
--- a/runner/day_test.go
+++ b/runner/day_test.go
@@ -17,6 +17,7 @@
 	"filberthaven.example/platform/imitator"
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 )
 
 // day is a fleet of entry VMs in this process on an imitated platform.
@@ -87,7 +88,7 @@
 		id: fmt.Sprintf("vm%d", n), centre: "a", callers: port(d.C), ready: port(d.C), internal: port(d.C),
 		store: d.platform.Address, advice: d.platform.Advice, lease: 2 * time.Second, drain: 100 * time.Millisecond,
 	}
-	runner, err := New(settings, hclog.New(&hclog.LoggerOptions{Name: "filberthaven", Output: d.logs}))
+	runner, err := New(settings, hclog.New(&hclog.LoggerOptions{Name: "filberthaven", Output: d.logs}), metrics.NewRegistry())
 	d.Assert(err, quicktest.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{runner: runner, address: settings.callers, stop: stop, ended: make(chan error, 1)}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +17,7 @@
 	"filberthaven.example/platform"
 	"filberthaven.example/receiver"
 	"filberthaven.example/relayer"
+	"filberthaven.example/spooler"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -71,16 +71,18 @@
 	Valid   time.Duration     `cbor:"2,keyasint"`
 }
 
-// NewLogger returns the logger that the settings ask for.
-func NewLogger(settings *Settings, w io.Writer) hclog.Logger {
+// NewLogger returns the logger that the settings ask for; it writes through the
+// spooler.
+func NewLogger(settings *Settings, s *spooler.Spooler) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
-		Name: "filberthaven", Level: hclog.LevelFromString(settings.Level()), JSONFormat: settings.JSON(), Output: w,
+		Name: "filberthaven", Level: hclog.LevelFromString(settings.Level()), JSONFormat: settings.JSON(), Output: s, Exclude: s.Exclude,
 	})
 }
 
-// New returns an entry VM with those settings.
-func New(settings *Settings, log hclog.Logger) (*Runner, error) {
-	r := &Runner{settings: settings, log: log, registry: metrics.NewRegistry()}
+// New returns an entry VM with those settings, whose metrics are those of the
+// registry.
+func New(settings *Settings, log hclog.Logger, registry metrics.Registry) (*Runner, error) {
+	r := &Runner{settings: settings, log: log, registry: registry}
 	r.store = platform.NewStore(settings.store, memberWait, r.registry)
 	r.orders = platform.NewOrders()
 	if settings.advice != "" {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberthaven.example/loader"
+	"filberthaven.example/spooler"
 	"github.com/samber/oops"
 )
 
@@ -21,6 +22,7 @@
 	drain      time.Duration
 	level      string
 	json       bool
+	rate       int // lines of a kind that are logged in a second, 0 for any number
 }
 
 // ID returns the name of the VM.
@@ -32,6 +34,9 @@
 // JSON reports whether log lines are JSON objects.
 func (s *Settings) JSON() bool { return s.json }
 
+// Rate returns how many lines of a kind are logged in a second, 0 for any number.
+func (s *Settings) Rate() int { return s.rate }
+
 const (
 	// defaultDrain is how long a stopping VM serves callers until the balancer
 	// has noticed: two looks a second apart, with room.
@@ -64,6 +69,7 @@
 	log := d.One("log")
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
+	s.rate = loader.Get(log, "rate", loader.Int, spooler.DefaultRate, loader.Between(0, 1_000_000))
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
