claimer: Shorter lease of the owner; look again when the store is back

Change: the lease is 1.5 s; mirrors of the claimer and the conductor look for the store every 0.25 s; what woke a VM without contact is looked at once it has contact. Tried and given up: VMs that can't reach the owner complain through the store, and an owner that most complain about makes way.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -17,8 +17,9 @@
 const (
 	// DefaultTTL is the lease of the owner: the longest time without an owner
 	// after it was lost, and the longest outage of the store that it bears
-	// without pausing.
-	DefaultTTL = 2500 * time.Millisecond
+	// without pausing. The store grants 1 s at least; a store that is 60 times
+	// slower than usual takes 0.25 s for a renewal.
+	DefaultTTL = 1500 * time.Millisecond
 	// memberTTL is the lease of an entry VM's own record.
 	memberTTL = 6 * time.Second
 	// renewals is the number of tries that fit into a lease.
@@ -44,6 +45,9 @@
 	// gatherPause is how long changes of the records gather; a new owner is to be
 	// known at once.
 	gatherPause = 5 * time.Millisecond
+	// returnLimit is how late a VM may notice that the store is back: an owner may
+	// have been lost meanwhile.
+	returnLimit = 250 * time.Millisecond
 	// watchGap is longer than any watch waits for a change.
 	watchGap = 40 * time.Second
 	// retryPause is the pause after an error of the store.
@@ -142,7 +146,7 @@
 	for _, option := range options {
 		option(c)
 	}
-	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPause(gatherPause), keeper.WithGap(watchGap), keeper.WithLogger(c.log))
+	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPause(gatherPause), keeper.WithGap(watchGap), keeper.WithRetry(returnLimit), keeper.WithLogger(c.log))
 	c.mirror.Subscribe(ownerKey, func(keeper.Entry) { c.wake() })
 	return c, nil
 }
@@ -229,7 +233,10 @@
 		case <-time.After(c.ttl):
 		}
 		if c.mirror.Contact() == 0 {
-			continue // the copy may be old
+			// The copy may be old. What woke this VM is looked at when it is fresh.
+			sleep(ctx, claimSpread)
+			c.wake()
+			continue
 		}
 		c.release(ctx)
 		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -141,3 +141,26 @@
 		})
 	})
 }
+
+// TestStoreReturns replays an owner that dies while the store is away: others looked
+// again a second after the store was back, and then waited for a change that had
+// come before.
+func TestStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := emulator.NewStore()
+		a := start(c, store, "a", "1")
+		time.Sleep(2 * time.Second)
+		b := start(c, store, "b", "1")
+		time.Sleep(2 * time.Second)
+		assertOwner(c, a, b)
+		store.SetFaults(emulator.Down())
+		time.Sleep(2 * time.Second)
+		a.client.SetFaults(emulator.Cut()) // it has lost power
+		time.Sleep(2 * time.Second)
+		store.SetFaults()
+		time.Sleep(600 * time.Millisecond)
+		c.Assert(b.term.Load(), qt.Not(qt.Equals), uint64(0))
+		c.Assert(b.Valid(b.term.Load()), qt.IsTrue)
+	})
+}
--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -19,14 +19,17 @@
 	// workerPause is how long changes of the workers' entries gather: each worker
 	// writes every second or two, and each answer of a watch is priced.
 	workerPause = 200 * time.Millisecond
+	// returnLimit is how late the owner may notice that the store is back; nothing
+	// starts before.
+	returnLimit = 250 * time.Millisecond
 )
 
 // follow keeps the planner told of the operators' configuration and of the
 // workers' entries.
 func (c *Conductor) follow(ctx context.Context) {
-	operators := keeper.NewMirror(c.store, platform.OperatorPrefix, keeper.WithPause(operatorPause), keeper.WithGap(freshness), keeper.WithLogger(c.log))
+	operators := keeper.NewMirror(c.store, platform.OperatorPrefix, keeper.WithPause(operatorPause), keeper.WithGap(freshness), keeper.WithRetry(returnLimit), keeper.WithLogger(c.log))
 	operators.Subscribe(platform.OperatorPrefix, c.operatorChange)
-	workers := keeper.NewMirror(c.store, platform.ExecutorsPrefix, keeper.WithPause(workerPause), keeper.WithGap(freshness), keeper.WithLogger(c.log))
+	workers := keeper.NewMirror(c.store, platform.ExecutorsPrefix, keeper.WithPause(workerPause), keeper.WithGap(freshness), keeper.WithRetry(returnLimit), keeper.WithLogger(c.log))
 	workers.Subscribe(platform.ExecutorsPrefix, c.workerChange)
 	c.mu.Lock()
 	c.operators, c.workers = operators, workers
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -18,9 +18,10 @@
 	DefaultPause = 100 * time.Millisecond
 	// DefaultGap is the longest time between two answers of unbroken contact.
 	DefaultGap = 2 * time.Second
-	// retryPause is the first pause after an error, and retryLimit the longest.
-	retryPause = 50 * time.Millisecond
-	retryLimit = time.Second
+	// retryPause is the first pause after an error, and DefaultRetry the longest
+	// unless WithRetry says otherwise.
+	retryPause   = 50 * time.Millisecond
+	DefaultRetry = time.Second
 )
 
 // Mirror keeps a copy of all keys under a prefix by one watch.
@@ -29,6 +30,7 @@
 	prefix string
 	pause  time.Duration
 	gap    time.Duration
+	retry  time.Duration
 	log    hclog.Logger
 
 	telling sync.Mutex // held while subscribers are told, taken before mu
@@ -56,6 +58,10 @@
 // WithGap sets the longest time between two answers of unbroken contact.
 func WithGap(gap time.Duration) MirrorOption { return func(m *Mirror) { m.gap = gap } }
 
+// WithRetry sets the longest pause after an error: how late the copy may notice that
+// the service is back.
+func WithRetry(retry time.Duration) MirrorOption { return func(m *Mirror) { m.retry = retry } }
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) MirrorOption {
 	return func(m *Mirror) { m.log = log.Named("mirror") }
@@ -68,6 +74,7 @@
 		prefix:  prefix,
 		pause:   DefaultPause,
 		gap:     DefaultGap,
+		retry:   DefaultRetry,
 		log:     hclog.NewNullLogger(),
 		entries: map[string]Entry{},
 	}
@@ -81,7 +88,7 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = retryPause
-	retry.MaxInterval = retryLimit
+	retry.MaxInterval = m.retry
 	for ctx.Err() == nil {
 		pause := m.pause - rand.N(m.pause/10+1)
 		entries, next, err := m.store.Watch(ctx, m.prefix, m.position())
