claimer: Wait for company at the very first start only

Cause: after all processes were killed, VMs waited 0.4 s for each other though the records of their earlier lives say which are large. Change: they wait only when the platform says that the whole system starts for the first time (setting bootstrap), or when no other VM is known.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -39,8 +39,8 @@
 	// muchLarger is the multiple of its own processor at which a VM makes way: the
 	// owner of a large fleet uses up to 0.25 of a core.
 	muchLarger = 1.5
-	// companyTime is how long VMs that start without an owner wait for each other, so
-	// that a large one claims; the platform starts all within 0.3 s.
+	// companyTime is how long VMs that start for the first time, or know no other, wait
+	// for each other, so that a large one claims; the platform starts all within 0.3 s.
 	companyTime = 400 * time.Millisecond
 	// gatherPause is how long changes of the records gather; a new owner is to be
 	// known at once.
@@ -97,6 +97,8 @@
 	log     hclog.Logger
 	own     func(ctx context.Context, term uint64)
 	changed chan struct{} // of capacity 1: the owner's record has changed
+	// bootstrap means that the whole system starts for the first time.
+	bootstrap bool
 
 	mu      sync.Mutex
 	term    uint64        // of the ownership held, 0 when none
@@ -116,6 +118,9 @@
 // much, the larger ones claim first.
 func WithProcessor(cores float64) Option { return func(c *Claimer) { c.self.Processor = cores } }
 
+// WithBootstrap tells whether the whole system starts for the first time.
+func WithBootstrap(bootstrap bool) Option { return func(c *Claimer) { c.bootstrap = bootstrap } }
+
 // WithClock sets the steady clock that counts suspension.
 func WithClock(now func() time.Duration) Option { return func(c *Claimer) { c.now = now } }
 
@@ -221,7 +226,7 @@
 	for ctx.Err() == nil && c.mirror.Contact() == 0 {
 		sleep(ctx, gatherPause)
 	}
-	if _, owned := c.mirror.Get(ownerKey); !owned {
+	if _, owned := c.mirror.Get(ownerKey); !owned && (c.bootstrap || len(c.Members()) < 2) {
 		sleep(ctx, companyTime)
 	}
 	c.wake()
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -75,7 +75,7 @@
 					if id == "large" {
 						share = 0.8
 					}
-					vms[id] = start(c, store, id, "1", claimer.WithProcessor(share))
+					vms[id] = start(c, store, id, "1", claimer.WithProcessor(share), claimer.WithBootstrap(true))
 					time.Sleep(100 * time.Millisecond)
 				}
 				time.Sleep(3 * time.Second)
@@ -83,6 +83,26 @@
 			})
 		})
 	}
+	t.Run("after all were killed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := emulator.NewStore()
+			first := start(c, store, "large", "1", claimer.WithProcessor(0.8))
+			time.Sleep(2 * time.Second)
+			small := start(c, store, "small", "1", claimer.WithProcessor(0.192))
+			other := start(c, store, "other", "1", claimer.WithProcessor(0.8))
+			time.Sleep(time.Second)
+			assertOwner(c, first, small, other)
+			for _, v := range []*vm{first, small, other} {
+				v.client.SetFaults(emulator.Cut())
+			}
+			again := start(c, store, "small", "2", claimer.WithProcessor(0.192))
+			time.Sleep(claimer.DefaultTTL - 300*time.Millisecond)
+			large := start(c, store, "other", "2", claimer.WithProcessor(0.8))
+			time.Sleep(900 * time.Millisecond)
+			assertOwner(c, large, again)
+		})
+	})
 	t.Run("a small one when no other is left", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -94,7 +94,7 @@
 	}
 	r.relayer = relayer.New(r.store.Keeper(), r.store.Waiting(ownerWatch).Keeper(), settings.id, r.messenger, func() []claimer.Member { return r.claimer.Members() }, log, r.registry)
 	r.claimer, err = claimer.New(r.relayer.Store(), settings.id, uuid.NewString(), settings.internal, settings.centre,
-		claimer.WithLogger(log), claimer.WithOwner(r.own), claimer.WithProcessor(settings.processor))
+		claimer.WithLogger(log), claimer.WithOwner(r.own), claimer.WithProcessor(settings.processor), claimer.WithBootstrap(settings.bootstrap))
 	if err != nil {
 		return nil, err
 	}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -22,6 +22,7 @@
 	drain      time.Duration
 	level      string
 	json       bool
+	bootstrap  bool
 	rate       int // lines of a kind that are logged in a second, 0 for any number
 }
 
@@ -61,6 +62,7 @@
 	s.internal = loader.Require(vm, "internal", loader.Address)
 	s.metrics = loader.Get(vm, "metrics", loader.Address, "")
 	s.processor = loader.Get(vm, "processor", loader.Float, 0, loader.Between(0.0, 1024.0))
+	s.bootstrap = loader.Get(vm, "bootstrap", loader.Bool, false)
 	s.drain = loader.Get(vm, "drain", loader.Duration, defaultDrain, loader.Between(0, time.Hour))
 	platform := d.One("platform")
 	s.store = loader.Require(platform, "store", loader.Address)
