planner: Ask for a wide step by several calls at once

Change: a step of 6 tasks or more has up to three calls out, as long as those out and the workers known promise less than three times its room; the part of allowed workers is learned by queue. A quarter of the VMs serves urgent queues only, not a third.

--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -28,6 +28,10 @@
 }
 
 const (
+	// urgentPart is the one of so many VMs, rounded up, that serves urgent queues
+	// only: on the users' sheets these need 1.4 of 36 VMs and bursts twice that,
+	// others 24 and more.
+	urgentPart = 4
 	// badTime is how long a VM whose call failed is left out, doubled with each
 	// failure more up to badLimit. A VM that is gone stays registered for 6 s.
 	badTime  = 2 * time.Second
@@ -65,9 +69,9 @@
 
 // choose returns the VM whose queue is empty first, books the call there and
 // returns when it should be answered; false when every queue is full. It answers
-// a backlog that asks for more advice than there is, as after a takeover. A third
-// of the VMs, rounded up, serve urgent queues only, so that these are never behind
-// a slow call; the owner itself comes last.
+// a backlog that asks for more advice than there is, as after a takeover. A part
+// of the VMs serves urgent queues only, so that these are never behind a slow call;
+// the owner itself comes last.
 func (k *asker) choose(members []claimer.Member, self string, a planner.Action, now time.Duration) (claimer.Member, time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -89,7 +93,7 @@
 		}
 		return cmp.Compare(x.ID(), y.ID())
 	})
-	if reserved := (len(usable) + 2) / 3; !a.Urgent && len(usable) > reserved {
+	if reserved := (len(usable) + urgentPart - 1) / urgentPart; !a.Urgent && len(usable) > reserved {
 		usable = usable[reserved:]
 	}
 	best := slices.MinFunc(usable, func(x, y claimer.Member) int {
@@ -158,7 +162,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		answer := planner.Answer{Step: a.Step}
+		answer := planner.Answer{Step: a.Step, Named: a.Workers, Failed: err != nil}
 		if err != nil {
 			c.figures.asksFailed.Inc(1)
 			c.log.Info("no advice", "step", a.Step, "vm", member.ID(), "error", err)
@@ -168,7 +172,7 @@
 			now := c.now()
 			c.asker.answered(member.ID())
 			c.figures.askWait.Update(now - begun)
-			answer.Named, answer.Tickets, answer.Until = a.Workers, tickets, now+valid
+			answer.Tickets, answer.Until = tickets, now+valid
 		}
 		c.mu.Lock()
 		c.planner.Advised(answer)
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"filberthaven.example/placer"
 )
 
 // advice is what is known of the workers that may run a step. The set does not
@@ -10,7 +12,8 @@
 type advice struct {
 	good    map[string]bool // worker by id: may run the step or not; absent means unknown
 	tickets map[string]ticket
-	asking  bool
+	asked   map[string]bool // workers named in calls that are out
+	calls   int             // calls that are out
 }
 
 // ticket lets tasks of a step start on one life of a worker.
@@ -52,21 +55,69 @@
 func (p *Planner) seek(s *step, c candidate, now time.Duration) {
 	price := s.round.job.queue.Advice
 	urgent := c.rank == urgentRank || c.rank == lateUrgentRank
-	if price == nil || s.advice.asking || now < p.rests[urgent] {
+	if price == nil || now < p.rests[urgent] {
 		return
 	}
-	named, reason := p.renewable(s, now), "tickets have run out"
-	if len(named) == 0 {
-		named, reason = p.unknown(s, price, now), "not known which workers are allowed"
+	limit := 1
+	if s.todo >= wideStep {
+		limit = wideCalls
 	}
-	if len(named) == 0 {
-		return
+	for s.advice.calls < limit {
+		named, reason := p.renewable(s, now), "tickets have run out"
+		if len(named) == 0 && !p.promised(s) {
+			named, reason = p.unknown(s, price, now), "not known which workers are allowed"
+		}
+		if len(named) == 0 {
+			return
+		}
+		s.advice.calls++
+		if s.advice.asked == nil {
+			s.advice.asked = map[string]bool{}
+		}
+		for _, id := range named {
+			s.advice.asked[id] = true
+		}
+		p.out = append(p.out, Action{
+			Kind: Ask, Step: s.name, Workers: named, Queue: s.round.job.spec.Queue, Urgent: urgent,
+			Cost: price.Base + time.Duration(len(named))*price.Each, Reason: reason,
+		})
 	}
-	s.advice.asking = true
-	p.out = append(p.out, Action{
-		Kind: Ask, Step: s.name, Workers: named, Queue: s.round.job.spec.Queue, Urgent: urgent,
-		Cost: price.Base + time.Duration(len(named))*price.Each, Reason: reason,
-	})
+}
+
+const (
+	// wideStep is the number of waiting tasks from which on a step has several calls
+	// out at once. One call finds some 12 workers of which a gang of 16 needs 6 with
+	// room; call after call took 7 s, and the tickets of the first had run out.
+	wideStep = 6
+	// wideCalls is the most calls of a step that are out at once.
+	wideCalls = 3
+	// choice is the room that a step asks for as a multiple of its own, as most of
+	// it is taken.
+	choice = 3
+)
+
+// promised reports whether calls are out that should find enough workers.
+func (p *Planner) promised(s *step) bool {
+	if s.advice.calls == 0 {
+		return false
+	}
+	good := float64(len(s.advice.asked)) * p.goodPart(s.round.job.spec.Queue)
+	for id, is := range s.advice.good {
+		if is && p.workers[id] != nil && p.workers[id].listed {
+			good++
+		}
+	}
+	return good*float64(s.perWorker(p.load.worker)) >= choice*float64(s.todo)
+}
+
+// perWorker returns how many tasks of the step an empty worker of that size holds,
+// at least 1.
+func (s *step) perWorker(capacity placer.Resources) int {
+	n := 0
+	for free := capacity; n < s.spec.Tasks && s.spec.Size.Fits(free) && (s.spec.Apart == 0 || n < s.spec.Apart); n++ {
+		free = free.Sub(s.spec.Size)
+	}
+	return max(1, n)
 }
 
 // renewable returns the good workers without a ticket, if the step's tasks would
@@ -76,7 +127,7 @@
 	room := 0
 	for id, good := range s.advice.good {
 		w := p.workers[id]
-		if !good || w == nil || !p.eligible(s, w, now) {
+		if !good || w == nil || s.advice.asked[id] || !p.eligible(s, w, now) {
 			continue
 		}
 		n := s.fill(w)
@@ -108,7 +159,7 @@
 		if len(named) == limit {
 			break
 		}
-		if _, known := s.advice.good[w.report.ID]; !known && p.eligible(s, w, now) && s.spec.Size.Fits(w.report.Capacity) {
+		if _, known := s.advice.good[w.report.ID]; !known && !s.advice.asked[w.report.ID] && p.eligible(s, w, now) && s.spec.Size.Fits(w.report.Capacity) {
 			named = append(named, w.report.ID)
 		}
 	}
@@ -123,14 +174,15 @@
 // answers a backlog that lacks advice: without rest the whole of it would ask anew
 // at each decision.
 func (p *Planner) Unasked(a Action, now time.Duration) {
-	p.Advised(Answer{Step: a.Step})
+	p.Advised(Answer{Step: a.Step, Named: a.Workers, Failed: true})
 	p.rests[a.Urgent] = now + adviceRest
 }
 
-// Answer is what came of an Ask; a failed one has no workers named.
+// Answer is what came of an Ask.
 type Answer struct {
 	Step    string
-	Named   []string
+	Named   []string          // as in the Ask
+	Failed  bool              // nothing is known of them
 	Tickets map[string]string // of the workers that may run the step
 	Until   time.Duration     // end of the tickets' life
 }
@@ -141,10 +193,14 @@
 	if s == nil {
 		return
 	}
-	s.advice.asking = false
-	if len(a.Named) == 0 {
+	s.advice.calls--
+	for _, id := range a.Named {
+		delete(s.advice.asked, id)
+	}
+	if a.Failed {
 		return
 	}
+	p.learnGood(s.round.job.spec.Queue, float64(len(a.Tickets))/float64(max(1, len(a.Named))))
 	if s.advice.good == nil {
 		s.advice.good = map[string]bool{}
 		s.advice.tickets = map[string]ticket{}
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -67,6 +67,44 @@
 	b.Assert(b.asks(), quicktest.HasLen, 30)
 }
 
+// TestWideGangAsks replays gangs on a busy fleet: one call after the other found the
+// allowed workers within 7 s, and the tickets of the first had run out by then.
+func TestWideGangAsks(t *testing.T) {
+	price := &Advice{Base: 450 * time.Millisecond, Each: 6500 * time.Microsecond, Valid: 1500 * time.Millisecond}
+	queue := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: second, Priority: 1, Advice: price}
+	b := newBench(t, 0, queue)
+	for n := range 350 {
+		b.p.Report(labelled("w"+strconv.Itoa(n), 32000), 0)
+		b.p.Use("w" + strconv.Itoa(n))
+	}
+	b.submit("gang", StepSpec{Tasks: 16, CPU: 9000, Memory: 100, Estimate: 6000, Gang: true})
+	for range 500 {
+		b.p.learnGood("q", 0.3)
+	}
+	asks := b.asks()
+	b.Assert(len(asks) > 1 && len(asks) <= wideCalls, quicktest.IsTrue, quicktest.Commentf("%d calls", len(asks)))
+	named := map[string]bool{}
+	for _, a := range asks {
+		for _, id := range a.Workers {
+			b.Assert(named[id], quicktest.IsFalse, quicktest.Commentf("%s is asked about twice", id))
+			named[id] = true
+		}
+	}
+	b.Assert(b.asks(), quicktest.HasLen, 0)
+	for _, a := range asks {
+		b.p.Advised(Answer{Step: a.Step, Named: a.Workers, Failed: true})
+	}
+	b.Assert(b.asks(), quicktest.HasLen, len(asks))
+	for _, a := range asks {
+		tickets := map[string]string{}
+		for _, id := range a.Workers[:len(a.Workers)*3/10] {
+			tickets[id] = "ticket"
+		}
+		b.p.Advised(Answer{Step: a.Step, Named: a.Workers, Tickets: tickets, Until: 2 * second})
+	}
+	b.Assert(b.starts(), quicktest.HasLen, 16)
+}
+
 // BenchmarkBacklog measures a decision on a full fleet of 350 workers where 500
 // steps wait with tickets, as after a takeover under load.
 func BenchmarkBacklog(b *testing.B) {
