planner: Count workers not yet asked as in reach

Change: CutOff counts workers that were not called yet with those that have answered. TestCutOffAfterTakeover fails without the change.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -402,9 +402,10 @@
 // reachSpan is the time within which a worker's answer proves that it is in reach.
 const reachSpan = 2500 * time.Millisecond
 
-// CutOff reports whether more workers are silent than have answered lately. It
-// answers a data centre that is cut off with the owner in it: the owner has to
-// make way for one that reaches more.
+// CutOff reports whether more workers are silent than have answered lately or may
+// answer yet. It answers a data centre that is cut off with the owner in it: the
+// owner has to make way for one that reaches more. Calls to a data centre that is
+// cut off may fail at once, before others are answered for the first time.
 func (p *Planner) CutOff(now time.Duration) bool {
 	silent, heard := 0, 0
 	for _, w := range p.workers {
@@ -412,7 +413,7 @@
 		case !w.listed:
 		case w.silent > 0:
 			silent++
-		case w.heard > 0 && now-w.heard < reachSpan:
+		case !w.tried && !w.fenced, w.heard > 0 && now-w.heard < reachSpan:
 			heard++
 		}
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -427,3 +427,25 @@
 	b.assertState("j", Completed)
 	b.Assert(b.p.ratio("q"), quicktest.Equals, 1.0)
 }
+
+// TestCutOffAfterTakeover replays a takeover while a data centre is cut off: its
+// workers were silent after 0.1 s, before the others had answered, and the new owner
+// made way at once.
+func TestCutOffAfterTakeover(t *testing.T) {
+	b := newBench(t, 12)
+	b.succeed(6 * second)
+	for n := range 12 {
+		b.add("w" + strconv.Itoa(n))
+	}
+	for n := range 5 {
+		b.p.Silent("w" + strconv.Itoa(n))
+	}
+	b.Assert(b.p.CutOff(b.now), quicktest.IsFalse)
+	for n := 5; n < 8; n++ {
+		b.p.Listed(Listing{Worker: "w" + strconv.Itoa(n), Born: 1, Asked: b.now}, b.now)
+	}
+	for n := 8; n < 12; n++ {
+		b.p.Silent("w" + strconv.Itoa(n))
+	}
+	b.Assert(b.p.CutOff(b.now), quicktest.IsTrue)
+}
