--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -221,7 +221,7 @@
 func (c *Conductor) decide(ctx context.Context) {
 	c.mu.Lock()
 	now := c.now()
-	cut := c.planner.CutOff(now)
+	cut := c.planner.CutOff()
 	actions := c.planner.Decide(now, wallClock())
 	c.mu.Unlock()
 	if cut {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -133,7 +133,7 @@
 		}
 		w.report.Born = l.Born
 	}
-	w.heard, w.silent, w.tried = now, 0, true
+	w.silent, w.tried = 0, true
 	w.fenced = true
 	var ends []End
 	for _, e := range l.Ended {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -399,25 +399,22 @@
 	return w != nil && w.fenced && w.silent == 0
 }
 
-// reachSpan is the time within which a worker's answer proves that it is in reach.
-const reachSpan = 2500 * time.Millisecond
-
-// CutOff reports whether more workers are silent than have answered lately or may
-// answer yet. It answers a data centre that is cut off with the owner in it: the
-// owner has to make way for one that reaches more. Calls to a data centre that is
-// cut off may fail at once, before others are answered for the first time.
-func (p *Planner) CutOff(now time.Duration) bool {
-	silent, heard := 0, 0
+// CutOff reports whether most workers are silent. It answers a data centre that is
+// cut off with the owner in it: the owner has to make way for one that reaches more.
+// Workers that were not called lately, as they run nothing or a new owner has not
+// come to them, count as in reach.
+func (p *Planner) CutOff() bool {
+	silent, listed := 0, 0
 	for _, w := range p.workers {
-		switch {
-		case !w.listed:
-		case w.silent > 0:
+		if !w.listed {
+			continue
+		}
+		listed++
+		if w.silent > 0 {
 			silent++
-		case !w.tried && !w.fenced, w.heard > 0 && now-w.heard < reachSpan:
-			heard++
 		}
 	}
-	return silent > heard && silent >= leastSilent
+	return 2*silent > listed && silent >= leastSilent
 }
 
 // leastSilent is the number of silent workers below which nothing is concluded.
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -34,7 +34,6 @@
 	seen    uint64        // number of the newest end processed, of this incarnation
 	fenced  bool          // it has answered a call of this owner, or all older leases have lapsed
 	lapses  time.Duration // when the newest lease given out has surely lapsed
-	heard   time.Duration // when it last answered
 	tried   bool          // a call of this owner was answered or remained without an answer
 	silent  int           // calls in a row without an answer
 	health  health
