planner: Rank occurrences by their own time; keep tasks that last going

A job that repeats was ranked by its arrival, so its later times counted as worth nothing to anybody and went last; a task that lasts did the same minutes after its start, and on a full fleet would never have found room again (LOST). Change: candidates are occurrences with their own due times, also after a takeover. Work that lasts goes first, and room that comes free is kept for it, also from urgent work. Neither is refused for the work ahead.

--- a/planner/admit.go
+++ b/planner/admit.go
@@ -47,6 +47,8 @@
 	switch {
 	case over && float64(wait) > busy*float64(slack):
 		return &RefusalError{"the team sends more than its rate while work waits", returnAfter(wait), wait, slack}
+	case j.lasts() || j.spec.Repeats > 0:
+		// Their time is yet to come, or has no end.
 	case float64(wait) > hopeless*float64(slack):
 		return &RefusalError{"the work ahead can't be done in time", returnAfter(wait - slack), wait, slack}
 	}
@@ -57,10 +59,14 @@
 // latest returns when the job has to start to meet its objective; urgent jobs go
 // before all others.
 func (j *job) latest() time.Duration {
-	if j.queue.Priority == 0 {
+	if j.queue.Priority == 0 || j.lasts() {
 		return 0
 	}
-	return j.arrived + j.objective() - j.span
+	due := j.arrived
+	if len(j.rounds) > 0 {
+		due = j.rounds[0].due
+	}
+	return due + j.objective() - j.span
 }
 
 // spend takes one job off the team's rate, and reports whether the team is over
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -37,14 +37,15 @@
 
 // candidate is a job with tasks that wait, and its place in the order.
 type candidate struct {
-	job   *job
+	round *occurrence
 	rank  int           // lower goes first
 	slack time.Duration // until it can't meet its objective
 }
 
 // Ranks of candidates.
 const (
-	urgentRank     = iota // of queues of priority 0, can still meet their objective
+	lastingRank    = iota // has tasks that last; nobody else can serve their users
+	urgentRank            // of queues of priority 0, can still meet their objective
 	lateUrgentRank        // of queues of priority 0, can't
 	timelyRank            // can still meet their objective
 	lateRank              // can't
@@ -61,7 +62,7 @@
 // Ask by Advised.
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.lapse(now)
-	p.begin(wall)
+	p.begin(now, wall)
 	p.roomy, p.most = nil, 0
 	for _, w := range p.workers {
 		w.reserve = nil
@@ -70,11 +71,9 @@
 		}
 	}
 	for _, c := range p.candidates(now) {
-		for _, o := range c.job.rounds {
-			for _, s := range o.steps {
-				if s.ready && s.todo > 0 {
-					p.place(s, c, now)
-				}
+		for _, s := range c.round.steps {
+			if s.ready && s.todo > 0 {
+				p.place(s, c, now)
 			}
 		}
 	}
@@ -107,17 +106,16 @@
 }
 
 // begin adds the occurrences that are due.
-func (p *Planner) begin(wall int64) {
+func (p *Planner) begin(now time.Duration, wall int64) {
 	for _, j := range p.live {
-		for j.ended == "" && j.spec.Repeats > 0 && j.next < j.spec.Repeats && j.spec.First+int64(j.next)*j.spec.Interval <= wall {
-			j.rounds = append(j.rounds, newRound(j, j.next))
-			j.next++
+		for j.ended == "" && j.spec.Repeats > 0 && j.next < j.spec.Repeats && j.spec.dueAt(j.next) <= wall {
+			j.begin(j.dueOf(j.next, now, wall))
 		}
 	}
 }
 
-// candidates returns the jobs with tasks that wait, in the order in which they
-// are served. It answers a full fleet: work that can still be in time goes before
+// candidates returns the occurrences with tasks that wait, in the order in which
+// they are served. It answers a full fleet: work that can still be in time goes before
 // work that is late, by slack, and work that nobody waits for any more goes last.
 func (p *Planner) candidates(now time.Duration) []candidate {
 	var list []candidate
@@ -127,8 +125,10 @@
 			continue
 		}
 		kept = append(kept, j)
-		if j.idle() {
-			list = append(list, p.rank(j, now))
+		for _, o := range j.rounds {
+			if o.idle() {
+				list = append(list, p.rank(o, now))
+			}
 		}
 	}
 	clear(p.live[len(kept):])
@@ -139,40 +139,41 @@
 	return list
 }
 
-// idle reports whether a task of the job waits for a worker.
-func (j *job) idle() bool {
-	for _, o := range j.rounds {
-		for _, s := range o.steps {
-			if s.ready && s.todo > 0 {
-				return true
-			}
+// idle reports whether a task of the occurrence waits for a worker.
+func (o *occurrence) idle() bool {
+	for _, s := range o.steps {
+		if s.ready && s.todo > 0 {
+			return true
 		}
 	}
 	return false
 }
 
-func (p *Planner) rank(j *job, now time.Duration) candidate {
-	objective, chain := j.objective(), j.rounds[0].chain()
-	age := now - j.arrived
+func (p *Planner) rank(o *occurrence, now time.Duration) candidate {
+	j := o.job
+	objective, chain := j.objective(), o.chain()
+	age := now - o.due
 	slack := objective - age - chain
 	switch {
+	case j.lasts():
+		return candidate{o, lastingRank, -age}
 	case slack >= 0 && j.queue.Priority == 0:
-		return candidate{j, urgentRank, slack}
+		return candidate{o, urgentRank, slack}
 	case slack >= 0:
-		return candidate{j, timelyRank, slack}
+		return candidate{o, timelyRank, slack}
 	case age+chain >= lateFactor*objective:
-		return candidate{j, expiredRank, -slack}
+		return candidate{o, expiredRank, -slack}
 	case j.queue.Priority == 0:
-		return candidate{j, lateUrgentRank, slack}
+		return candidate{o, lateUrgentRank, slack}
 	default:
-		return candidate{j, lateRank, slack}
+		return candidate{o, lateRank, slack}
 	}
 }
 
 // objective returns the time in which the job should be done after its arrival.
 func (j *job) objective() time.Duration {
 	if j.span == 0 {
-		j.span = newRound(j, 0).chain()
+		j.span = newRound(j, 0, 0).chain()
 	}
 	return time.Duration(float64(j.span)*max(1, j.queue.Stretch)) + j.queue.Objective
 }
@@ -195,6 +196,9 @@
 		w := p.best(s, now)
 		if w == nil {
 			p.seek(s, c, now)
+			if s.spec.Lasting {
+				p.reserve(s, now)
+			}
 			return
 		}
 		p.start(s, i, t.number+1, w, now)
@@ -260,7 +264,7 @@
 	if w.report.Service != s.round.job.queue.Service || !w.open(now) || p.closed[w.report.Centre] || !p.used[w.report.ID] {
 		return false
 	}
-	if w.reserve != nil && w.reserve != s && s.round.job.queue.Priority > 0 {
+	if w.reserve != nil && w.reserve != s && (s.round.job.queue.Priority > 0 || w.reserve.spec.Lasting) {
 		return false
 	}
 	return s.spec.Label == "" || w.has(s.spec.Label)
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -105,6 +105,56 @@
 	b.Assert(b.starts(), quicktest.HasLen, 16)
 }
 
+// TestLastingFirst replays a full fleet on which a service loses a task: the room
+// that comes free is kept for it, before urgent work, until it fits.
+func TestLastingFirst(t *testing.T) {
+	urgent := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 1.5, Objective: second, Priority: 0}
+	services := Queue{Name: "services", Service: "s", Attempts: 2, Stretch: 1, Priority: 3}
+	b := newBench(t, 1, urgent, services)
+	for n := range 4 {
+		b.submit("urgent"+strconv.Itoa(n), tasks(1))
+	}
+	running := b.starts()
+	b.Assert(running, quicktest.HasLen, 4)
+	service := StepSpec{Tasks: 1, CPU: 2000, Memory: 100, Lasting: true}
+	_, err := b.p.Submit(JobSpec{ID: "service", Queue: "services", Team: "team", Steps: []StepSpec{service}}, b.now)
+	b.Assert(err, quicktest.IsNil)
+	b.p.Stored("service")
+	b.submit("more", tasks(1))
+	listed := func(a Action, serial uint64) {
+		end := EndEntry{serial, End{Task: a.Task, Number: a.Number, How: Done}}
+		b.p.Listed(Listing{Worker: a.Worker, Born: 1, Ended: []EndEntry{end}}, b.now)
+	}
+	listed(running[0], 1)
+	b.Assert(b.starts(), quicktest.HasLen, 0)
+	listed(running[1], 2)
+	starts := b.starts()
+	b.Assert(starts, quicktest.HasLen, 1)
+	b.Assert(starts[0].Task, quicktest.Equals, "service.0.0.0")
+}
+
+// An occurrence is as old as its own time, not as the job: the fifth of a job that
+// was handed in long ago is in time.
+func TestOccurrenceInTime(t *testing.T) {
+	queue := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: second, Priority: 1}
+	b := newBench(t, 0, queue)
+	spec := JobSpec{ID: "timed", Queue: "q", Team: "team", Steps: []StepSpec{tasks(1)}, Repeats: 9, First: wall, Interval: 10_000, Accepted: wall}
+	_, err := b.p.Submit(spec, b.now)
+	b.Assert(err, quicktest.IsNil)
+	b.p.Stored("timed")
+	b.keep(Record{Job: &spec})
+	check := func() {
+		b.now = 40*second + second/10
+		b.decide()
+		rank := b.p.rank(b.p.jobs["timed"].rounds[4], b.now)
+		b.Assert(rank.rank, quicktest.Equals, timelyRank)
+		b.Assert(b.p.rank(b.p.jobs["timed"].rounds[0], b.now).rank, quicktest.Equals, expiredRank)
+	}
+	check()
+	b.succeed(0)
+	check()
+}
+
 // BenchmarkBacklog measures a decision on a full fleet of 350 workers where 500
 // steps wait with tickets, as after a takeover under load.
 func BenchmarkBacklog(b *testing.B) {
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -139,7 +139,7 @@
 			}
 		}
 		n := 0
-		for ; n < len(s.tasks) && s.spec.Size.Fits(free) && s.apart(w, n); n++ {
+		for ; n < s.todo && s.spec.Size.Fits(free) && s.apart(w, n); n++ {
 			free = free.Sub(s.spec.Size)
 		}
 		if n > 0 {
@@ -149,7 +149,7 @@
 	slices.SortFunc(spots, func(a, b spot) int {
 		return cmp.Or(-cmp.Compare(a.tasks, b.tasks), cmp.Compare(a.worker.report.ID, b.worker.report.ID))
 	})
-	need := len(s.tasks)
+	need := s.todo
 	for _, at := range spots {
 		if need <= 0 {
 			return
--- a/planner/job.go
+++ b/planner/job.go
@@ -37,12 +37,23 @@
 	span      time.Duration // estimated chain of one occurrence, 0 until reckoned
 }
 
+// lasts reports whether the job has tasks that run until it is cancelled.
+func (j *job) lasts() bool {
+	for i := range j.spec.Steps {
+		if j.spec.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
 // occurrence is one time that a job's steps run.
 type occurrence struct {
 	job   *job
 	index int
 	steps []*step
-	left  int // steps that are not finished
+	left  int           // steps that are not finished
+	due   time.Duration // when it was to begin: at the job's arrival, or at its own time
 }
 
 // step is the tasks of one step in one occurrence.
@@ -130,9 +141,19 @@
 	return parts[0], numbers[0], numbers[1], numbers[2], true
 }
 
+// begin adds the next occurrence of the job, which was due at that time.
+func (j *job) begin(due time.Duration) {
+	j.rounds = append(j.rounds, newRound(j, j.next, due))
+	j.next++
+}
+
+// dueAt returns when occurrence k of a job that repeats is due, in Unix
+// milliseconds.
+func (s *JobSpec) dueAt(k int) int64 { return s.First + int64(k)*s.Interval }
+
 // newRound returns occurrence k of the job with nothing run.
-func newRound(j *job, k int) *occurrence {
-	o := &occurrence{job: j, index: k, left: len(j.spec.Steps)}
+func newRound(j *job, k int, due time.Duration) *occurrence {
+	o := &occurrence{job: j, index: k, left: len(j.spec.Steps), due: due}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
 		s := &step{
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -227,8 +227,7 @@
 		j.team = p.team(spec.Team)
 	}
 	if spec.Repeats <= 0 {
-		j.rounds = []*occurrence{newRound(j, 0)}
-		j.next = 1
+		j.begin(arrived)
 	}
 	return j
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -167,7 +167,7 @@
 		j.next, j.remaining = stored.Next, stored.Left
 		j.rounds = nil
 		for _, k := range stored.Open {
-			j.rounds = append(j.rounds, newRound(j, k))
+			j.rounds = append(j.rounds, newRound(j, k, j.dueOf(k, now, wall)))
 		}
 		for _, t := range stored.Tasks {
 			p.restoreTask(j, t)
@@ -248,12 +248,12 @@
 		p.restoreJob(*r.Job, now, wall)
 	}
 	for _, b := range r.Begins {
-		if st, index := p.replayed(b.Task); st != nil && b.Number > st.tasks[index].number && !st.tasks[index].done {
+		if st, index := p.replayed(b.Task, now, wall); st != nil && b.Number > st.tasks[index].number && !st.tasks[index].done {
 			p.recorded(st, index, b.Number, b.Worker)
 		}
 	}
 	for _, e := range r.Ends {
-		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond)
+		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond, now, wall)
 	}
 	if j := p.jobs[r.Cancel]; j != nil && j.ended == "" {
 		p.end(j, Cancelled, now-time.Duration(max(0, wall-r.At))*time.Millisecond)
@@ -265,21 +265,28 @@
 	delete(p.used, r.Drop)
 }
 
+// dueOf returns when occurrence k was due.
+func (j *job) dueOf(k int, now time.Duration, wall int64) time.Duration {
+	if j.spec.Repeats <= 0 {
+		return j.arrived
+	}
+	return now - time.Duration(wall-j.spec.dueAt(k))*time.Millisecond
+}
+
 // replayed returns the step of a task in the journal, and begins its occurrence if
 // need be; nil when the job or occurrence has ended.
-func (p *Planner) replayed(name string) (*step, int) {
+func (p *Planner) replayed(name string, now time.Duration, wall int64) (*step, int) {
 	id, k, _, _, ok := parseTask(name)
 	if j := p.jobs[id]; ok && j != nil && j.ended == "" {
 		for j.next <= k && k < j.spec.Repeats {
-			j.rounds = append(j.rounds, newRound(j, j.next))
-			j.next++
+			j.begin(j.dueOf(j.next, now, wall))
 		}
 	}
 	return p.stepOf(name)
 }
 
-func (p *Planner) replayEnd(e End, at time.Duration) {
-	st, n := p.replayed(e.Task)
+func (p *Planner) replayEnd(e End, at, now time.Duration, wall int64) {
+	st, n := p.replayed(e.Task, now, wall)
 	if st == nil {
 		return
 	}
