--- a/runner/day_test.go
+++ b/runner/day_test.go
@@ -65,15 +65,7 @@
 func newDay(t *testing.T, vms int) *day {
 	d := &day{C: quicktest.New(t), platform: imitator.New(7), logs: &syncBuffer{}}
 	t.Cleanup(d.platform.Close)
-	d.Assert(d.platform.Put("op/config", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "q", "host": "h.example", "prefix": "/q/", "service": "s", "priority": 0, "attempts": 3, "stretch": 2.0,
-			"slo-ms": 1000, "advice": map[string]any{"decide-ms": 1, "each-ms": 0.1, "valid-ms": 2000},
-		}},
-		"services": []any{map[string]any{"name": "s"}},
-		"tenants":  []any{map[string]any{"name": "t", "api-keys": []string{"key"}, "weight": 1000, "cap": map[string]any{}}},
-	}), quicktest.IsNil)
+	d.Assert(d.platform.Configure(3), quicktest.IsNil)
 	for n := range 4 {
 		d.Assert(d.platform.Add(fmt.Sprintf("w%d", n), "s", "a", 4000), quicktest.IsNil)
 	}
@@ -101,7 +93,7 @@
 func (d *day) call(n int, method, path, key, body string) (int, string) {
 	request, err := http.NewRequest(method, "http://"+d.vms[n%len(d.vms)].address+path, strings.NewReader(body))
 	d.Assert(err, quicktest.IsNil)
-	request.Host = "h.example"
+	request.Host = imitator.Host
 	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -126,7 +118,6 @@
 func tail(text string) string { return text[max(0, len(text)-6000):] }
 
 const (
-	jobBody = `{"spec":"x","steps":[{"num-tasks":3,"cpu":1000,"mem-mb":10,"est-ms":150},{"num-tasks":2,"cpu":1000,"mem-mb":10,"est-ms":150,"after":[0],"gang":true}]}`
 	// patience is what a loaded CI machine may need for anything here.
 	patience = 60 * time.Second
 )
@@ -150,7 +141,7 @@
 	accepted := 0
 	for n := range 30 {
 		id := fmt.Sprintf("%016x", n)
-		d.until(patience, "job "+id+" accepted", func() bool { status, _ := d.call(n, "POST", "/q/"+id, "key", jobBody); return status == 200 })
+		d.until(patience, "job "+id+" accepted", func() bool { status, _ := d.call(n, "POST", "/q/"+id, "key", imitator.JobBody); return status == 200 })
 		accepted++
 		if n == 12 {
 			d.owner().runner.claimer.Resign(false)
@@ -173,14 +164,14 @@
 		name, method, path, key, body string
 		want                          int
 	}{
-		{"no key", "POST", id, "", jobBody, 401},
+		{"no key", "POST", id, "", imitator.JobBody, 401},
 		{"unknown key", "GET", id, "other", "", 401},
-		{"unknown queue", "POST", "/other/00000000000000aa", "key", jobBody, 404},
+		{"unknown queue", "POST", "/other/00000000000000aa", "key", imitator.JobBody, 404},
 		{"damaged body", "POST", id, "key", `{"spec":`, 400},
 		{"wrong type", "POST", id, "key", `{"spec":7,"steps":[]}`, 400},
 		{"no steps", "POST", id, "key", `{"spec":"x","steps":[]}`, 400},
 		{"cycle", "POST", id, "key", `{"spec":"x","steps":[{"num-tasks":1,"cpu":1,"after":[0]}]}`, 400},
-		{"not an id", "POST", "/q/zz", "key", jobBody, 400},
+		{"not an id", "POST", "/q/zz", "key", imitator.JobBody, 400},
 		{"oversized", "POST", id, "key", strings.Repeat("x", 300<<10), 413},
 		{"unknown method", "PUT", id, "key", "", 405},
 		{"unknown job", "GET", id, "key", "", 410},
@@ -206,7 +197,7 @@
 	handIn := func(id, body string) int { status, _ := d.call(0, "POST", "/q/"+id, "key", body); return status }
 
 	const completed, away = "00000000000000c1", "00000000000000c2"
-	d.until(patience, "a job accepted", func() bool { return handIn(completed, jobBody) == 200 })
+	d.until(patience, "a job accepted", func() bool { return handIn(completed, imitator.JobBody) == 200 })
 	d.until(patience, "it completed", func() bool {
 		_, body := d.call(0, "GET", "/q/"+completed, "key", "")
 		return body == `{"state":"completed"}`
@@ -214,6 +205,6 @@
 	d.Assert(cause(completed), quicktest.Equals, "it completed")
 
 	d.platform.SetStoreFaults(emulator.Down())
-	d.until(patience, "a request refused", func() bool { return handIn(away, jobBody) == 503 })
+	d.until(patience, "a request refused", func() bool { return handIn(away, imitator.JobBody) == 503 })
 	d.Assert(cause(away), quicktest.Matches, ".*(reached no owner|could not take it).*")
 }
