--- a/filberthaven/soak_test.go
+++ b/filberthaven/soak_test.go
@@ -44,7 +44,6 @@
 	random   *rand.Rand
 	client   *http.Client
 
-	mu  sync.Mutex
 	vms []*soakVM
 }
 
