claimer: Let hundreds of VMs start without flooding the store

Each VM's registration woke all others, each of which asked the store again: 10,490 watches in the first second of 300 VMs (TestCrowd), of 2,000 calls that the store takes. Change: mirrors of a crowd gather changes for 1 ms, and wait after errors for up to 10 ms, for each VM that is known; claims are spread over the longer the more VMs there are; registering backs off up to 3 s.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filberthaven.example/keeper"
+	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/oops"
 )
@@ -26,8 +27,11 @@
 	renewals = 4
 	// validMargin is kept to the end of a lease, for the way of what is sent.
 	validMargin = 200 * time.Millisecond
-	// claimSpread spreads the claims of VMs that see the owner go.
+	// claimSpread spreads the claims of up to claimCrowd VMs that see the owner go;
+	// more are spread over as much longer, so that the first of them claims as soon
+	// and the store is not flooded by the rest.
 	claimSpread = 40 * time.Millisecond
+	claimCrowd  = 10
 	// unfitDelay is added for the VMs of a data centre whose owner has just
 	// resigned because it reached too few workers; they claim if nobody else does.
 	unfitDelay = 1500 * time.Millisecond
@@ -52,6 +56,9 @@
 	watchGap = 40 * time.Second
 	// retryPause is the pause after an error of the store.
 	retryPause = 150 * time.Millisecond
+	// registerLimit is the longest pause between two tries to register: hundreds of
+	// VMs start at once, and the store takes some hundred writes a second.
+	registerLimit = 3 * time.Second
 )
 
 // Keys of the records.
@@ -151,7 +158,7 @@
 	for _, option := range options {
 		option(c)
 	}
-	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPause(gatherPause), keeper.WithGap(watchGap), keeper.WithRetry(returnLimit), keeper.WithLogger(c.log))
+	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPause(gatherPause), keeper.WithGap(watchGap), keeper.WithRetry(returnLimit), keeper.WithCrowd(c.crowd), keeper.WithLogger(c.log))
 	c.mirror.Subscribe(ownerKey, func(keeper.Entry) { c.wake() })
 	return c, nil
 }
@@ -176,11 +183,16 @@
 
 // register keeps the VM's own record alive.
 func (c *Claimer) register(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = retryPause, registerLimit
 	for ctx.Err() == nil {
 		lease, err := c.store.Grant(ctx, memberTTL)
 		if err == nil {
 			err = c.putMember(ctx, lease)
 		}
+		if err == nil {
+			retry.Reset()
+		}
 		for err == nil && ctx.Err() == nil {
 			sleep(ctx, memberTTL/renewals)
 			if err = c.store.Renew(ctx, lease); err != nil && !errors.Is(err, keeper.ErrLeaseExpired) && ctx.Err() == nil {
@@ -192,7 +204,7 @@
 		if ctx.Err() == nil {
 			c.log.Warn("registration lost", "error", err)
 		}
-		sleep(ctx, retryPause)
+		sleep(ctx, retry.NextBackOff())
 	}
 	// The record goes at once after a planned stop.
 	if entry, found := c.mirror.Get(vmPrefix + c.self.ID); found {
@@ -247,7 +259,7 @@
 		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() {
 			continue
 		}
-		sleep(ctx, rand.N(claimSpread)+c.handicap())
+		sleep(ctx, rand.N(claimSpread*time.Duration(max(1, c.crowd()/claimCrowd)))+c.handicap())
 		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() || ctx.Err() != nil {
 			continue
 		}
@@ -259,6 +271,9 @@
 	}
 }
 
+// crowd returns the number of entry VMs that are known.
+func (c *Claimer) crowd() int { return max(1, len(c.mirror.List(vmPrefix))) }
+
 // release removes the claim of an earlier life of this VM, which has surely
 // ended, as this process holds its address.
 func (c *Claimer) release(ctx context.Context) {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -184,3 +185,51 @@
 		c.Assert(b.Valid(b.term.Load()), qt.IsTrue)
 	})
 }
+
+// TestCrowd replays the start of 300 VMs within 0.3 s, and the loss of their owner.
+// Each change woke all of them, so that they used up the calls that the store takes
+// from all together, and the fleet never got an owner.
+func TestCrowd(t *testing.T) {
+	const (
+		crowd           = 300
+		writes, watches = 400, 2000 // a second, from the users' sheets
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := emulator.NewStore(emulator.WithWait(10 * time.Second))
+		var vms []*vm
+		before := emulator.Counts{}
+		check := func(seconds int) {
+			for range seconds {
+				time.Sleep(time.Second)
+				now := store.Counts()
+				spent := now.Sub(before)
+				c.Check(spent.Watches() <= watches, qt.IsTrue, qt.Commentf("%d watches in a second", spent.Watches()))
+				c.Check(spent.Reads() <= watches, qt.IsTrue, qt.Commentf("%d reads in a second", spent.Reads()))
+				before = now
+			}
+		}
+		for n := range crowd {
+			vms = append(vms, start(c, store, fmt.Sprintf("vm%03d", n), "1", claimer.WithBootstrap(true)))
+			time.Sleep(time.Millisecond)
+		}
+		check(5)
+		owner, term, known := vms[0].Owner()
+		c.Assert(known, qt.IsTrue)
+		writesBefore := store.Counts().Writes()
+		for _, v := range vms {
+			if v.term.Load() != 0 {
+				v.client.SetFaults(emulator.Cut())
+			}
+		}
+		check(4)
+		c.Assert(store.Counts().Writes()-writesBefore <= 4*writes, qt.IsTrue)
+		for _, v := range vms {
+			if next, later, _ := v.Owner(); next.ID() != owner.ID() {
+				c.Assert(later > term, qt.IsTrue)
+				return
+			}
+		}
+		c.Fatal("no VM took over")
+	})
+}
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -18,10 +18,15 @@
 	DefaultPause = 100 * time.Millisecond
 	// DefaultGap is the longest time between two answers of unbroken contact.
 	DefaultGap = 2 * time.Second
-	// retryPause is the first pause after an error, and DefaultRetry the longest
-	// unless WithRetry says otherwise.
-	retryPause   = 50 * time.Millisecond
+	// DefaultRetry is the longest pause after an error.
 	DefaultRetry = time.Second
+	// retryPause is the first pause after an error.
+	retryPause = 50 * time.Millisecond
+	// crowdPause and crowdRetry are added up for each mirror of a crowd: a change
+	// wakes all of them, and 300 that ask at once use up the service's calls for a
+	// second. 300 ask a thousand times a second at most, a tenth of that after errors.
+	crowdPause = time.Millisecond
+	crowdRetry = 10 * time.Millisecond
 )
 
 // Mirror keeps a copy of all keys under a prefix by one watch.
@@ -31,6 +36,7 @@
 	pause  time.Duration
 	gap    time.Duration
 	retry  time.Duration
+	crowd  func() int // how many mirrors of the prefix there are, as far as known
 	log    hclog.Logger
 
 	telling sync.Mutex // held while subscribers are told, taken before mu
@@ -62,6 +68,10 @@
 // the service is back.
 func WithRetry(retry time.Duration) MirrorOption { return func(m *Mirror) { m.retry = retry } }
 
+// WithCrowd sets what returns how many mirrors of the same prefix there are. They
+// gather changes, and wait after errors, for the longer the more they are.
+func WithCrowd(crowd func() int) MirrorOption { return func(m *Mirror) { m.crowd = crowd } }
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) MirrorOption {
 	return func(m *Mirror) { m.log = log.Named("mirror") }
@@ -75,6 +85,7 @@
 		pause:   DefaultPause,
 		gap:     DefaultGap,
 		retry:   DefaultRetry,
+		crowd:   func() int { return 1 },
 		log:     hclog.NewNullLogger(),
 		entries: map[string]Entry{},
 	}
@@ -88,9 +99,11 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = retryPause
-	retry.MaxInterval = m.retry
 	for ctx.Err() == nil {
-		pause := m.pause - rand.N(m.pause/10+1)
+		crowd := time.Duration(m.crowd())
+		retry.MaxInterval = max(m.retry, crowd*crowdRetry)
+		pause := max(m.pause, crowd*crowdPause)
+		pause -= rand.N(pause/10 + 1)
 		entries, next, err := m.store.Watch(ctx, m.prefix, m.position())
 		if errors.Is(err, ErrCompacted) {
 			entries, next, err = m.relist(ctx)
