relayer: Begin watches anew when the store answers again

Change: a call that is answered after 0.6 s of unanswered ones cancels the watches that were sent meanwhile; the owner's renewals are given up after 0.375 s and repeated after 0.15 s; a relayed watch takes 1.5 s at most.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -354,17 +354,20 @@
 // renew prolongs the lease until the ownership ends. While the store is away the
 // ownership pauses; it goes on if the lease has outlasted the outage.
 func (c *Claimer) renew(ctx context.Context, lease keeper.LeaseID, term uint64) {
-	for ctx.Err() == nil {
-		sleep(ctx, c.ttl/renewals)
+	for wait := c.ttl / renewals; ctx.Err() == nil; {
+		sleep(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		sent := c.now()
-		bounded, cancel := context.WithTimeout(ctx, c.ttl/2)
+		// A store that was silent does not answer what was sent meanwhile.
+		bounded, cancel := context.WithTimeout(ctx, c.ttl/renewals)
 		err := c.store.Renew(bounded, lease)
 		cancel()
+		wait = retryPause
 		switch {
 		case err == nil:
+			wait = c.ttl / renewals
 			c.mu.Lock()
 			c.valid = max(c.valid, sent+c.ttl-validMargin)
 			c.mu.Unlock()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -52,6 +52,7 @@
 	journal *journaler.Journaler
 	ctx     context.Context // of the ownership
 	kick    chan struct{}   // of capacity 1: there is news for the planner
+	looks   chan struct{}   // of capacity looksLimit: one element for each look under way
 	tasks   sync.WaitGroup
 	asker   asker
 
@@ -102,7 +103,7 @@
 		valid: func() bool { return true }, unfit: func() {}, now: claimer.Now,
 		members: func() []claimer.Member { return nil },
 		lease:   6 * time.Second, log: hclog.NewNullLogger(), registry: metrics.NewRegistry(),
-		kick: make(chan struct{}, 1), links: map[string]*link{},
+		kick: make(chan struct{}, 1), looks: make(chan struct{}, looksLimit), links: map[string]*link{},
 	}
 	for _, option := range options {
 		option(c)
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -17,6 +17,9 @@
 	holdGap = 150 * time.Millisecond
 	// silencePause is the pause after a hold without an answer.
 	silencePause = 300 * time.Millisecond
+	// looksLimit is the number of looks at workers at once that don't wait for an
+	// end: a new owner looks at thousands, and has 4,100 descriptors.
+	looksLimit = 256
 	// settleWait is how long an idle worker's last ends wait for company before a
 	// hold confirms them; well within the time in which they have to be noted.
 	settleWait = time.Second
@@ -101,6 +104,14 @@
 	}
 	address, seen, born := l.address, l.noted, l.born
 	c.mu.Unlock()
+	if wait == 0 {
+		select {
+		case c.looks <- struct{}{}:
+			defer func() { <-c.looks }()
+		case <-c.ctx.Done():
+			return false
+		}
+	}
 	c.figures.holds.Inc(1)
 	result, err := c.orders.Hold(c.ctx, address, l.id, lease, seen, wait)
 	if c.ctx.Err() != nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -28,7 +28,9 @@
 	peerPause = 500 * time.Millisecond
 	// peerTimeout bounds a relayed call other than a watch.
 	peerTimeout = 700 * time.Millisecond
-	// longTimeout bounds a relayed watch, or a range of many keys.
+	// watchTimeout bounds a relayed watch: peers wait 0.8 s for a change.
+	watchTimeout = 1500 * time.Millisecond
+	// longTimeout bounds the relayed reading of many keys.
 	longTimeout = 3 * time.Second
 )
 
@@ -90,6 +92,7 @@
 	log       hclog.Logger
 	now       func() time.Duration
 	relayed   metrics.Counter
+	silence   silence
 	avoid     atomic.Int64 // ns of the steady clock until which peers go first
 	apart     atomic.Int64 // ns until which peers are left alone
 }
@@ -99,7 +102,7 @@
 func New(direct, served keeper.Store, self string, m *messenger.Messenger, members func() []claimer.Member, log hclog.Logger, registry metrics.Registry) *Relayer {
 	return &Relayer{
 		direct: direct, served: served, members: members, self: self, messenger: m, log: log.Named("relayer"), now: claimer.Now,
-		relayed: metrics.GetOrRegisterCounter("store.relayed", registry),
+		relayed: metrics.GetOrRegisterCounter("store.relayed", registry), silence: newSilence(),
 	}
 }
 
@@ -160,7 +163,7 @@
 			return a, err
 		}
 	}
-	a, err := call(ctx, direct, q)
+	a, err := r.directly(ctx, direct, q)
 	if err == nil || ctx.Err() != nil || !errors.Is(err, keeper.ErrUnavailable) {
 		return a, err
 	}
@@ -177,6 +180,27 @@
 	return detour, relayErr
 }
 
+// directly makes a call to the store itself.
+func (r *Relayer) directly(ctx context.Context, direct keeper.Store, q request) (response, error) {
+	if q.Operation == watch {
+		watching, end := r.silence.watch(ctx, r.now())
+		defer end()
+		ctx = watching
+	}
+	a, err := call(ctx, direct, q)
+	if q.Operation == watch && ctx.Err() != nil {
+		return a, err // it was cancelled here, which tells nothing of the store
+	}
+	if errors.Is(err, keeper.ErrUnavailable) || errors.Is(err, keeper.ErrUnknown) {
+		r.silence.fail()
+		return a, err
+	}
+	if n := r.silence.answer(r.now()); n > 0 {
+		r.log.Info("store answers again; watches begin anew", "watches", n)
+	}
+	return a, err
+}
+
 // relay makes the call through some peer. ErrUnavailable means that it surely was
 // not carried out.
 func (r *Relayer) relay(ctx context.Context, q request) (response, error) {
@@ -188,7 +212,10 @@
 		return response{}, keeper.ErrUnavailable
 	}
 	timeout := peerTimeout
-	if q.Operation == watch || q.Operation == list {
+	switch q.Operation {
+	case watch:
+		timeout = watchTimeout
+	case list:
 		timeout = longTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
