conductor: Hand over when orders take long

Change: when the median time of the newest 32 orders is above 250 ms, the VM gives the ownership up and lets others claim first for 8 s, unless another VM does so already. Tried first and replaced: the lateness of a timer. It does not show there: threads that wake up get their turn at once. A hand-over under a load that is beyond every VM is bounded to one in 8 s.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -66,7 +66,7 @@
 	livePrefix = "live/"
 	ownerKey   = livePrefix + "owner"
 	vmPrefix   = livePrefix + "vm/"
-	unfitKey   = livePrefix + "unfit/" // followed by a data centre whose VMs let others claim first
+	unfitKey   = livePrefix + "unfit/" // followed by a data centre or a VM that lets others claim first
 )
 
 // record is what an entry VM tells others of itself.
@@ -110,7 +110,7 @@
 	mu      sync.Mutex
 	term    uint64        // of the ownership held, 0 when none
 	valid   time.Duration // until when the lease of the ownership surely runs
-	unfit   bool          // this ownership ends because too few workers are in reach
+	unfit   string        // data centre or VM that is to let others claim first after this ownership
 	leaving bool          // the VM claims nothing any more
 	drop    context.CancelFunc
 }
@@ -339,12 +339,12 @@
 	work.Wait()
 	c.mu.Lock()
 	unfit := c.unfit
-	c.term, c.unfit = 0, false
+	c.term, c.unfit = 0, ""
 	c.mu.Unlock()
 	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.ttl)
 	defer cancel()
-	if unfit {
-		c.mark(after)
+	if unfit != "" {
+		c.mark(after, unfit)
 	}
 	c.end(after, lease)
 	c.log.Info("ownership ended", "term", term, "unfit", unfit)
@@ -391,11 +391,30 @@
 	return c.term == term && c.now() < c.valid
 }
 
-// Resign gives the ownership up. An unfit VM lets others claim first for a while.
-func (c *Claimer) Resign(unfit bool) {
+// Resign gives the ownership up.
+func (c *Claimer) Resign() { c.resign("") }
+
+// ResignCentre gives the ownership up; the VMs of this data centre let others claim
+// first for a while.
+func (c *Claimer) ResignCentre() { c.resign(c.self.Centre) }
+
+// ResignVM gives the ownership up; this VM lets others claim first for a while. It
+// changes nothing while another VM does so: then it is the load that is too much.
+func (c *Claimer) ResignVM() {
+	for _, m := range c.Members() {
+		if _, marked := c.mirror.Get(unfitKey + m.id); marked {
+			return
+		}
+	}
+	c.resign(c.self.ID)
+}
+
+func (c *Claimer) resign(unfit string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unfit = c.unfit || unfit && c.term != 0
+	if c.term != 0 && c.unfit == "" {
+		c.unfit = unfit
+	}
 	if c.drop != nil {
 		c.drop()
 	}
@@ -406,7 +425,7 @@
 	c.mu.Lock()
 	c.leaving = true
 	c.mu.Unlock()
-	c.Resign(false)
+	c.Resign()
 }
 
 func (c *Claimer) isLeaving() bool {
@@ -418,7 +437,7 @@
 // handicap returns how long this VM lets others claim first. It answers a fleet
 // so large that its owner would use up the processor of a small VM.
 func (c *Claimer) handicap() time.Duration {
-	if _, marked := c.mirror.Get(unfitKey + c.self.Centre); marked {
+	if c.isUnfit(c.self) {
 		return unfitDelay
 	}
 	for _, entry := range c.mirror.List(vmPrefix) {
@@ -426,23 +445,30 @@
 		if json.Unmarshal(entry.Value(), &r) != nil {
 			continue // a damaged record is of no VM
 		}
-		if _, marked := c.mirror.Get(unfitKey + r.Centre); !marked && r.Processor > muchLarger*c.self.Processor {
+		if !c.isUnfit(r) && r.Processor > muchLarger*c.self.Processor {
 			return smallDelay
 		}
 	}
 	return 0
 }
 
-// mark tells the VMs of this data centre to let others claim first.
-func (c *Claimer) mark(ctx context.Context) {
+// isUnfit reports whether a VM, or its data centre, is to let others claim first.
+func (c *Claimer) isUnfit(r record) bool {
+	_, vm := c.mirror.Get(unfitKey + r.ID)
+	_, centre := c.mirror.Get(unfitKey + r.Centre)
+	return vm || centre
+}
+
+// mark tells a VM, or the VMs of a data centre, to let others claim first.
+func (c *Claimer) mark(ctx context.Context, scope string) {
 	lease, err := c.store.Grant(ctx, unfitTime)
 	if err == nil {
-		key := unfitKey + c.self.Centre
+		key := unfitKey + scope
 		entry, _ := c.mirror.Get(key)
 		_, err = c.store.Put(ctx, key, []byte(c.self.ID), entry.Version(), lease)
 	}
 	if err != nil {
-		c.log.Info("data centre not marked as unfit", "error", err)
+		c.log.Info("unfit VMs not marked", "scope", scope, "error", err)
 	}
 }
 
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -233,3 +233,20 @@
 		c.Fatal("no VM took over")
 	})
 }
+
+// A slow VM that gives the ownership up does not claim it again at once, though it
+// is the first to know.
+func TestResignVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := emulator.NewStore()
+		slow := start(c, store, "slow", "1")
+		time.Sleep(2 * time.Second)
+		other := start(c, store, "other", "1")
+		time.Sleep(2 * time.Second)
+		assertOwner(c, slow, other)
+		slow.ResignVM()
+		time.Sleep(500 * time.Millisecond)
+		assertOwner(c, other, slow)
+	})
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -43,6 +43,7 @@
 	self     string
 	valid    func() bool
 	unfit    func()
+	slow     func()
 	now      func() time.Duration
 	lease    time.Duration // longest lease of a worker
 	log      hclog.Logger
@@ -62,6 +63,8 @@
 	workers   *keeper.Mirror
 	links     map[string]*link
 	table     table
+	taken     time.Duration // when the fleet was taken over
+	pace      pace
 	open      bool // the journal has been read and the configuration is known
 }
 
@@ -91,6 +94,9 @@
 // fleet.
 func WithUnfit(unfit func()) Option { return func(c *Conductor) { c.unfit = unfit } }
 
+// WithSlow sets what is called when this VM has become too slow to own the fleet.
+func WithSlow(slow func()) Option { return func(c *Conductor) { c.slow = slow } }
+
 // WithMembers sets the entry VMs, and how one of them asks for advice.
 func WithMembers(members func() []claimer.Member, ask func(context.Context, claimer.Member, planner.Action) (map[string]string, time.Duration, error)) Option {
 	return func(c *Conductor) { c.members, c.asking = members, ask }
@@ -100,7 +106,7 @@
 func New(store keeper.Store, orders *platform.Orders, self string, term uint64, options ...Option) (*Conductor, error) {
 	c := &Conductor{
 		store: store, orders: orders, self: self, term: term,
-		valid: func() bool { return true }, unfit: func() {}, now: claimer.Now,
+		valid: func() bool { return true }, unfit: func() {}, slow: func() {}, now: claimer.Now,
 		members: func() []claimer.Member { return nil },
 		lease:   6 * time.Second, log: hclog.NewNullLogger(), registry: metrics.NewRegistry(),
 		kick: make(chan struct{}, 1), looks: make(chan struct{}, looksLimit), links: map[string]*link{},
@@ -158,6 +164,7 @@
 	c.mu.Lock()
 	err = c.planner.Restore(recovery.Snapshot(), recovery.Records(), c.now(), wallClock(), c.lapse(begun))
 	live := c.planner.Live()
+	c.taken = c.now()
 	c.mu.Unlock()
 	if err != nil {
 		c.journal.Abandon()
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -72,6 +72,7 @@
 	}
 	c.mu.Lock()
 	l.answered(result, now)
+	c.paced(c.now() - now)
 	c.planner.Started(a, result.Outcome, c.now())
 	if result.Outcome == planner.Began || result.Outcome == planner.Unsure {
 		c.beginHold(l)
--- a/runner/day_test.go
+++ b/runner/day_test.go
@@ -144,7 +144,7 @@
 		d.until(patience, "job "+id+" accepted", func() bool { status, _ := d.call(n, "POST", "/q/"+id, "key", imitator.JobBody); return status == 200 })
 		accepted++
 		if n == 12 {
-			d.owner().runner.claimer.Resign(false)
+			d.owner().runner.claimer.Resign()
 		}
 	}
 	for n := range accepted {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -107,7 +107,7 @@
 	c, err := conductor.New(r.relayer.Over(r.store.Waiting(ownerWatch).Keeper()), r.orders, r.settings.id, term,
 		conductor.WithLease(r.settings.lease), conductor.WithLogger(r.log), conductor.WithRegistry(r.registry),
 		conductor.WithValid(func() bool { return r.claimer.Valid(term) }),
-		conductor.WithUnfit(func() { r.claimer.Resign(true) }),
+		conductor.WithUnfit(r.claimer.ResignCentre), conductor.WithSlow(r.claimer.ResignVM),
 		conductor.WithMembers(r.claimer.Members, r.ask))
 	if err == nil {
 		r.receiver.Own(c)
@@ -116,7 +116,7 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		r.log.Error("fleet can't be run", "term", term, "error", err)
-		r.claimer.Resign(true)
+		r.claimer.ResignCentre()
 	}
 }
 
