--- a/planner/decide.go
+++ b/planner/decide.go
@@ -52,11 +52,6 @@
 	expiredRank           // are worth nothing to their caller any more
 )
 
-// inTime reports whether the work can still meet its objective, or has none.
-func (c candidate) inTime() bool {
-	return c.rank == lastingRank || c.rank == urgentRank || c.rank == timelyRank
-}
-
 // lateFactor times the objective is the time after which a job is worth nothing
 // to its caller.
 const lateFactor = 3
--- a/planner/load.go
+++ b/planner/load.go
@@ -92,12 +92,10 @@
 	}
 	p.load = l
 	for _, j := range p.live {
-		// Work that can't be in time any more goes after all that can.
-		if j.ended != "" || len(j.rounds) == 0 || !p.rank(j.rounds[0], now).inTime() {
-			continue
-		}
-		if c := p.claim(j); c.room > 0 || c.work > 0 {
-			l.waiting = append(l.waiting, c)
+		if j.ended == "" && len(j.rounds) > 0 {
+			if c := p.claim(j); c.room > 0 || c.work > 0 {
+				l.waiting = append(l.waiting, c)
+			}
 		}
 	}
 	slices.SortFunc(l.running, func(a, b release) int { return cmp.Compare(a.after, b.after) })
