--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
 	"filberthaven.example/keeper"
-	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/oops"
 )
@@ -69,31 +64,6 @@
 	unfitKey   = livePrefix + "unfit/" // followed by a data centre or a VM that lets others claim first
 )
 
-// record is what an entry VM tells others of itself.
-type record struct {
-	ID      string `json:"id"`
-	Life    string `json:"life"` // differs with each start of the process
-	Address string `json:"address"`
-	Centre  string `json:"centre"`
-	// Processor is the part of a core that the VM may use; 0 when it isn't told.
-	Processor float64 `json:"processor,omitempty"`
-}
-
-// Member is an entry VM that is registered.
-type Member struct{ id, address, centre string }
-
-// NewMember returns an entry VM that its peers call at address.
-func NewMember(id, address, centre string) Member { return Member{id, address, centre} }
-
-// ID returns the name of the VM.
-func (m Member) ID() string { return m.id }
-
-// Address returns where its peers call it.
-func (m Member) Address() string { return m.address }
-
-// Centre returns its data centre.
-func (m Member) Centre() string { return m.centre }
-
 // Claimer registers one entry VM and claims ownership for it.
 type Claimer struct {
 	store   keeper.Store
@@ -181,209 +151,6 @@
 	return ctx.Err()
 }
 
-// register keeps the VM's own record alive.
-func (c *Claimer) register(ctx context.Context) {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = retryPause, registerLimit
-	for ctx.Err() == nil {
-		lease, err := c.store.Grant(ctx, memberTTL)
-		if err == nil {
-			err = c.putMember(ctx, lease)
-		}
-		if err == nil {
-			retry.Reset()
-		}
-		for err == nil && ctx.Err() == nil {
-			sleep(ctx, memberTTL/renewals)
-			if err = c.store.Renew(ctx, lease); err != nil && !errors.Is(err, keeper.ErrLeaseExpired) && ctx.Err() == nil {
-				// The lease may outlast an outage of the store.
-				sleep(ctx, retryPause)
-				err = c.store.Renew(ctx, lease)
-			}
-		}
-		if ctx.Err() == nil {
-			c.log.Warn("registration lost", "error", err)
-		}
-		sleep(ctx, retry.NextBackOff())
-	}
-	// The record goes at once after a planned stop.
-	if entry, found := c.mirror.Get(vmPrefix + c.self.ID); found {
-		after, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryPause)
-		defer cancel()
-		if err := c.store.Delete(after, entry.Key(), entry.Version()); err != nil {
-			c.log.Info("record outlives the process until its lease ends", "error", err)
-		}
-	}
-}
-
-func (c *Claimer) putMember(ctx context.Context, lease keeper.LeaseID) error {
-	value, err := json.Marshal(c.self)
-	if err != nil {
-		return err
-	}
-	key := vmPrefix + c.self.ID
-	expect := uint64(0)
-	if entry, err := c.store.Get(ctx, key); err == nil {
-		expect = entry.Version()
-	} else if !errors.Is(err, keeper.ErrNotFound) {
-		return err
-	}
-	_, err = c.store.Put(ctx, key, value, expect, lease)
-	return err
-}
-
-// claimOn claims the ownership whenever there is no owner.
-func (c *Claimer) claimOn(ctx context.Context) {
-	// Nothing tells of a change if there was no owner to begin with.
-	for ctx.Err() == nil && c.mirror.Contact() == 0 {
-		sleep(ctx, gatherPause)
-	}
-	if _, owned := c.mirror.Get(ownerKey); !owned && (c.bootstrap || len(c.Members()) < 2) {
-		sleep(ctx, companyTime)
-	}
-	c.wake()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.changed:
-		case <-time.After(c.ttl):
-		}
-		if c.mirror.Contact() == 0 {
-			// The copy may be old. What woke this VM is looked at when it is fresh.
-			sleep(ctx, claimSpread)
-			c.wake()
-			continue
-		}
-		c.release(ctx)
-		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() {
-			continue
-		}
-		sleep(ctx, rand.N(claimSpread*time.Duration(max(1, c.crowd()/claimCrowd)))+c.handicap())
-		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() || ctx.Err() != nil {
-			continue
-		}
-		if err := c.claim(ctx); err != nil && ctx.Err() == nil {
-			c.log.Info("ownership not claimed", "error", err)
-			c.wake()
-			sleep(ctx, retryPause)
-		}
-	}
-}
-
-// crowd returns the number of entry VMs that are known.
-func (c *Claimer) crowd() int { return max(1, len(c.mirror.List(vmPrefix))) }
-
-// release removes the claim of an earlier life of this VM, which has surely
-// ended, as this process holds its address.
-func (c *Claimer) release(ctx context.Context) {
-	entry, owned := c.mirror.Get(ownerKey)
-	if !owned {
-		return
-	}
-	var r record
-	if json.Unmarshal(entry.Value(), &r) != nil || r.ID != c.self.ID || r.Life == c.self.Life {
-		return
-	}
-	if err := c.store.Delete(ctx, ownerKey, entry.Version()); err != nil {
-		c.log.Info("claim of an earlier life not removed", "error", err)
-		return
-	}
-	c.log.Info("claim of an earlier life removed", "life", r.Life)
-}
-
-// claim tries to become the owner and, if it did, stays owner as long as it can.
-func (c *Claimer) claim(ctx context.Context) error {
-	value, err := json.Marshal(c.self)
-	if err != nil {
-		return err
-	}
-	granted := c.now()
-	lease, err := c.store.Grant(ctx, c.ttl)
-	if err != nil {
-		return err
-	}
-	term, err := c.store.Put(ctx, ownerKey, value, 0, lease)
-	if errors.Is(err, keeper.ErrConflict) {
-		c.end(ctx, lease)
-		return nil
-	}
-	if err != nil {
-		// The write may take effect yet; its lease ends it.
-		c.end(ctx, lease)
-		return err
-	}
-	c.mirror.Learn(keeper.NewEntry(ownerKey, value, term, false))
-	c.hold(ctx, term, lease, granted)
-	return nil
-}
-
-// end ends a lease, so that a claim bound to it can't come into force.
-func (c *Claimer) end(ctx context.Context, lease keeper.LeaseID) {
-	if err := c.store.Revoke(ctx, lease); err != nil {
-		c.log.Info("lease not ended; it runs out", "error", err)
-	}
-}
-
-// hold runs the owner's work until the ownership ends.
-func (c *Claimer) hold(ctx context.Context, term uint64, lease keeper.LeaseID, granted time.Duration) {
-	owning, drop := context.WithCancel(ctx)
-	c.mu.Lock()
-	c.term, c.valid, c.drop = term, granted+c.ttl-validMargin, drop
-	c.mu.Unlock()
-	c.log.Info("ownership claimed", "term", term)
-	var work sync.WaitGroup
-	work.Go(func() { c.own(owning, term) })
-	c.renew(owning, lease, term)
-	drop()
-	work.Wait()
-	c.mu.Lock()
-	unfit := c.unfit
-	c.term, c.unfit = 0, ""
-	c.mu.Unlock()
-	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.ttl)
-	defer cancel()
-	if unfit != "" {
-		c.mark(after, unfit)
-	}
-	c.end(after, lease)
-	c.log.Info("ownership ended", "term", term, "unfit", unfit)
-	c.wake()
-}
-
-// renew prolongs the lease until the ownership ends. While the store is away the
-// ownership pauses; it goes on if the lease has outlasted the outage.
-func (c *Claimer) renew(ctx context.Context, lease keeper.LeaseID, term uint64) {
-	for wait := c.ttl / renewals; ctx.Err() == nil; {
-		sleep(ctx, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		sent := c.now()
-		// A store that was silent does not answer what was sent meanwhile.
-		bounded, cancel := context.WithTimeout(ctx, c.ttl/renewals)
-		err := c.store.Renew(bounded, lease)
-		cancel()
-		wait = retryPause
-		switch {
-		case err == nil:
-			wait = c.ttl / renewals
-			c.mu.Lock()
-			c.valid = max(c.valid, sent+c.ttl-validMargin)
-			c.mu.Unlock()
-		case errors.Is(err, keeper.ErrLeaseExpired):
-			c.log.Warn("lease of the ownership has expired", "term", term)
-			return
-		case ctx.Err() == nil:
-			c.log.Warn("lease of the ownership not renewed", "term", term, "error", err)
-		}
-		if entry, known := c.mirror.Get(ownerKey); c.mirror.Contact() > 0 && (!known || entry.Version() > term) {
-			c.log.Warn("ownership was taken over", "term", term)
-			return
-		}
-	}
-}
-
 // Valid reports whether this VM is surely still the owner under that term.
 func (c *Claimer) Valid(term uint64) bool {
 	c.mu.Lock()
@@ -394,21 +161,6 @@
 // Resign gives the ownership up.
 func (c *Claimer) Resign() { c.resign("") }
 
-// ResignCentre gives the ownership up; the VMs of this data centre let others claim
-// first for a while.
-func (c *Claimer) ResignCentre() { c.resign(c.self.Centre) }
-
-// ResignVM gives the ownership up; this VM lets others claim first for a while. It
-// changes nothing while another VM does so: then it is the load that is too much.
-func (c *Claimer) ResignVM() {
-	for _, m := range c.Members() {
-		if _, marked := c.mirror.Get(unfitKey + m.id); marked {
-			return
-		}
-	}
-	c.resign(c.self.ID)
-}
-
 func (c *Claimer) resign(unfit string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -434,44 +186,6 @@
 	return c.leaving
 }
 
-// handicap returns how long this VM lets others claim first. It answers a fleet
-// so large that its owner would use up the processor of a small VM.
-func (c *Claimer) handicap() time.Duration {
-	if c.isUnfit(c.self) {
-		return unfitDelay
-	}
-	for _, entry := range c.mirror.List(vmPrefix) {
-		var r record
-		if json.Unmarshal(entry.Value(), &r) != nil {
-			continue // a damaged record is of no VM
-		}
-		if !c.isUnfit(r) && r.Processor > muchLarger*c.self.Processor {
-			return smallDelay
-		}
-	}
-	return 0
-}
-
-// isUnfit reports whether a VM, or its data centre, is to let others claim first.
-func (c *Claimer) isUnfit(r record) bool {
-	_, vm := c.mirror.Get(unfitKey + r.ID)
-	_, centre := c.mirror.Get(unfitKey + r.Centre)
-	return vm || centre
-}
-
-// mark tells a VM, or the VMs of a data centre, to let others claim first.
-func (c *Claimer) mark(ctx context.Context, scope string) {
-	lease, err := c.store.Grant(ctx, unfitTime)
-	if err == nil {
-		key := unfitKey + scope
-		entry, _ := c.mirror.Get(key)
-		_, err = c.store.Put(ctx, key, []byte(c.self.ID), entry.Version(), lease)
-	}
-	if err != nil {
-		c.log.Info("unfit VMs not marked", "scope", scope, "error", err)
-	}
-}
-
 // Owner returns the VM that owns the fleet as far as this one knows, and its term.
 func (c *Claimer) Owner() (Member, uint64, bool) {
 	entry, owned := c.mirror.Get(ownerKey)
@@ -482,25 +196,6 @@
 	return m, entry.Version(), ok
 }
 
-// Members returns the registered entry VMs by id.
-func (c *Claimer) Members() []Member {
-	var members []Member
-	for _, entry := range c.mirror.List(vmPrefix) {
-		if m, ok := member(entry); ok && strings.TrimPrefix(entry.Key(), vmPrefix) == m.id {
-			members = append(members, m)
-		}
-	}
-	return members
-}
-
-func member(entry keeper.Entry) (Member, bool) {
-	var r record
-	if err := json.Unmarshal(entry.Value(), &r); err != nil {
-		return Member{}, false
-	}
-	return Member{r.ID, r.Address, r.Centre}, true
-}
-
 // sleep waits for d or the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"filberthaven.example/placer"
 )
 
 // Planner holds the jobs, workers and teams of a fleet. It isn't safe for several
@@ -63,27 +61,6 @@
 	}
 }
 
-// team is what a customer has running and may have.
-type team struct {
-	spec   Team
-	used   placer.Resources // of all runs that are charged
-	credit float64          // jobs that it may send at once
-	spent  time.Duration    // when credit was reckoned
-}
-
-// allows reports whether n tasks more of that size keep the team's limit.
-func (t *team) allows(size placer.Resources, n int64) bool {
-	if t == nil {
-		return true
-	}
-	sum := t.used.Add(size.Scale(n))
-	limit := t.spec.Limit
-	return within(sum.CPU(), limit.CPU()) && within(sum.Memory(), limit.Memory()) && within(sum.Accelerators(), limit.Accelerators())
-}
-
-// within reports whether an amount keeps a limit, of which 0 means none.
-func within(amount, limit int64) bool { return limit == 0 || amount <= limit }
-
 // Version returns the version of the configuration in force, 0 before the first.
 func (p *Planner) Version() uint64 { return p.config.Version }
 
@@ -112,15 +89,6 @@
 	return true
 }
 
-func (p *Planner) team(name string) *team {
-	t := p.teams[name]
-	if t == nil {
-		t = &team{spec: Team{Name: name, Weight: 1}}
-		p.teams[name] = t
-	}
-	return t
-}
-
 // Close takes a data centre out of service, or back.
 func (p *Planner) Close(centre string, closed bool) {
 	if closed {
@@ -130,82 +98,6 @@
 	}
 }
 
-// worker returns the worker, making it when it is new.
-func (p *Planner) worker(id string) *worker {
-	w := p.workers[id]
-	if w == nil {
-		w = &worker{report: Report{ID: id}, runs: map[runKey]*run{}, fenced: true}
-		p.workers[id] = w
-	}
-	return w
-}
-
-// Report takes over what the list says of a worker, and tells whether that was
-// news. A fresh worker is new to the journal: Use has to be called once the
-// journal holds it, and nothing starts there before.
-func (p *Planner) Report(r Report, now time.Duration) (fresh, changed bool) {
-	w := p.worker(r.ID)
-	if w.report.Born != 0 && r.Born > w.report.Born {
-		p.reborn(w, r.Born, now)
-	}
-	r.Born = max(r.Born, w.report.Born)
-	changed = !w.listed || !w.report.equal(r)
-	w.report = r
-	w.listed = true
-	return !p.used[r.ID], changed
-}
-
-// Accepts reports whether tasks may still start on the worker, as far as the list and
-// the operators say. It is asked again right before an order, which may have waited
-// for the journal while the worker began to drain.
-func (p *Planner) Accepts(id string) bool {
-	w := p.workers[id]
-	return w != nil && w.listed && !w.report.Draining && !p.closed[w.report.Centre]
-}
-
-// Use lets tasks start on a worker that the journal names now.
-func (p *Planner) Use(id string) { p.used[id] = true }
-
-// Unlist notes that the list has lost a worker. What runs there counts until its
-// lease has lapsed.
-func (p *Planner) Unlist(id string) {
-	if w := p.workers[id]; w != nil {
-		w.listed = false
-	}
-}
-
-// Forgettable returns workers that the list has lost and that run nothing; the
-// journal may drop them.
-func (p *Planner) Forgettable(now time.Duration) []string {
-	var ids []string
-	for id, w := range p.workers {
-		if !w.listed && len(w.runs) == 0 && w.fenced && now >= w.lapses {
-			delete(p.workers, id)
-			delete(p.used, id)
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// reborn ends what an earlier incarnation of the worker ran. A start that got no
-// answer may reach the new incarnation, so it stays charged until stopped there.
-func (p *Planner) reborn(w *worker, born int64, now time.Duration) {
-	w.report.Born = born
-	w.seen = 0
-	w.fenced = true
-	for _, r := range w.runs {
-		if r.phase == unanswered || r.phase == sent {
-			r.crossed = now
-			r.asked = false
-			r.over = false
-			p.giveUp(r)
-			continue
-		}
-		p.endRun(r, Lost, r.saved, now)
-	}
-}
-
 // Submission is the answer to a job handed in.
 type Submission struct {
 	Known  bool // it was accepted before; nothing is to be stored
@@ -391,68 +283,3 @@
 	}
 	return ""
 }
-
-// Busy reports whether anything may run on the worker, or its state is unknown.
-func (p *Planner) Busy(id string) bool {
-	w := p.workers[id]
-	return w != nil && (len(w.runs) > 0 || !w.fenced)
-}
-
-// Renewable reports whether the worker's lease may be prolonged: it has answered
-// its newest call. A call without an answer may be carried out yet, so prolonging
-// the lease of a silent worker would keep its runs from ever lapsing.
-func (p *Planner) Renewable(id string) bool {
-	w := p.workers[id]
-	return w != nil && w.fenced && w.silent == 0
-}
-
-// CutOff reports whether most workers are silent. It answers a data centre that is
-// cut off with the owner in it: the owner has to make way for one that reaches more.
-// Workers that were not called lately, as they run nothing or a new owner has not
-// come to them, count as in reach.
-func (p *Planner) CutOff() bool {
-	silent, listed := 0, 0
-	for _, w := range p.workers {
-		if !w.listed {
-			continue
-		}
-		listed++
-		if w.silent > 0 {
-			silent++
-		}
-	}
-	return 2*silent > listed && silent >= leastSilent
-}
-
-// leastSilent is the number of silent workers below which nothing is concluded.
-const leastSilent = 4
-
-// Event is what the journal may come to hold of a job.
-type Event int
-
-// Events of a job.
-const (
-	Submitted Event = iota
-	Concluded
-)
-
-// occasion is an event of one job.
-type occasion struct {
-	id    string
-	event Event
-}
-
-// Await has tell called once the journal holds an event of a job, or with the
-// error of the submission.
-func (p *Planner) Await(id string, event Event, tell func(error)) {
-	key := occasion{id, event}
-	p.awaited[key] = append(p.awaited[key], tell)
-}
-
-// Awaited returns whom to tell of an event, once.
-func (p *Planner) Awaited(id string, event Event) []func(error) {
-	key := occasion{id, event}
-	waiting := p.awaited[key]
-	delete(p.awaited, key)
-	return waiting
-}
