claimer: Read records once for each change; one sleep; simpler limits

Cause: read as a newcomer. Each request and each call for advice decoded the owner's and all VMs' records and sorted them; a record that can't be read was passed over without a log line; claimer, receiver and conductor had a sleep of their own beside keeper's; spooler counted kinds in a counter beside a concurrent map; two limits had no origin. Change: a roster takes over changes as the mirror tells them, and logs damaged records; keeper.Sleep is the only one; spooler's limiters are a map under a lock.

--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -15,10 +15,10 @@
 func (c *Claimer) claimOn(ctx context.Context) {
 	// Nothing tells of a change if there was no owner to begin with.
 	for ctx.Err() == nil && c.mirror.Contact() == 0 {
-		sleep(ctx, gatherPause)
+		keeper.Sleep(ctx, gatherPause)
 	}
 	if _, owned := c.mirror.Get(ownerKey); !owned && (c.bootstrap || len(c.Members()) < 2) {
-		sleep(ctx, companyTime)
+		keeper.Sleep(ctx, companyTime)
 	}
 	c.wake()
 	for ctx.Err() == nil {
@@ -30,7 +30,7 @@
 		}
 		if c.mirror.Contact() == 0 {
 			// The copy may be old. What woke this VM is looked at when it is fresh.
-			sleep(ctx, claimSpread)
+			keeper.Sleep(ctx, claimSpread)
 			c.wake()
 			continue
 		}
@@ -38,14 +38,14 @@
 		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() {
 			continue
 		}
-		sleep(ctx, rand.N(claimSpread*time.Duration(max(1, c.crowd()/claimCrowd)))+c.handicap())
+		keeper.Sleep(ctx, rand.N(claimSpread*time.Duration(max(1, c.crowd()/claimCrowd)))+c.handicap())
 		if _, owned := c.mirror.Get(ownerKey); owned || c.isLeaving() || ctx.Err() != nil {
 			continue
 		}
 		if err := c.claim(ctx); err != nil && ctx.Err() == nil {
 			c.log.Info("ownership not claimed", "error", err)
 			c.wake()
-			sleep(ctx, retryPause)
+			keeper.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -53,15 +53,11 @@
 // release removes the claim of an earlier life of this VM, which has surely
 // ended, as this process holds its address.
 func (c *Claimer) release(ctx context.Context) {
-	entry, owned := c.mirror.Get(ownerKey)
-	if !owned {
+	r, term := c.roster.current()
+	if term == 0 || r.ID != c.self.ID || r.Life == c.self.Life {
 		return
 	}
-	var r record
-	if json.Unmarshal(entry.Value(), &r) != nil || r.ID != c.self.ID || r.Life == c.self.Life {
-		return
-	}
-	if err := c.store.Delete(ctx, ownerKey, entry.Version()); err != nil {
+	if err := c.store.Delete(ctx, ownerKey, term); err != nil {
 		c.log.Info("claim of an earlier life not removed", "error", err)
 		return
 	}
@@ -131,7 +127,7 @@
 // ownership pauses; it goes on if the lease has outlasted the outage.
 func (c *Claimer) renew(ctx context.Context, lease keeper.LeaseID, term uint64) {
 	for wait := c.ttl / renewals; ctx.Err() == nil; {
-		sleep(ctx, wait)
+		keeper.Sleep(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -68,6 +68,7 @@
 type Claimer struct {
 	store   keeper.Store
 	mirror  *keeper.Mirror
+	roster  *roster // of the mirror's records
 	self    record
 	ttl     time.Duration
 	now     func() time.Duration
@@ -129,7 +130,12 @@
 		option(c)
 	}
 	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPause(gatherPause), keeper.WithGap(watchGap), keeper.WithRetry(returnLimit), keeper.WithCrowd(c.crowd), keeper.WithLogger(c.log))
-	c.mirror.Subscribe(ownerKey, func(keeper.Entry) { c.wake() })
+	c.roster = newRoster(c.log)
+	c.mirror.Subscribe(vmPrefix, c.roster.changeVM)
+	c.mirror.Subscribe(ownerKey, func(entry keeper.Entry) {
+		c.roster.changeOwner(entry)
+		c.wake()
+	})
 	return c, nil
 }
 
@@ -188,20 +194,6 @@
 
 // Owner returns the VM that owns the fleet as far as this one knows, and its term.
 func (c *Claimer) Owner() (Member, uint64, bool) {
-	entry, owned := c.mirror.Get(ownerKey)
-	if !owned {
-		return Member{}, 0, false
-	}
-	m, ok := member(entry)
-	return m, entry.Version(), ok
-}
-
-// sleep waits for d or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	r, term := c.roster.current()
+	return r.member(), term, term != 0
 }
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -249,3 +249,26 @@
 		assertOwner(c, other, slow)
 	})
 }
+
+// A record that can't be read names no VM and no owner, and hides no other.
+func TestDamagedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := emulator.NewStore()
+		owner, other := pair(c, store)
+		c.Assert(other.Members(), qt.HasLen, 2)
+		put := func(key, value string) {
+			_, err := store.Seam().Put(context.Background(), key, []byte(value), 0, 0)
+			c.Assert(err, qt.IsNil)
+		}
+		put("live/vm/damaged", "{")
+		put("live/vm/false", `{"id":"another"}`)
+		time.Sleep(time.Second)
+		c.Assert(other.Members(), qt.HasLen, 2)
+		assertOwner(c, owner, other)
+		known, term, found := other.Owner()
+		c.Assert(found, qt.IsTrue)
+		c.Assert(known.ID(), qt.Equals, "owner")
+		c.Assert(term, qt.Equals, owner.term.Load())
+	})
+}
--- a/claimer/member.go
+++ b/claimer/member.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"strings"
 
 	"filberthaven.example/keeper"
 	"github.com/cenkalti/backoff/v5"
@@ -48,17 +47,17 @@
 			retry.Reset()
 		}
 		for err == nil && ctx.Err() == nil {
-			sleep(ctx, memberTTL/renewals)
+			keeper.Sleep(ctx, memberTTL/renewals)
 			if err = c.store.Renew(ctx, lease); err != nil && !errors.Is(err, keeper.ErrLeaseExpired) && ctx.Err() == nil {
 				// The lease may outlast an outage of the store.
-				sleep(ctx, retryPause)
+				keeper.Sleep(ctx, retryPause)
 				err = c.store.Renew(ctx, lease)
 			}
 		}
 		if ctx.Err() == nil {
 			c.log.Warn("registration lost", "error", err)
 		}
-		sleep(ctx, retry.NextBackOff())
+		keeper.Sleep(ctx, retry.NextBackOff())
 	}
 	// The record goes at once after a planned stop.
 	if entry, found := c.mirror.Get(vmPrefix + c.self.ID); found {
@@ -87,23 +86,10 @@
 }
 
 // crowd returns the number of entry VMs that are known.
-func (c *Claimer) crowd() int { return max(1, len(c.mirror.List(vmPrefix))) }
+func (c *Claimer) crowd() int { return max(1, len(c.roster.list())) }
 
-// Members returns the registered entry VMs by id.
-func (c *Claimer) Members() []Member {
-	var members []Member
-	for _, entry := range c.mirror.List(vmPrefix) {
-		if m, ok := member(entry); ok && strings.TrimPrefix(entry.Key(), vmPrefix) == m.id {
-			members = append(members, m)
-		}
-	}
-	return members
-}
+// Members returns the registered entry VMs by id; the list is not to be changed.
+func (c *Claimer) Members() []Member { return c.roster.list() }
 
-func member(entry keeper.Entry) (Member, bool) {
-	var r record
-	if err := json.Unmarshal(entry.Value(), &r); err != nil {
-		return Member{}, false
-	}
-	return Member{r.ID, r.Address, r.Centre}, true
-}
+// member returns the VM of a record.
+func (r record) member() Member { return Member{r.ID, r.Address, r.Centre} }
--- a/claimer/precedence.go
+++ b/claimer/precedence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 )
 
@@ -27,14 +26,9 @@
 	if c.isUnfit(c.self) {
 		return unfitDelay
 	}
-	for _, entry := range c.mirror.List(vmPrefix) {
-		var r record
-		if json.Unmarshal(entry.Value(), &r) != nil {
-			continue // a damaged record is of no VM
-		}
-		if !c.isUnfit(r) && r.Processor > muchLarger*c.self.Processor {
-			return smallDelay
-		}
+	larger := func(r record) bool { return r.Processor > muchLarger*c.self.Processor && !c.isUnfit(r) }
+	if c.roster.any(larger) {
+		return smallDelay
 	}
 	return 0
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -63,10 +63,11 @@
 		})
 	}
 	debug.SetGCPercent(heapGrowth)
-	debug.SetMemoryLimit(heapLimit)
+	limit := int64(heapLimit)
 	if memory := settings.Memory(); memory > 0 {
-		debug.SetMemoryLimit(int64(heapPart * float64(memory)))
+		limit = int64(heapPart * float64(memory))
 	}
+	debug.SetMemoryLimit(limit)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -37,7 +37,8 @@
 	badTime  = 2 * time.Second
 	badLimit = 8 * time.Second
 	// urgentGrace and slowGrace are added to the time at which a call should be
-	// answered; the VM's queue is never longer than the time that is booked.
+	// answered; the VM's queue is never longer than the time that is booked. Urgent
+	// work has 0.25 s and half of its run time to spare on the users' sheets.
 	urgentGrace = 400 * time.Millisecond
 	slowGrace   = 1500 * time.Millisecond
 	// urgentQueue and slowQueue are the longest queues of a VM at which another
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filberthaven.example/keeper"
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
 )
@@ -200,11 +201,4 @@
 }
 
 // sleep waits for d or the end of the ownership.
-func (c *Conductor) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-}
+func (c *Conductor) sleep(d time.Duration) { keeper.Sleep(c.ctx, d) }
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -119,7 +119,7 @@
 			m.heard(next)
 			m.apply(entries)
 		}
-		sleep(ctx, pause)
+		Sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
@@ -255,8 +255,8 @@
 // jitter returns a time from half of d to d, so that VMs don't retry in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
 
-// sleep waits for d or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for d or the end of the context.
+func Sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -167,7 +167,7 @@
 }
 
 // adviceRest is how long steps of a kind ask for no advice after the VMs' queues of
-// calls were full.
+// calls were full: about as long as an urgent call takes.
 const adviceRest = 15 * time.Millisecond
 
 // Unasked notes that an Ask was not made as the VMs' queues of calls are full. It
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 	"filberthaven.example/claimer"
 	"filberthaven.example/conductor"
+	"filberthaven.example/keeper"
 	"filberthaven.example/messenger"
 	"filberthaven.example/platform"
 	"github.com/go-chi/chi/v5"
@@ -171,7 +172,7 @@
 		if ctx.Err() != nil || r.now()-waited > ownerWait || errors.Is(err, errShut) {
 			return r.giveUp(call, answer, maybe, err)
 		}
-		pause(ctx, ownerPause)
+		keeper.Sleep(ctx, ownerPause)
 	}
 }
 
@@ -234,14 +235,5 @@
 	return *answer, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Owns reports whether this VM runs the fleet.
 func (r *Receiver) Owns() bool { return r.local.Load() != nil }
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -50,8 +50,8 @@
 	size    int      // bytes of waiting, never over room
 	closing bool
 
-	kinds sync.Map // of *rate.Limiter by kind; len is bounded by kindLimit
-	known metrics.Counter
+	kindsMu sync.Mutex
+	kinds   map[string]*rate.Limiter // by kind, at most kindLimit and one for all others
 }
 
 // Option changes a Spooler under construction.
@@ -82,7 +82,7 @@
 // New returns a spooler that writes to out until Close.
 func New(out io.Writer, options ...Option) (*Spooler, error) {
 	s := &Spooler{
-		out: out, room: DefaultRoom, rate: DefaultRate, dropped: metrics.NewCounter(), known: metrics.NewCounter(),
+		out: out, room: DefaultRoom, rate: DefaultRate, dropped: metrics.NewCounter(), kinds: map[string]*rate.Limiter{},
 		wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -132,17 +132,18 @@
 
 // limiter returns the limiter of a kind.
 func (s *Spooler) limiter(kind string) *rate.Limiter {
-	if known, found := s.kinds.Load(kind); found {
-		return known.(*rate.Limiter)
-	}
-	if s.known.Count() >= kindLimit {
+	s.kindsMu.Lock()
+	defer s.kindsMu.Unlock()
+	limiter := s.kinds[kind]
+	if limiter == nil && len(s.kinds) >= kindLimit {
 		kind = "" // all that are too many share one
+		limiter = s.kinds[kind]
 	}
-	made, loaded := s.kinds.LoadOrStore(kind, rate.NewLimiter(s.rate, max(1, burstTime*int(s.rate))))
-	if !loaded {
-		s.known.Inc(1)
+	if limiter == nil {
+		limiter = rate.NewLimiter(s.rate, max(1, burstTime*int(s.rate)))
+		s.kinds[kind] = limiter
 	}
-	return made.(*rate.Limiter)
+	return limiter
 }
 
 // Dropped returns the number of lines left out so far.
