--- a/journaler/open.go
+++ b/journaler/open.go
@@ -129,15 +129,14 @@
 	return Recovery{snapshot: v.snapshot.State, records: v.records(), sequence: j.ring.sequence}, nil
 }
 
-// compactRing frees a ring that earlier owners left full. It writes a snapshot that
-// consists of the newest snapshot's state and all records since.
+// compactRing frees a full ring. It writes a snapshot that consists of the newest
+// snapshot's state and all records since. It waits for no queued record, since its state
+// holds none.
 func (j *Journaler) compactRing(ctx context.Context, v view) error {
 	return j.writeSnapshot(ctx, pendingSnapshot{
 		sequence:     v.lastSequence(),
 		content:      snapshot{State: v.snapshot.State, Records: v.records()},
 		coveredBytes: v.chainBytes,
-		lastID:       j.lastID,
-		failures:     j.failures,
 	})
 }
 
--- a/journaler/ring_test.go
+++ b/journaler/ring_test.go
@@ -55,3 +55,32 @@
 		c.Check(j.Append(t.Context(), []byte("last")), qt.IsNil)
 	})
 }
+
+// TestFullRingAtOpen guards against an opening that hangs: the compaction of a ring that
+// an earlier owner left full must not wait for records that were queued before.
+func TestFullRingAtOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		kv := emulator.NewStore().KV()
+		first, err := journaler.New(kv, shard, journaler.WithSlots(16), journaler.WithRate(1000))
+		c.Assert(err, qt.IsNil)
+		_, err = first.Open(t.Context(), 1)
+		c.Assert(err, qt.IsNil)
+		for range 11 {
+			c.Assert(first.Append(t.Context(), []byte("record")), qt.IsNil)
+		}
+		first.Abort()
+		second, err := journaler.New(kv, shard, journaler.WithSlots(16), journaler.WithRate(1000))
+		c.Assert(err, qt.IsNil)
+		var persisted atomic.Bool
+		c.Assert(second.EnqueueMandatory([]byte("early"), func(err error) { persisted.Store(err == nil) }), qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		recovery, err := second.Open(ctx, 2)
+		c.Assert(err, qt.IsNil)
+		defer second.Abort()
+		c.Check(recovery.Records(), qt.HasLen, 11)
+		time.Sleep(time.Second)
+		c.Check(persisted.Load(), qt.IsTrue)
+	})
+}
--- a/journaler/snapshot.go
+++ b/journaler/snapshot.go
@@ -28,24 +28,34 @@
 // of a record that is not in the journal.
 var errSnapshotDiscarded = errors.New("snapshot discarded: a record in it may have failed")
 
+// errSnapshotBlocked means that a snapshot waits for queued records for which the ring
+// has no free slot.
+var errSnapshotBlocked = errors.New("snapshot discarded: the ring is full and has no slot for a record in it")
+
 // pendingSnapshot is a snapshot to be written.
 type pendingSnapshot struct {
 	sequence     uint64 // newest segment that it covers
 	content      snapshot
-	lastID       uint64 // id of the newest record that the state may hold
+	lastID       uint64 // id of the newest record that the state may hold besides those of the covered segments; 0 if none
 	failures     uint64 // Journaler.failures before the state was taken
 	coveredBytes int    // size of the segments that it covers and the newest snapshot does not
 }
 
-// snapshotIfDue starts to write a snapshot if one is due and none is being written.
+// snapshotIfDue starts to write a snapshot if one is due and none is being written. If
+// the ring is full, it compacts the ring instead: the present state may hold the effects
+// of queued records, which wait for the slots that the snapshot frees.
 func (j *Journaler) snapshotIfDue(ctx context.Context) {
 	if j.snapshotter == nil || !j.beginSnapshot() {
 		return
 	}
-	p := j.capture()
+	write := j.compactFullRing
+	if j.hasFreeSlot() {
+		p := j.capture()
+		write = func(ctx context.Context) error { return j.writeSnapshot(ctx, p) }
+	}
 	j.snapshotWrites.Go(func() {
-		if err := j.writeSnapshot(ctx, p); err != nil {
-			j.log.Warn("snapshot failed", "sequence", p.sequence, "err", err)
+		if err := write(ctx); err != nil {
+			j.log.Warn("snapshot failed", "err", err)
 		}
 		j.mu.Lock()
 		defer j.mu.Unlock()
@@ -148,21 +158,38 @@
 	return versions, nil
 }
 
+// compactFullRing reads the journal and compacts it. The writer writes no segment
+// meanwhile, since the ring has no free slot.
+func (j *Journaler) compactFullRing(ctx context.Context) error {
+	v, err := j.read(ctx)
+	if err != nil {
+		return err
+	}
+	j.log.Info("ring is full; compacting it", "sequence", v.lastSequence())
+	return j.compactRing(ctx, v)
+}
+
 // awaitRecords waits until all records that the state may hold are in the journal. It
 // returns errSnapshotDiscarded if any record has failed since the state was taken or if
-// the journal ends.
+// the journal ends, and errSnapshotBlocked if the ring has no slot for them.
 func (j *Journaler) awaitRecords(ctx context.Context, p pendingSnapshot) error {
+	if p.lastID == 0 {
+		return nil
+	}
 	for {
 		j.mu.Lock()
 		progress := j.progress
 		failed := j.failures != p.failures || j.endErr != nil
 		pending := hasItemUpTo(j.inFlight, p.lastID) || hasItemUpTo(j.queue, p.lastID)
+		full := j.freeSlots() == 0
 		j.mu.Unlock()
 		switch {
 		case failed:
 			return errSnapshotDiscarded
 		case !pending:
 			return nil
+		case full:
+			return errSnapshotBlocked
 		}
 		select {
 		case <-progress:
--- a/journaler/writer.go
+++ b/journaler/writer.go
@@ -122,7 +122,14 @@
 func (j *Journaler) hasFreeSlot() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.ring.sequence-j.snapshotSequence < j.slots-reservedSlots
+	return j.freeSlots() > 0
+}
+
+// freeSlots returns the number of free slots besides the reserved ones. The caller
+// holds mu.
+func (j *Journaler) freeSlots() uint64 {
+	limit := j.slots - reservedSlots
+	return limit - min(limit, j.ring.sequence-j.snapshotSequence)
 }
 
 // write writes the batch to the next slot. ErrUnavailable means that the batch was not
