elector: Acquire only the record that was found vacant

Cause: acquire read the shard's record again after shouldAcquire had found it vacant. If another VM acquired the shard in between and the mirror had its record by then, acquire replaced that record: confirmExpired only compares the versions of the VM record, so a live owner lost the shard at once. The term was one too high, and a VM could take a second shard.

Change: acquire gets the record and version that were found vacant, so the write conflicts if they have changed; the fuzz node keeps shards that it is opening. TestDeposedWhileOpening (new) fails with the old fuzz node.

--- a/elector/acquire.go
+++ b/elector/acquire.go
@@ -20,8 +20,8 @@
 		}
 		for _, shard := range e.shards() {
 			e.announce(shard)
-			if e.shouldAcquire(shard) {
-				e.acquire(ctx, shard)
+			if record, version, _ := e.record(shard); e.shouldAcquire(shard, record) {
+				e.acquire(ctx, shard, record, version)
 				e.announce(shard)
 			}
 		}
@@ -87,11 +87,11 @@
 	}
 }
 
-// shouldAcquire reports whether this VM should acquire the shard now. VMs that
-// rank lower for the shard wait longer, so that shards spread and writes rarely
-// conflict.
-func (e *Elector) shouldAcquire(shard string) bool {
-	if !e.isVacant(shard) {
+// shouldAcquire reports whether this VM should acquire the shard with that record
+// now. VMs that rank lower for the shard wait longer, so that shards spread and
+// writes rarely conflict.
+func (e *Elector) shouldAcquire(shard string, record shardRecord) bool {
+	if !e.isVacant(shard, record) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		delete(e.vacantSince, shard)
@@ -108,18 +108,17 @@
 	return time.Since(since) >= time.Duration(rank)*rankDelay
 }
 
-// isVacant reports whether this VM may acquire the shard: its owner has
-// expired, or it has none. A shard without an owner counts as vacant only once
-// the store has been connected for discoveryDelay.
-func (e *Elector) isVacant(shard string) bool {
+// isVacant reports whether this VM may acquire the shard with that record: its
+// owner has expired, or it has none. A shard without an owner counts as vacant only
+// once the store has been connected for discoveryDelay.
+func (e *Elector) isVacant(shard string, record shardRecord) bool {
 	e.mu.Lock()
 	ineligible := e.leaving || !e.eligible[shard]
 	e.mu.Unlock()
 	if ineligible {
 		return false
 	}
-	record, _, ok := e.record(shard)
-	if !ok || record.Owner == "" {
+	if record.Owner == "" {
 		return e.mirror.ConnectedFor() >= min(discoveryDelay, e.ttl)
 	}
 	return !record.owns(e.vm) && e.expired(process{record.Owner, record.Incarnation})
@@ -177,10 +176,11 @@
 // hash is the hash function for rendezvous hashing.
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
 
-// acquire writes this process into the shard's record under the next term. If
-// the response is lost, announce still finds a successful write in the mirror.
-func (e *Elector) acquire(ctx context.Context, shard string) {
-	record, version, _ := e.record(shard)
+// acquire replaces the record of that version, which shouldAcquire found vacant, by
+// one of this process under the next term. The record is not read again, since the
+// mirror may by now hold that of another VM, which is not vacant. If the response is
+// lost, announce still finds a successful write in the mirror.
+func (e *Elector) acquire(ctx context.Context, shard string, record shardRecord, version uint64) {
 	if record.Owner != "" && !e.confirmExpired(ctx, record) {
 		return
 	}
--- a/elector/fuzz_node_test.go
+++ b/elector/fuzz_node_test.go
@@ -25,9 +25,10 @@
 	*elector.Elector
 	mirror *keeper.Mirror
 
-	mu     sync.Mutex
-	shards map[string]*fuzzShard
-	group  sync.WaitGroup
+	mu      sync.Mutex
+	shards  map[string]*fuzzShard // whose journal is open
+	opening map[string]*fuzzShard // elected, journal not open yet
+	group   sync.WaitGroup
 }
 
 // fuzzShard is what one owner runs for a shard.
@@ -105,7 +106,7 @@
 func (c *cluster) startNode(vm int) *fuzzNode {
 	c.lastIncarnation++
 	id := fmt.Sprint("vm", vm)
-	n := &fuzzNode{cluster: c, id: id, client: c.store.Client(id), gate: newGate(), shards: map[string]*fuzzShard{}}
+	n := &fuzzNode{cluster: c, id: id, client: c.store.Client(id), gate: newGate(), shards: map[string]*fuzzShard{}, opening: map[string]*fuzzShard{}}
 	n.client.SetFaults()
 	kv := n.gate.wrap(n.client.KV())
 	n.mirror = keeper.NewMirror(kv, "live/")
@@ -126,6 +127,9 @@
 func (n *fuzzNode) onElected(shard string, term uint64) {
 	ctx, cancel := context.WithCancel(n.ctx)
 	s := &fuzzShard{term: term, cancel: cancel}
+	n.mu.Lock()
+	n.opening[shard] = s
+	n.mu.Unlock()
 	n.group.Go(func() {
 		if err := n.openShard(ctx, shard, s); err != nil {
 			cancel()
@@ -172,6 +176,7 @@
 		journal.Abort()
 		return ctx.Err()
 	}
+	delete(n.opening, shard)
 	n.shards[shard] = s
 	return nil
 }
@@ -180,6 +185,10 @@
 func (n *fuzzNode) onDeposed(shard string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if s := n.opening[shard]; s != nil {
+		delete(n.opening, shard)
+		s.cancel()
+	}
 	if s := n.shards[shard]; s != nil {
 		delete(n.shards, shard)
 		s.cancel()
--- a/elector/fuzz_test.go
+++ b/elector/fuzz_test.go
@@ -274,3 +274,20 @@
 		}
 	})
 }
+
+// TestDeposedWhileOpening checks that a process that loses a shard while it opens the
+// shard's journal does not run the shard afterwards.
+func TestDeposedWhileOpening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{store: emulator.NewStore(), fences: map[string]uint64{}, running: map[string]int64{}, results: map[string]map[string]error{}}
+		n := c.startNode(0)
+		defer n.kill()
+		n.gate.pause(2 * time.Second)
+		n.onElected("other", 1)
+		n.onDeposed("other")
+		time.Sleep(5 * time.Second)
+		if n.shard("other") != nil {
+			t.Fatal("deposed owner runs the shard")
+		}
+	})
+}
