tracker: Send heartbeats without waiting for slow peers

Cause: a round of heartbeats waited for all responses inside the ticker's loop, so a peer that does not respond delayed the next round by up to the 1 s of a call. Change: a round only starts the calls; a peer with a call in flight gets no second one; Run waits for the calls in flight when it ends.

--- a/tracker/heartbeat.go
+++ b/tracker/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -65,22 +64,19 @@
 	return true
 }
 
-// sendHeartbeats sends a heartbeat to each entry VM that is due and waits for all
-// responses. A peer that does not respond delays the next round by at most the
-// timeout of a heartbeat.
+// sendHeartbeats starts a heartbeat to each entry VM that is due and has none in
+// flight. It waits for no response, so that a slow peer does not delay the next round.
 func (t *Tracker) sendHeartbeats(ctx context.Context) {
 	t.round++
-	var group sync.WaitGroup
 	for i, vm := range t.EntryVMs("") {
 		if vm.id == t.id || !t.isDue(i, vm) || !t.peers.beginHeartbeat(vm.id) {
 			continue
 		}
-		group.Go(func() {
+		t.heartbeats.Go(func() {
 			defer t.peers.endHeartbeat(vm.id)
 			t.sendHeartbeat(ctx, vm)
 		})
 	}
-	group.Wait()
 	t.logStates()
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -50,6 +50,7 @@
 	remoteRounds      int // rounds per heartbeat to an entry VM of another data centre; at least 1
 	round             int // number of the last round of heartbeats; used only by Run's heartbeat goroutine
 	peers             *peers
+	heartbeats        sync.WaitGroup // heartbeats in flight; waited for when Run ends
 	mu                sync.Mutex         // guards the fields below
 	nextKey           int                // key of the next subscription
 	subscribers       map[int]func([]VM) // by key; called with the VMs that changed
@@ -149,7 +150,9 @@
 	if t.messenger != nil {
 		group.Go(func() error { return t.every(ctx, t.heartbeatInterval, t.sendHeartbeats) })
 	}
-	return group.Wait()
+	err := group.Wait()
+	t.heartbeats.Wait()
+	return err
 }
 
 // every calls f at once and then at the interval, until ctx is done.
