planner: Count a job as pending until a worker has begun a task

Cause: Pending counted a job as started from the decision on, and after a takeover from the journaled start on. State still shows running from the first decided start on. Before: TestPendingUntilBegun (new) does not hold: by reading, j.started was set in start and addInheritedRun. After: passes with the other tests of planner and conductor, -race.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -308,7 +308,7 @@
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
-	j.started = true
+	j.ordered = true
 	p.allocate(r)
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
--- a/planner/job.go
+++ b/planner/job.go
@@ -27,7 +27,8 @@
 	team         *team         // nil on a queue open to all
 	acceptedAt   time.Duration // may be before this owner took over
 	stored       bool          // the journal holds the job; nothing starts before
-	started      bool          // a task has ever started
+	ordered      bool          // the start of a task was decided, by this owner or an earlier one
+	begun        bool          // a worker has confirmed a start or listed a run of a task
 	finalState   State         // Completed, Failed or Cancelled; empty if the job has not ended
 	endStored    bool          // the journal holds the end, so callers may see it
 	endedAt      time.Duration
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -191,7 +191,7 @@
 		return "", false
 	case j.finalState != "" && j.endStored:
 		return j.finalState, true
-	case j.started:
+	case j.ordered:
 		return Running, true
 	default:
 		return Queued, true
@@ -206,11 +206,13 @@
 	return j
 }
 
-// Pending returns the number of jobs in the queue that have not started any task.
+// Pending returns the number of jobs in the queue of which no worker is known to have
+// begun a task. A start that was only decided does not count: it may be withdrawn, be
+// refused or get no answer.
 func (p *Planner) Pending(queue string) int {
 	n := 0
 	for _, j := range p.live {
-		if j.spec.Queue == queue && j.finalState == "" && !j.started {
+		if j.spec.Queue == queue && j.finalState == "" && !j.begun {
 			n++
 		}
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -204,3 +204,36 @@
 	f.Assert(f.p.Accepts("w0"), quicktest.IsFalse)
 	f.Assert(f.p.Accepts("unknown"), quicktest.IsFalse)
 }
+
+// TestPendingUntilBegun checks that a job counts as pending until a worker has confirmed
+// one of its starts, whatever was decided and whoever owns the fleet.
+func TestPendingUntilBegun(t *testing.T) {
+	for name, outcome := range map[string]Outcome{"unanswered": Unknown, "refused": Refused, "withdrawn": Withdrawn} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.submit("j", newStep(1))
+			start := f.decide()[0]
+			f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+			f.p.ReportStart(start, outcome, f.now)
+			f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+			f.takeOver(10 * second)
+			f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+			f.p.HandleStatus(WorkerStatus{Worker: start.Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: start.Task, Number: start.Number}}}, f.now)
+			f.Assert(f.p.Pending("q"), quicktest.Equals, 0)
+		})
+	}
+	t.Run("begun", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("j", newStep(2))
+		start := f.starts()[0]
+		f.Assert(f.p.Pending("q"), quicktest.Equals, 0)
+		f.listEnd(start, 1, Done)
+		f.takeOver(10 * second)
+		f.Assert(f.p.Pending("q"), quicktest.Equals, 0)
+		state, err := f.p.Snapshot(f.now, wall)
+		f.Assert(err, quicktest.IsNil)
+		restored := New()
+		f.Assert(restored.Restore(state, nil, f.now, wall, 10*second), quicktest.IsNil)
+		f.Assert(restored.Pending("q"), quicktest.Equals, 0)
+	})
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -72,6 +72,7 @@
 	UnfinishedOccurrences int          `cbor:"3,keyasint"`           // number of occurrences not finished, including future ones
 	BegunOccurrences      []int        `cbor:"5,keyasint,omitempty"` // indexes of the occurrences that have begun and are not finished
 	Tasks                 []storedTask `cbor:"4,keyasint,omitempty"` // those that have started or are done
+	Begun                 bool         `cbor:"6,keyasint,omitempty"` // a worker is known to have begun a task
 }
 
 // storedTask is the state of a task.
@@ -109,7 +110,7 @@
 }
 
 func storeJob(j *job) storedJob {
-	stored := storedJob{Spec: j.spec, Next: j.next, UnfinishedOccurrences: j.unfinished}
+	stored := storedJob{Spec: j.spec, Next: j.next, UnfinishedOccurrences: j.unfinished, Begun: j.begun}
 	for _, o := range j.occurrences {
 		stored.BegunOccurrences = append(stored.BegunOccurrences, o.index)
 		for _, st := range o.steps {
@@ -165,7 +166,7 @@
 	}
 	for _, stored := range s.Jobs {
 		j := p.restoreJob(stored.Spec, now, wall)
-		j.next, j.unfinished = stored.Next, stored.UnfinishedOccurrences
+		j.next, j.unfinished, j.begun = stored.Next, stored.UnfinishedOccurrences, stored.Begun
 		j.occurrences = nil
 		for _, k := range stored.BegunOccurrences {
 			j.occurrences = append(j.occurrences, newOccurrence(j, k, j.dueTime(k, now, wall)))
@@ -215,7 +216,7 @@
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
 	s.lastRun = max(s.lastRun, number)
-	s.occurrence.job.started = true
+	s.occurrence.job.ordered = true
 	p.allocate(r)
 }
 
@@ -293,6 +294,7 @@
 	if st == nil {
 		return
 	}
+	st.occurrence.job.begun = true
 	t := &st.tasks[n]
 	t.lastRun = max(t.lastRun, e.Number)
 	st.lastRun = max(st.lastRun, e.Number)
