planner: Decisions that cost what has changed

Change: workers are visited by a list; whether one is open is determined once a decision; what will soon be free on a worker is computed once a decision; advice is kept by worker, with a list of the eligible ones; the order by free CPU is an index that re-sorts what has changed.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,23 +11,23 @@
 // advice is what a step has learned from the advice service, and its requests in
 // flight. Whether a worker is eligible doesn't change, but tickets are short-lived.
 type advice struct {
-	eligible map[string]bool   // by worker id: whether it may run the step; absent if unknown
-	tickets  map[string]ticket // by worker id; some have expired
-	queried  map[string]bool   // ids of the workers in requests in flight
-	requests int               // number of requests in flight
+	known    map[*worker]bool   // workers of which it is known whether they may run the step
+	eligible []*worker          // those of known that may run it, each once
+	tickets  map[*worker]ticket // some have expired
+	queried  map[*worker]bool   // workers in requests in flight
+	requests int                // number of requests in flight
 }
 
 // ticket lets tasks of a step start on one incarnation of a worker.
 type ticket struct {
 	text        string
 	expiry      time.Duration // ticketMargin before the end of its validity
-	worker      *worker
-	incarnation int64
+	incarnation int64         // of the worker
 }
 
-// valid reports whether the ticket still lets tasks start.
-func (t ticket) valid(now time.Duration) bool {
-	return now < t.expiry && t.incarnation == t.worker.reg.Incarnation
+// valid reports whether the ticket still lets tasks start on the worker.
+func (t ticket) valid(w *worker, now time.Duration) bool {
+	return now < t.expiry && t.incarnation == w.reg.Incarnation
 }
 
 // ticketMargin is how long before its end a ticket counts as expired, since the order
@@ -34,13 +35,13 @@
 const ticketMargin = 150 * time.Millisecond
 
 func (a *advice) hasTicket(w *worker, now time.Duration) bool {
-	t, found := a.tickets[w.reg.ID]
-	return found && t.valid(now)
+	t, found := a.tickets[w]
+	return found && t.valid(w, now)
 }
 
-func (a *advice) ticketText(w *worker) string { return a.tickets[w.reg.ID].text }
+func (a *advice) ticketText(w *worker) string { return a.tickets[w].text }
 
-func (a *advice) dropTicket(worker string) { delete(a.tickets, worker) }
+func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
 
 const (
 	// workerCostFactor sets how many workers a request names: so many that they add this
@@ -67,19 +68,21 @@
 		limit = maxParallelRequests
 	}
 	for s.advice.requests < limit {
-		ids, reason := p.renewableTickets(s, now), "tickets have run out"
-		if len(ids) == 0 && !p.requestsSuffice(s) {
-			ids, reason = p.unqueried(s, cost, now), "not known which workers are allowed"
+		workers, reason := s.renewableTickets(now), "tickets have run out"
+		if len(workers) == 0 && !p.requestsSuffice(s) {
+			workers, reason = p.unqueried(s, cost), "not known which workers are allowed"
 		}
-		if len(ids) == 0 {
+		if len(workers) == 0 {
 			return
 		}
 		s.advice.requests++
 		if s.advice.queried == nil {
-			s.advice.queried = map[string]bool{}
+			s.advice.queried = map[*worker]bool{}
 		}
-		for _, id := range ids {
-			s.advice.queried[id] = true
+		ids := make([]string, 0, len(workers))
+		for _, w := range workers {
+			s.advice.queried[w] = true
+			ids = append(ids, w.reg.ID)
 		}
 		p.actions = append(p.actions, Action{
 			Kind: RequestAdvice, Step: s.name, Workers: ids, Queue: s.occurrence.job.spec.Queue, Urgent: urgent,
@@ -109,8 +112,8 @@
 		return false
 	}
 	eligible := float64(len(s.advice.queried)) * p.eligibleFraction(s.occurrence.job.spec.Queue)
-	for id, mayRun := range s.advice.eligible {
-		if mayRun && p.workers[id] != nil && p.workers[id].listed {
+	for _, w := range s.advice.eligible {
+		if w.listed {
 			eligible++
 		}
 	}
@@ -127,15 +130,14 @@
 	return max(1, n)
 }
 
-// renewableTickets returns the ids of the eligible workers with free capacity and
-// without a valid ticket. For a gang it returns none unless all of its tasks fit on
+// renewableTickets returns the eligible workers with free capacity and without a valid
+// ticket, sorted by id. For a gang it returns none unless all of its tasks fit on
 // eligible workers.
-func (p *Planner) renewableTickets(s *step, now time.Duration) []string {
-	var ids []string
+func (s *step) renewableTickets(now time.Duration) []*worker {
+	var renewable []*worker
 	fitting := 0
-	for id, eligible := range s.advice.eligible {
-		w := p.workers[id]
-		if !eligible || w == nil || s.advice.queried[id] || !p.usable(s, w, now) {
+	for _, w := range s.advice.eligible {
+		if !s.mayUse(w) || s.advice.queried[w] {
 			continue
 		}
 		n := s.fitCount(w)
@@ -144,34 +146,38 @@
 		}
 		fitting += n
 		if !s.advice.hasTicket(w, now) {
-			ids = append(ids, id)
+			renewable = append(renewable, w)
 		}
 	}
 	if s.spec.Gang && fitting < len(s.tasks) {
 		return nil
 	}
-	slices.Sort(ids)
-	return ids[:min(len(ids), maxQueried)]
+	slices.SortFunc(renewable, func(a, b *worker) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
+	return renewable[:min(len(renewable), maxQueried)]
 }
 
-// unqueried returns the ids of workers about which the step has no advice and no
-// request in flight, those with the most free CPU first.
-func (p *Planner) unqueried(s *step, cost *AdviceCost, now time.Duration) []string {
+// unqueried returns workers about which the step has no advice and no request in
+// flight, those with the most free CPU first.
+func (p *Planner) unqueried(s *step, cost *AdviceCost) []*worker {
 	limit := maxQueried
 	if cost.PerWorker > 0 {
 		limit = int(workerCostFactor * float64(cost.Base) / float64(cost.PerWorker))
 	}
 	limit = min(max(limit, minQueried), maxQueried)
-	var ids []string
-	for _, w := range p.byFreeCPU() {
-		if len(ids) == limit {
+	workers := p.byFreeCPU.sorted(p.decisions)
+	if len(s.advice.known) >= len(workers) {
+		return nil
+	}
+	var found []*worker
+	for _, w := range workers {
+		if len(found) == limit {
 			break
 		}
-		if _, known := s.advice.eligible[w.reg.ID]; !known && !s.advice.queried[w.reg.ID] && p.usable(s, w, now) && s.spec.Size.Fits(w.reg.Capacity) {
-			ids = append(ids, w.reg.ID)
+		if s.mayUse(w) && s.spec.Size.Fits(w.reg.Capacity) && !s.advice.known[w] && !s.advice.queried[w] {
+			found = append(found, w)
 		}
 	}
-	return ids
+	return found
 }
 
 // adviceBackoff is how long steps of the same urgency request no advice after a request
@@ -203,21 +209,28 @@
 	}
 	s.advice.requests--
 	for _, id := range a.Workers {
-		delete(s.advice.queried, id)
+		delete(s.advice.queried, p.workers[id])
 	}
 	if a.Failed {
 		return
 	}
 	p.learnEligible(s.occurrence.job.spec.Queue, float64(len(a.Tickets))/float64(max(1, len(a.Workers))))
-	if s.advice.eligible == nil {
-		s.advice.eligible = map[string]bool{}
-		s.advice.tickets = map[string]ticket{}
+	if s.advice.known == nil {
+		s.advice.known = map[*worker]bool{}
+		s.advice.tickets = map[*worker]ticket{}
 	}
 	for _, id := range a.Workers {
+		w := p.workers[id]
+		if w == nil {
+			continue
+		}
 		text, eligible := a.Tickets[id]
-		s.advice.eligible[id] = eligible
-		if w := p.workers[id]; eligible && w != nil {
-			s.advice.tickets[id] = ticket{text, a.Until - ticketMargin, w, w.reg.Incarnation}
+		if eligible && !s.advice.known[w] {
+			s.advice.eligible = append(s.advice.eligible, w)
+		}
+		s.advice.known[w] = true
+		if eligible {
+			s.advice.tickets[w] = ticket{text, a.Until - ticketMargin, w.reg.Incarnation}
 		}
 	}
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"iter"
-	"maps"
 	"slices"
 	"time"
 )
@@ -64,9 +63,11 @@
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.expireLeases(now)
 	p.beginDueOccurrences(now, wall)
-	p.workersByFreeCPU, p.maxFreeCPU = nil, 0
-	for _, w := range p.workers {
+	p.decisions++
+	p.maxFreeCPU = 0
+	for _, w := range p.fleet {
 		w.reservedFor = nil
+		w.open = w.acceptsTasks(now) && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
 		if w.listed {
 			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU())
 		}
@@ -93,7 +94,7 @@
 // than starts without an outcome and unanswered starts within maxOrderDelay of their
 // worker's restart.
 func (p *Planner) expireLeases(now time.Duration) {
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if now < w.leaseExpiry || w.leaseExpiry == 0 {
 			continue
 		}
@@ -242,40 +243,26 @@
 func (p *Planner) usableWorkers(s *step, now time.Duration) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
 		if s.occurrence.job.queue.AdviceCost == nil {
-			for _, w := range p.workers {
-				if p.usable(s, w, now) && !yield(w) {
+			for _, w := range p.fleet {
+				if s.mayUse(w) && !yield(w) {
 					return
 				}
 			}
 			return
 		}
-		for _, t := range s.advice.tickets {
-			if t.valid(now) && p.usable(s, t.worker, now) && !yield(t.worker) {
+		for w, t := range s.advice.tickets {
+			if t.valid(w, now) && s.mayUse(w) && !yield(w) {
 				return
 			}
 		}
 	}
 }
 
-// byFreeCPU returns all workers, those with the most free CPU first. It sorts them
-// once per decision.
-func (p *Planner) byFreeCPU() []*worker {
-	if p.workersByFreeCPU == nil {
-		p.workersByFreeCPU = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int {
-			if by := cmp.Compare(b.free().CPU(), a.free().CPU()); by != 0 {
-				return by
-			}
-			return cmp.Compare(a.reg.ID, b.reg.ID)
-		})
-	}
-	return p.workersByFreeCPU
-}
-
-// usable reports whether tasks of the step may start on the worker, whatever its free
-// capacity and the advice. A worker reserved for another step takes only urgent steps,
-// and none if the other step is long-running.
-func (p *Planner) usable(s *step, w *worker, now time.Duration) bool {
-	if w.reg.Service != s.occurrence.job.queue.Service || !w.acceptsTasks(now) || p.cordoned[w.reg.Centre] || !p.persisted[w.reg.ID] {
+// mayUse reports whether tasks of the step may start on the worker in the current
+// decision, whatever its free capacity and the advice. A worker reserved for another
+// step takes only urgent steps, and none if the other step is long-running.
+func (s *step) mayUse(w *worker) bool {
+	if !w.open || w.reg.Service != s.occurrence.job.queue.Service {
 		return false
 	}
 	if w.reservedFor != nil && w.reservedFor != s && (s.occurrence.job.queue.Priority > 0 || w.reservedFor.spec.LongRunning) {
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // worker returns the worker with the id and adds it if it is new.
 func (p *Planner) worker(id string) *worker {
@@ -8,6 +11,8 @@
 	if w == nil {
 		w = &worker{reg: Registration{ID: id}, runs: map[runKey]*run{}, earlierOwnersFenced: true}
 		p.workers[id] = w
+		p.fleet = append(p.fleet, w)
+		p.byFreeCPU.add(w)
 	}
 	return w
 }
@@ -52,13 +57,19 @@
 // lease. It returns their ids. The caller may then drop these from the journal.
 func (p *Planner) PruneWorkers(now time.Duration) []string {
 	var ids []string
-	for id, w := range p.workers {
+	for _, w := range p.fleet {
 		if !w.listed && len(w.runs) == 0 && w.earlierOwnersFenced && now >= w.leaseExpiry {
-			delete(p.workers, id)
-			delete(p.persisted, id)
-			ids = append(ids, id)
+			delete(p.workers, w.reg.ID)
+			delete(p.persisted, w.reg.ID)
+			w.pruned = true
+			ids = append(ids, w.reg.ID)
 		}
 	}
+	if len(ids) > 0 {
+		isPruned := func(w *worker) bool { return w.pruned }
+		p.fleet = slices.DeleteFunc(p.fleet, isPruned)
+		p.byFreeCPU.remove(isPruned)
+	}
 	return ids
 }
 
@@ -104,7 +115,7 @@
 // has not called them yet, count as reachable.
 func (p *Planner) Partitioned() bool {
 	unresponsive, listed := 0, 0
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if !w.listed {
 			continue
 		}
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"filberthaven.example/placer"
 )
 
 // releaseHorizon is the remaining time below which the capacity of a run counts as free
@@ -131,16 +133,15 @@
 // should end within releaseHorizon as ended.
 func (p *Planner) reserve(s *step, now time.Duration) {
 	var placements []placement
-	for _, w := range p.workers {
-		if !p.usable(s, w, now) || s.occurrence.job.queue.AdviceCost != nil && !s.advice.eligible[w.reg.ID] || w.reservedFor != nil {
+	candidates := p.fleet
+	if s.occurrence.job.queue.AdviceCost != nil {
+		candidates = s.advice.eligible
+	}
+	for _, w := range candidates {
+		if w.reservedFor != nil || !s.mayUse(w) {
 			continue
 		}
-		free := w.free()
-		for _, r := range w.runs {
-			if p.remainingTime(r, now) < releaseHorizon {
-				free = free.Add(r.size)
-			}
-		}
+		free := p.freeSoon(w, now)
 		n := 0
 		for ; n < s.waitingTasks && s.spec.Size.Fits(free) && s.belowMaxPerWorker(w, n); n++ {
 			free = free.Sub(s.spec.Size)
@@ -162,6 +163,30 @@
 	}
 }
 
+// soonFree is a worker's free capacity if the runs that should end within
+// releaseHorizon had ended.
+type soonFree struct {
+	decision uint64 // in which it was computed
+	runs     int    // number of the worker's runs at that time
+	free     placer.Resources
+}
+
+// freeSoon returns the worker's soonFree.free. It computes it once in a decision, and
+// anew after the decision has started runs on the worker.
+func (p *Planner) freeSoon(w *worker, now time.Duration) placer.Resources {
+	if w.soonFree.decision == p.decisions && w.soonFree.runs == len(w.runs) {
+		return w.soonFree.free
+	}
+	free := w.free()
+	for _, r := range w.runs {
+		if p.remainingTime(r, now) < releaseHorizon {
+			free = free.Add(r.size)
+		}
+	}
+	w.soonFree = soonFree{p.decisions, len(w.runs), free}
+	return free
+}
+
 // remainingTime returns how long a run is expected to go on.
 func (p *Planner) remainingTime(r *run, now time.Duration) time.Duration {
 	expected := time.Duration(float64(r.step.spec.Estimate)*p.runTimeRatio(r.step.occurrence.job.spec.Queue)) * time.Millisecond
--- a/planner/load.go
+++ b/planner/load.go
@@ -74,7 +74,7 @@
 		return
 	}
 	l := load{computed: true, computedAt: now}
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		// Workers that have not answered a new owner yet count too.
 		if !w.listed || w.reg.Draining || p.cordoned[w.reg.Centre] {
 			continue
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -46,7 +46,7 @@
 		p.abandonGang(r)
 	default:
 		if outcome == NoTicket {
-			r.step.advice.dropTicket(a.Worker)
+			r.step.advice.dropTicket(w)
 		}
 		if outcome == NoCapacity {
 			w.health.noStartsBefore = max(w.health.noStartsBefore, now+time.Second/2)
--- a/planner/record.go
+++ b/planner/record.go
@@ -321,9 +321,9 @@
 	for id := range p.persisted {
 		p.worker(id)
 	}
-	// p.workers also contains workers that a record has removed from p.persisted but
+	// p.fleet also contains workers that a record has removed from p.persisted but
 	// that have inherited runs.
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		w.earlierOwnersFenced = false
 		w.leaseExpiry = leaseExpiry
 	}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -36,7 +36,10 @@
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
 	health              health
+	pruned              bool  // it was removed from the planner
 	reservedFor         *step // step for which the current decision has reserved this worker, else nil
+	open                bool  // tasks may start on it; set at the beginning of each decision
+	soonFree            soonFree
 }
 
 // runKey identifies a run on a worker.
