conductor, planner: Bounded start orders; a gang's try ends with its first missing member

Cause: all journaled starts were sent at once; on an overloaded owner thousands of calls slow each other down until they time out after 0.8 s, and each unanswered start is stopped and run again. A start withdrawn alone (worker draining, state out of date, resignation) left the other members of its gang waiting until the worker ended them as alone (GANG); an owner that resigned cut off the orders of a gang half way. Change: at most 256 orders in flight, in turn; a start whose turn comes after 1 s, that is not wanted any more or whose worker left a call unanswered is withdrawn. Any member that does not start ends the try: members that run are stopped, others are not ordered. A stop of a start without an outcome waits for the outcome. Journaled starts are ordered also after a resignation, while the lease of the ownership certainly runs. Tests: TestGangTryEnds failed on the parent (no stop of the running member); TestOrdersInFlight, TestGangOrderedAfterResignation (new). planner, conductor, runner pass with -race.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,7 @@
 	ctx        context.Context // of Run; ends with the ownership
 	wakeup     chan struct{}   // of capacity 1; has an element if the planner has updates to decide on
 	probeSlots chan struct{}   // of capacity maxProbes; has one element per probe in flight
+	orderSlots chan struct{}   // of capacity maxOrders; has one element per start order in flight
 	goroutines sync.WaitGroup
 	balancer   adviceBalancer
 
@@ -117,7 +118,7 @@
 		isOwner: func() bool { return true }, resign: func() {}, resignSlow: func() {}, now: claimer.Now,
 		members:       func() []claimer.Member { return nil },
 		leaseDuration: 6 * time.Second, log: hclog.NewNullLogger(), registry: metrics.NewRegistry(),
-		wakeup: make(chan struct{}, 1), probeSlots: make(chan struct{}, maxProbes), sessions: map[string]*session{},
+		wakeup: make(chan struct{}, 1), probeSlots: make(chan struct{}, maxProbes), orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{},
 	}
 	for _, option := range options {
 		option(c)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -1,14 +1,25 @@
 package conductor
 
 import (
+	"context"
 	"time"
 
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
 )
 
-// stopBackoff is the delay before a stop without confirmation is repeated.
-const stopBackoff = 300 * time.Millisecond
+const (
+	// stopBackoff is the delay before a stop without confirmation is repeated.
+	stopBackoff = 300 * time.Millisecond
+	// maxOrders is the number of start orders in flight. With more at once, the orders of
+	// an owner without a free processor slow each other down until all time out. With
+	// fewer, a tenth of 1,100 workers that don't answer for the 0.8 s of an order would
+	// hold up the others.
+	maxOrders = 256
+	// maxOrderWait is how long a start waits for its turn. After that it is decided anew,
+	// since its ticket and the state that it was decided on are out of date.
+	maxOrderWait = time.Second
+)
 
 // orderStarts writes starts to the journal before it orders them, so that the next
 // owner knows where each task may be running. Starts that the journal does not take
@@ -48,10 +59,17 @@
 	}
 }
 
-// start sends a start order to the worker and reports the outcome to the planner. It
-// withdraws the start if the worker no longer accepts tasks, if the worker's clock is
-// unknown, or if this VM may be out of date or no longer the owner.
+// start sends a start order to the worker, once it is its turn, and reports the outcome to
+// the planner. It withdraws the start if its turn comes too late, if the start is no longer
+// wanted, if the worker no longer accepts tasks, if the worker's clock is unknown, or if
+// this VM may be out of date or no longer the owner. A start that the journal holds is
+// ordered also after a resignation, while the lease of the ownership certainly runs: the
+// other members of a gang may be running already.
 func (c *Conductor) start(a planner.Action) {
+	queuedAt := c.now()
+	c.orderSlots <- struct{}{}
+	defer func() { <-c.orderSlots }()
+	late := c.now()-queuedAt > maxOrderWait
 	upToDate := c.upToDate()
 	c.mu.Lock()
 	s := c.sessions[a.Worker]
@@ -60,16 +78,18 @@
 	if s != nil {
 		leaseUntil = s.leaseUntil(sentAt, c.leaseDuration)
 	}
-	if s == nil || leaseUntil == 0 || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
+	wanted := c.planner.Wanted(a)
+	if s == nil || leaseUntil == 0 || late || !wanted || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
 		c.planner.ReportStart(a, planner.Withdrawn, sentAt)
 		c.mu.Unlock()
-		c.log.Info("start withdrawn", "task", a.Task, "run", a.Number, "worker", a.Worker, "fresh", upToDate)
+		c.log.Info("start withdrawn", "task", a.Task, "run", a.Number, "worker", a.Worker, "fresh", upToDate, "late", late, "wanted", wanted)
+		c.wake()
 		return
 	}
 	c.planner.ExtendLease(a.Worker, c.leaseExpiry(sentAt))
 	address := s.address
 	c.mu.Unlock()
-	result, err := c.executors.Start(c.ctx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
+	result, err := c.executors.Start(context.WithoutCancel(c.ctx), address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
 	if c.ctx.Err() != nil {
 		return
 	}
--- a/conductor/order_test.go
+++ b/conductor/order_test.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"filberthaven.example/emulator"
+	"filberthaven.example/keeper"
 	"filberthaven.example/placer"
 	"filberthaven.example/planner"
+	"filberthaven.example/platform"
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -19,7 +28,7 @@
 func TestStartIsWithdrawn(t *testing.T) {
 	c := &Conductor{
 		ctx: context.Background(), planner: planner.New(), isOwner: func() bool { return true }, now: func() time.Duration { return time.Second },
-		leaseDuration: time.Second, sessions: map[string]*session{"w": {id: "w", clock: 1, incarnation: 1}}, metrics: newOwnerMetrics(metrics.NewRegistry()), log: hclog.NewNullLogger(),
+		leaseDuration: time.Second, orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{"w": {id: "w", clock: 1, incarnation: 1}}, metrics: newOwnerMetrics(metrics.NewRegistry()), log: hclog.NewNullLogger(),
 	}
 	p := c.planner
 	p.Configure(planner.Config{Version: 1, Queues: []planner.Queue{{Name: "q", Service: "s", Stretch: 2, Objective: time.Second}}}, 0)
@@ -35,3 +44,95 @@
 		c.start(starts[0])
 	}
 }
+
+// newOrderer returns a conductor whose workers all have the given handler, and the starts of
+// a gang of n tasks, one on each worker.
+func newOrderer(t *testing.T, n int, handler http.HandlerFunc) (*Conductor, []planner.Action) {
+	t.Helper()
+	var addresses []string // the client opens few connections to each
+	for range min(n, 128) {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	c, err := New(keeper.Store{}, platform.NewExecutorClient(), "vm", 1, WithClock(func() time.Duration { return time.Second }))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	c.ctx = t.Context()
+	c.operatorMirror, c.workerMirror = newConnectedMirror(t), newConnectedMirror(t)
+	c.planner.Configure(planner.Config{Version: 1, Queues: []planner.Queue{{Name: "q", Service: "s", Stretch: 2, Objective: time.Second}}}, 0)
+	for i := range n {
+		id := fmt.Sprint("w", i)
+		c.planner.Register(planner.Registration{ID: id, Centre: "c", Service: "s", Incarnation: 1, Capacity: placer.NewResources(1000, 1000, 0)}, 0)
+		c.planner.MarkWorkerStored(id)
+		c.sessions[id] = &session{id: id, address: addresses[i%len(addresses)], clock: 1, incarnation: 1, heartbeating: true}
+	}
+	_, err = c.planner.Submit(planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: n, CPU: 1000, Memory: 1, Gang: true}}}, 0)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	c.planner.MarkStored("j")
+	starts := c.planner.Decide(time.Second, 0)
+	quicktest.Assert(t, starts, quicktest.HasLen, n)
+	return c, starts
+}
+
+// newConnectedMirror returns a mirror that counts as connected during the test.
+func newConnectedMirror(t *testing.T) *keeper.Mirror {
+	t.Helper()
+	mirror := keeper.NewMirror(emulator.NewStore().KV(), "")
+	go func() { _ = mirror.Run(t.Context()) }()
+	for mirror.ConnectedFor() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return mirror
+}
+
+// TestOrdersInFlight checks that an owner with many starts has at most maxOrders of them in
+// flight, and orders them all.
+func TestOrdersInFlight(t *testing.T) {
+	var now, most, all atomic.Int64
+	c, starts := newOrderer(t, 2*maxOrders, func(w http.ResponseWriter, _ *http.Request) {
+		n := now.Add(1)
+		for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+		}
+		time.Sleep(20 * time.Millisecond)
+		now.Add(-1)
+		all.Add(1)
+		fmt.Fprint(w, `{"clock-ms":1}`)
+	})
+	for _, a := range starts {
+		c.spawn(func() { c.start(a) })
+	}
+	c.goroutines.Wait()
+	quicktest.Check(t, all.Load(), quicktest.Equals, int64(len(starts)))
+	quicktest.Check(t, most.Load() <= maxOrders, quicktest.IsTrue, quicktest.Commentf("%d at once", most.Load()))
+}
+
+// TestGangOrderedAfterResignation checks that the members of a gang that the journal holds
+// are all ordered although the ownership ends after the first of them, and that none is
+// once the lease of the ownership may have expired. A gang without some of its members
+// waits in vain (rule GANG).
+func TestGangOrderedAfterResignation(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		isOwner bool
+		want    int64
+	}{{"lease runs", true, 3}, {"lease may have expired", false, 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			var ordered atomic.Int64
+			c, starts := newOrderer(t, 3, func(w http.ResponseWriter, _ *http.Request) {
+				ordered.Add(1)
+				fmt.Fprint(w, `{"clock-ms":1}`)
+			})
+			ctx, resign := context.WithCancel(t.Context())
+			c.ctx = ctx
+			c.start(starts[0])
+			resign()
+			c.isOwner = func() bool { return test.isOwner }
+			var wg sync.WaitGroup
+			for _, a := range starts[1:] {
+				wg.Go(func() { c.start(a) })
+			}
+			wg.Wait()
+			quicktest.Check(t, ordered.Load(), quicktest.Equals, test.want)
+		})
+	}
+}
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -34,11 +34,12 @@
 }
 
 // Accepts reports whether the platform's list and the operators still let tasks
-// start on the worker. The caller checks this right before it orders a start, since
-// the worker may have begun to drain while the start was written to the journal.
+// start on the worker, and it has answered the last call. The caller checks this right
+// before it orders a start, since the worker may have begun to drain, or have become
+// unresponsive, while the start was written to the journal.
 func (p *Planner) Accepts(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.listed && !w.reg.Draining && !p.cordoned[w.reg.Centre]
+	return w != nil && w.listed && !w.reg.Draining && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls
 }
 
 // MarkWorkerStored lets tasks start on a worker. The caller calls it once the journal
@@ -84,8 +85,8 @@
 		if r.phase == phaseUnanswered || r.phase == phaseDecided {
 			r.workerRestartedAt = now
 			r.stopOrdered = false
-			r.obsolete = false
-			p.abandon(r)
+			r.obsolete = true
+			p.stopIfObsolete(r)
 			continue
 		}
 		p.endRun(r, Lost, r.checkpoint, now)
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -22,7 +22,19 @@
 	return [...]string{"began", "refused", "no answer", "no ticket", "no room", "newer owner", "withdrawn"}[o]
 }
 
-// ReportStart reports the outcome of a Start.
+// Wanted reports whether a decided start should still be ordered. It is false once its
+// job or its gang's try has ended; the caller then reports it as Withdrawn.
+func (p *Planner) Wanted(a Action) bool {
+	w := p.workers[a.Worker]
+	if w == nil {
+		return false
+	}
+	r := w.runs[runKey{a.Task, a.Number}]
+	return r != nil && r.phase == phaseDecided && !r.obsolete
+}
+
+// ReportStart reports the outcome of a Start. A gang's try ends with the first member that
+// does not start, for whatever reason.
 func (p *Planner) ReportStart(a Action, outcome Outcome, now time.Duration) {
 	w := p.workers[a.Worker]
 	if w == nil {
@@ -38,11 +50,13 @@
 		r.confirmedAt = now
 		r.step.occurrence.job.begun = true
 		w.unansweredCalls = 0
+		p.stopIfObsolete(r)
 	case Unknown:
 		// The order may still be carried out later. The answer to a stop prevents that.
 		w.unansweredCalls++
 		r.phase = phaseUnanswered
 		p.abandon(r)
+		p.stopIfObsolete(r)
 		p.abandonGang(r)
 	default:
 		if outcome == NoTicket {
@@ -54,8 +68,8 @@
 		p.endRun(r, Stopped, "", now)
 		if outcome != Withdrawn {
 			w.unansweredCalls = 0
-			p.abandonGang(r)
 		}
+		p.abandonGang(r)
 	}
 }
 
@@ -214,6 +228,7 @@
 		}
 		if r.phase == phaseDecided || r.phase == phaseInherited {
 			r.phase, r.confirmedAt = phaseRunning, now
+			p.stopIfObsolete(r)
 		}
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -249,13 +249,21 @@
 }
 
 // abandon marks a run as obsolete and orders its stop. The run stays on its task until
-// it has certainly ended: it may yet begin, and two runs of a task must not overlap.
+// it has certainly ended: it may yet begin, and two runs of a task must not overlap. The
+// stop of a start without an outcome waits for the outcome: if the start is withdrawn,
+// there is nothing to stop.
 func (p *Planner) abandon(r *run) {
 	if r.obsolete {
 		return
 	}
 	r.obsolete = true
-	if !r.stopOrdered {
+	p.stopIfObsolete(r)
+}
+
+// stopIfObsolete orders the stop of an obsolete run unless its start has no outcome yet
+// or a stop was ordered before. It is called after each change of the run's phase.
+func (p *Planner) stopIfObsolete(r *run) {
+	if r.obsolete && !r.stopOrdered && r.phase != phaseDecided {
 		p.stop(r)
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -237,3 +237,33 @@
 		f.Assert(restored.Pending("q"), quicktest.Equals, 0)
 	})
 }
+
+// TestGangTryEnds checks that a member of a gang whose start is withdrawn ends the gang's
+// try: members that run are stopped, those not ordered yet are not wanted any more. The
+// members would otherwise wait for it in vain (rule GANG).
+func TestGangTryEnds(t *testing.T) {
+	f := newFixture(t, 1)
+	gang := newStep(3)
+	gang.Gang = true
+	f.submit("j", gang)
+	starts := f.decide()
+	f.Assert(starts, quicktest.HasLen, 3)
+	f.p.ReportStart(starts[0], Accepted, f.now)
+	f.Assert(f.p.Wanted(starts[2]), quicktest.IsTrue)
+	f.p.ReportStart(starts[1], Withdrawn, f.now)
+	f.Assert(f.p.Wanted(starts[2]), quicktest.IsFalse)
+	stops := f.decide()
+	f.Assert(stops, quicktest.HasLen, 1, quicktest.Commentf("only the member that runs has to be stopped"))
+	f.Assert(stops[0].Kind, quicktest.Equals, Stop)
+	f.Assert(stops[0].Task, quicktest.Equals, starts[0].Task)
+	f.p.ReportStart(starts[2], Accepted, f.now) // its order was sent before
+	stops = f.decide()
+	f.Assert(stops, quicktest.HasLen, 1)
+	f.Assert(stops[0].Task, quicktest.Equals, starts[2].Task)
+	f.listEnd(starts[0], 1, Stopped)
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.listEnd(starts[2], 2, Stopped)
+	again := f.starts()
+	f.Assert(again, quicktest.HasLen, 3)
+	f.Assert(again[0].Number, quicktest.Equals, 2)
+}
