platform, runner: Keep as many connections to workers as the VM has descriptors for

Change: the settings give max-fds (files); the VM keeps all but 2,400 of them, and at least a quarter, for unused connections. Without the setting the limit stays 1,200.

--- a/conductor/mirrors_test.go
+++ b/conductor/mirrors_test.go
@@ -25,7 +25,7 @@
 	c.Assert(p.Configure(1), quicktest.IsNil)
 	store := platform.NewStore(p.StoreAddress, 300*time.Millisecond, metrics.NewRegistry())
 	// The ownership never ends, so only the unresponsive watches can stop the owner.
-	owner, err := New(store.KV(), platform.NewExecutorClient(), "vm", 1, WithIsOwner(func() bool { return true }))
+	owner, err := New(store.KV(), platform.NewExecutorClient(platform.DefaultIdle), "vm", 1, WithIsOwner(func() bool { return true }))
 	c.Assert(err, quicktest.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/conductor/order_test.go
+++ b/conductor/order_test.go
@@ -55,7 +55,7 @@
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
-	c, err := New(keeper.Store{}, platform.NewExecutorClient(), "vm", 1, WithClock(func() time.Duration { return time.Second }))
+	c, err := New(keeper.Store{}, platform.NewExecutorClient(platform.DefaultIdle), "vm", 1, WithClock(func() time.Duration { return time.Second }))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	c.ctx = t.Context()
 	c.operatorMirror, c.workerMirror = newConnectedMirror(t), newConnectedMirror(t)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -85,12 +85,12 @@
 func New(settings *Settings, log hclog.Logger, registry metrics.Registry) (*Runner, error) {
 	r := &Runner{settings: settings, log: log, registry: registry, calibrator: conductor.NewCalibrator(claimer.Now)}
 	r.store = platform.NewStore(settings.store, memberWatchTimeout, r.registry)
-	r.executors = platform.NewExecutorClient()
+	r.executors = platform.NewExecutorClient(settings.idleConnections())
 	if settings.advice != "" {
 		r.adviceClient = platform.NewAdviceClient(settings.advice)
 	}
 	var err error
-	if r.messenger, err = messenger.New(messenger.WithClient(platform.NewHTTPClient(peerConnections), "http")); err != nil {
+	if r.messenger, err = messenger.New(messenger.WithClient(platform.NewHTTPClient(peerConnections, platform.DefaultIdle), "http")); err != nil {
 		return nil, err
 	}
 	r.relayer = relayer.New(r.store.KV(), r.store.WithWatchTimeout(ownerWatchTimeout).KV(), settings.id, r.messenger, func() []claimer.Member { return r.claimer.Members() }, log, r.registry)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberthaven.example/loader"
+	"filberthaven.example/platform"
 	"filberthaven.example/spooler"
 	"github.com/samber/oops"
 )
@@ -24,6 +25,7 @@
 	json       bool          // log lines are JSON objects
 	bootstrap  bool          // the whole system starts for the first time
 	memory     int64         // bytes that the process may use, 0 if not configured
+	files      int           // descriptors that the process may open, 0 if not configured
 	rate       int           // lines with the same message logged per second, 0 for no limit
 }
 
@@ -43,6 +45,18 @@
 // limit.
 func (s *Settings) Rate() int { return s.rate }
 
+// descriptorReserve is the number of descriptors kept for connections in use: a call
+// that waits at each of 1,100 workers, orders, callers and peers.
+const descriptorReserve = 2400
+
+// idleConnections returns how many unused connections to workers the VM keeps.
+func (s *Settings) idleConnections() int {
+	if s.files == 0 {
+		return platform.DefaultIdle
+	}
+	return max(s.files-descriptorReserve, s.files/4)
+}
+
 const (
 	// defaultDrain is how long a stopping VM keeps serving callers until the load
 	// balancer has noticed: two readiness checks, 1 s apart, with time to spare.
@@ -69,6 +83,7 @@
 	s.metrics = loader.Get(vm, "metrics", loader.Address, "")
 	s.processor = loader.Get(vm, "processor", loader.Float, 0, loader.Between(0.0, 1024.0))
 	s.memory = loader.Get(vm, "memory", loader.Size, 0)
+	s.files = loader.Get(vm, "files", loader.Int, 0, loader.Between(0, 1<<20))
 	s.bootstrap = loader.Get(vm, "bootstrap", loader.Bool, false)
 	s.drain = loader.Get(vm, "drain", loader.Duration, defaultDrain, loader.Between(0, time.Hour))
 	platform := d.Section("platform")
