conductor, keeper: Serve while the mirrors are fresh; judge the owner by answered orders

(2) The owner resigned at 3.9, 8.5 and 34.3 s since workers left orders unanswered or were cut off with their data centre: their 0.8 s counted as its own latency, with the processor idle. (3) By reading: the age of a mirror was measured by a clock that stops while the VM is suspended, so a resumed owner could act on a configuration that was seconds old. Change: the owner is up to date while both mirrors had an answer within maxStaleness, by a clock that counts suspended time; its watches wait 400 ms (800 before), which leaves time to list anew; only answered orders count as latency. Tests: the new case in TestMirror; keeper, conductor, runner, claimer pass with -race.

--- a/conductor/latency.go
+++ b/conductor/latency.go
@@ -37,7 +37,7 @@
 	return sorted[latencySamples/2] > maxMedianLatency
 }
 
-// observeLatency records the latency of an order and resigns if this VM has become too
+// observeLatency records the latency of an answered order and resigns if this VM has become too
 // slow. A VM may share its processor with others: an owner that ran five times slower
 // than usual started urgent work 4 s late, in scenario scale-1 of lychnos-fh. The
 // caller holds c.mu.
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -27,9 +27,9 @@
 // startMirrors starts the watches that notify the planner of changes to the
 // operators' configuration and to the worker entries.
 func (c *Conductor) startMirrors(ctx context.Context) {
-	operators := keeper.NewMirror(c.store, platform.OperatorPrefix, keeper.WithPollInterval(operatorPollInterval), keeper.WithDisconnectTimeout(maxStaleness), keeper.WithMaxBackoff(maxStoreBackoff), keeper.WithLogger(c.log))
+	operators := keeper.NewMirror(c.store, platform.OperatorPrefix, keeper.WithPollInterval(operatorPollInterval), keeper.WithDisconnectTimeout(maxStaleness), keeper.WithClock(c.now), keeper.WithMaxBackoff(maxStoreBackoff), keeper.WithLogger(c.log))
 	operators.Subscribe(platform.OperatorPrefix, c.applyOperatorChange)
-	workers := keeper.NewMirror(c.store, platform.ExecutorsPrefix, keeper.WithPollInterval(workerPollInterval), keeper.WithDisconnectTimeout(maxStaleness), keeper.WithMaxBackoff(maxStoreBackoff), keeper.WithLogger(c.log))
+	workers := keeper.NewMirror(c.store, platform.ExecutorsPrefix, keeper.WithPollInterval(workerPollInterval), keeper.WithDisconnectTimeout(maxStaleness), keeper.WithClock(c.now), keeper.WithMaxBackoff(maxStoreBackoff), keeper.WithLogger(c.log))
 	workers.Subscribe(platform.ExecutorsPrefix, c.applyWorkerEntry)
 	c.mu.Lock()
 	c.operatorMirror, c.workerMirror = operators, workers
@@ -120,7 +120,7 @@
 	c.mu.Lock()
 	operators, workers := c.operatorMirror, c.workerMirror
 	c.mu.Unlock()
-	return operators != nil && operators.ConnectedFor() > 0 && workers.ConnectedFor() > 0
+	return operators != nil && operators.Fresh(maxStaleness) && workers.Fresh(maxStaleness)
 }
 
 func (c *Conductor) deregister(id, reason string) {
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -95,7 +95,10 @@
 	}
 	c.mu.Lock()
 	s.observe(result, sentAt)
-	c.observeLatency(c.now() - sentAt)
+	if result.Outcome != planner.Unknown {
+		// An order without an answer tells of its worker, not of this VM.
+		c.observeLatency(c.now() - sentAt)
+	}
 	c.planner.ReportStart(a, result.Outcome, c.now())
 	if result.Outcome == planner.Accepted || result.Outcome == planner.Unknown {
 		c.startHeartbeats(s)
--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -41,6 +41,7 @@
 	disconnectTimeout time.Duration
 	maxBackoff        time.Duration
 	watcherCount      func() int // number of mirrors of the prefix, as far as known
+	now               func() time.Duration
 	log               hclog.Logger
 
 	notifyMu sync.Mutex // held while subscribers are notified; locked before mu
@@ -51,6 +52,7 @@
 	next           uint64           // version to watch from; only rises
 	connectedSince time.Time        // zero before the first response and after an error
 	lastResponse   time.Time        // when the last response came
+	respondedAt    time.Duration    // as lastResponse, by now; valid unless lastResponse is zero
 }
 
 // subscriber is notified of changes under a prefix.
@@ -85,6 +87,10 @@
 	return func(m *Mirror) { m.watcherCount = count }
 }
 
+// WithClock sets the clock of Fresh. It should include the time for which the VM was
+// suspended. The default is a monotonic clock that need not.
+func WithClock(now func() time.Duration) MirrorOption { return func(m *Mirror) { m.now = now } }
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) MirrorOption {
 	return func(m *Mirror) { m.log = log.Named("mirror") }
@@ -92,6 +98,7 @@
 
 // NewMirror returns an empty mirror of the keys under prefix. Run fills it.
 func NewMirror(store Store, prefix string, options ...MirrorOption) *Mirror {
+	started := time.Now()
 	m := &Mirror{
 		store:             store,
 		prefix:            prefix,
@@ -99,6 +106,7 @@
 		disconnectTimeout: DefaultDisconnectTimeout,
 		maxBackoff:        DefaultMaxBackoff,
 		watcherCount:      func() int { return 1 },
+		now:               func() time.Duration { return time.Since(started) },
 		log:               hclog.NewNullLogger(),
 		entries:           map[string]Entry{},
 	}
@@ -209,6 +217,14 @@
 	return time.Since(m.connectedSince)
 }
 
+// Fresh reports whether the store has answered within the last limit, so that the mirror
+// holds all that was written before then. A failed watch since does not matter.
+func (m *Mirror) Fresh(limit time.Duration) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return !m.lastResponse.IsZero() && m.now()-m.respondedAt <= limit
+}
+
 // nextVersion returns the version from which the next watch continues.
 func (m *Mirror) nextVersion() uint64 {
 	m.mu.RLock()
@@ -237,7 +253,7 @@
 		m.log.Info("connected to the key-value service", "version", next)
 		m.connectedSince = now
 	}
-	m.lastResponse = now
+	m.lastResponse, m.respondedAt = now, m.now()
 	m.next = max(m.next, next)
 }
 
--- a/keeper/mirror_test.go
+++ b/keeper/mirror_test.go
@@ -18,7 +18,7 @@
 }
 
 // startMirror runs a mirror whose watches return the responses sent to the channel.
-func startMirror(c *qt.C) (*keeper.Mirror, chan<- response) {
+func startMirror(c *qt.C, options ...keeper.MirrorOption) (*keeper.Mirror, chan<- response) {
 	c.Helper()
 	responses := make(chan response)
 	mirror := keeper.NewMirror(keeper.Store{
@@ -30,7 +30,7 @@
 				return nil, 0, ctx.Err()
 			}
 		},
-	}, "live/")
+	}, "live/", options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	go func() { _ = mirror.Run(ctx) }()
@@ -101,6 +101,24 @@
 		time.Sleep(time.Second)
 		c.Assert(mirror.ConnectedFor() <= time.Second, qt.IsTrue)
 	})
+	run("the mirror stays fresh after an error, and not after a suspension", func(c *qt.C) {
+		suspended := time.Duration(0)
+		started := time.Now()
+		mirror, responses := startMirror(c, keeper.WithClock(func() time.Duration { return time.Since(started) + suspended }))
+		c.Assert(mirror.Fresh(time.Hour), qt.IsFalse)
+		responses <- response{}
+		synctest.Wait()
+		responses <- response{err: keeper.ErrUnavailable}
+		time.Sleep(time.Second)
+		c.Assert(mirror.Fresh(2*time.Second), qt.IsTrue)
+		time.Sleep(2 * time.Second)
+		c.Assert(mirror.Fresh(2*time.Second), qt.IsFalse)
+		responses <- response{}
+		synctest.Wait()
+		c.Assert(mirror.Fresh(2*time.Second), qt.IsTrue)
+		suspended = 5 * time.Second
+		c.Assert(mirror.Fresh(2*time.Second), qt.IsFalse)
+	})
 	run("a gap without responses disconnects the mirror", func(c *qt.C) {
 		mirror, responses := startMirror(c)
 		responses <- response{}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,8 +29,10 @@
 	// change. It is long because the platform charges for each watch.
 	memberWatchTimeout = 10 * time.Second
 	// ownerWatchTimeout is how long the owner's watches wait for a change. It is short
-	// because a watch that gets no response delays a new configuration by that time.
-	ownerWatchTimeout = 800 * time.Millisecond
+	// because a watch that gets no response delays a new configuration by that time, and
+	// leaves the owner with less than a second to list the keys anew before it has to stop
+	// deciding.
+	ownerWatchTimeout = 400 * time.Millisecond
 	// headerTimeout limits reading the header of a request.
 	headerTimeout = 3 * time.Second
 	// idleTimeout is how long an idle connection of a caller is kept open.
