planner: The wait for capacity ends once freed capacity has done the work ahead

Change: the wait ends when enough capacity is free for the work ahead at once, or when the freed capacity has done that work, whichever is sooner.

--- a/planner/load.go
+++ b/planner/load.go
@@ -16,14 +16,13 @@
 // since a worker without free memory has no use for its processors. Work is capacity
 // times milliseconds.
 type load struct {
-	computed    bool
-	computedAt  time.Duration
-	meanWorker  placer.Resources  // mean capacity of the workers that take work
-	capacity    float64           // number of workers that take work
-	free        float64           // their free capacity, in workers
-	running     []expectedRelease // by time, soonest first
-	runningWork float64           // expected remaining work of the runs
-	waiting     []demand          // of all jobs, including those admitted since computedAt
+	computed   bool
+	computedAt time.Duration
+	meanWorker placer.Resources  // mean capacity of the workers that take work
+	capacity   float64           // number of workers that take work
+	free       float64           // their free capacity, in workers
+	running    []expectedRelease // by time, soonest first
+	waiting    []demand          // of all jobs, including those admitted since computedAt
 }
 
 // expectedRelease is capacity that becomes free when a run is expected to end.
@@ -42,10 +41,11 @@
 // add counts a job that was just admitted.
 func (l *load) add(d demand) { l.waiting = append(l.waiting, d) }
 
-// wait estimates how long a job waits for capacity if it has to start by latestStart.
-// It is the time until the ends of runs have freed the capacity that all the demand
-// ahead of the job needs at once. If the runs together free too little, it is the time
-// that the fleet takes for the work ahead and the work of the runs.
+// wait estimates how long a job waits for capacity if it has to start by latestStart. It
+// is the time until the ends of runs have freed the capacity that all the demand ahead of
+// the job needs at once or, if that is sooner, until the capacity that they free has done
+// the work ahead. The first alone overestimates the wait when few long runs hold the last
+// of the capacity.
 func (l *load) wait(latestStart time.Duration) time.Duration {
 	var capacity, work float64
 	for _, d := range l.waiting {
@@ -57,15 +57,22 @@
 	if capacity <= l.free {
 		return 0
 	}
-	lacking := capacity - l.free
-	last := time.Duration(0)
+	available, at := l.free, time.Duration(0)
 	for _, r := range l.running {
-		last = r.after
-		if lacking -= r.capacity; lacking <= 0 {
-			return last
+		done := available * float64((r.after - at).Milliseconds())
+		if done >= work {
+			break
 		}
+		work -= done
+		available, at = available+r.capacity, r.after
+		if available >= capacity {
+			return at
+		}
+	}
+	if available <= 0 {
+		available = l.capacity // all that runs is on workers that take no work any more
 	}
-	return max(last, time.Duration((work+l.runningWork)/l.capacity)*time.Millisecond)
+	return at + time.Duration(work/available)*time.Millisecond
 }
 
 // refreshLoad computes the load unless it is younger than maxLoadAge.
@@ -86,7 +93,6 @@
 			left := p.remainingTime(r, now)
 			capacity := r.size.DominantShare(w.reg.Capacity)
 			l.running = append(l.running, expectedRelease{left, capacity})
-			l.runningWork += capacity * float64(left.Milliseconds())
 		}
 	}
 	if n := int64(l.capacity); n > 0 {
