claimer: A small VM also waits for large ones whose records have just run out

Change: a VM whose record was removed counts for 20 s when a small VM waits for larger ones. Test: the new case of TestLargeVMClaimsFirst fails in 10 of 10 runs on the parent and passes in 10 of 10; claimer passes with -race.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -138,7 +138,7 @@
 		option(c)
 	}
 	c.mirror = keeper.NewMirror(store, livePrefix, keeper.WithPollInterval(pollInterval), keeper.WithDisconnectTimeout(disconnectTimeout), keeper.WithMaxBackoff(maxStoreBackoff), keeper.WithWatcherCount(c.vmCount), keeper.WithLogger(c.log))
-	c.roster = newRoster(c.log)
+	c.roster = newRoster(c.log, c.now)
 	c.mirror.Subscribe(vmPrefix, c.roster.applyVM)
 	c.mirror.Subscribe(ownerKey, func(entry keeper.Entry) {
 		c.roster.applyOwner(entry)
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -115,6 +115,25 @@
 			assertOwner(c, large, restarted)
 		})
 	})
+	t.Run("a large VM claims after an outage in which all records ran out", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := emulator.NewStore()
+			first := start(c, store, "large", "1", claimer.WithProcessor(0.8))
+			time.Sleep(2 * time.Second)
+			var small []*vm
+			for n := range 6 {
+				small = append(small, start(c, store, fmt.Sprint("small-", n), "1", claimer.WithProcessor(0.192)))
+			}
+			time.Sleep(time.Second)
+			assertOwner(c, first, small...)
+			store.SetFaults(emulator.Down())
+			time.Sleep(10 * time.Second)
+			store.SetFaults()
+			time.Sleep(3 * time.Second)
+			assertOwner(c, first, small...)
+		})
+	})
 	t.Run("a small VM claims when no other is left", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
--- a/claimer/precedence.go
+++ b/claimer/precedence.go
@@ -21,8 +21,8 @@
 }
 
 // claimDelay returns how long this VM lets others claim first. It is longest if this VM
-// is deprioritized, and shorter if a much larger VM is registered, since the owner of a
-// large fleet would use up the processor of a small VM.
+// is deprioritized, and shorter if a much larger VM is registered or was until lately,
+// since the owner of a large fleet would use up the processor of a small VM.
 func (c *Claimer) claimDelay() time.Duration {
 	if c.isDeprioritized(c.self) {
 		return deprioritizedDelay
--- a/claimer/roster.go
+++ b/claimer/roster.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"filberthaven.example/keeper"
 	"github.com/hashicorp/go-hclog"
@@ -17,15 +18,29 @@
 type roster struct {
 	log hclog.Logger
 
-	mu      sync.RWMutex      // guards the fields below
-	records map[string]record // of the VMs, by id
-	members []Member          // of records, sorted by id; replaced, never modified
-	owner   record            // valid only if term is not 0
-	term    uint64            // of the owner; 0 if there is none or its record is invalid
+	now func() time.Duration
+
+	mu       sync.RWMutex         // guards the fields below
+	departed map[string]departure // VMs whose record was removed, by id
+	records  map[string]record    // of the VMs, by id
+	members  []Member             // of records, sorted by id; replaced, never modified
+	owner    record               // valid only if term is not 0
+	term     uint64               // of the owner; 0 if there is none or its record is invalid
+}
+
+// departure is a VM whose record was removed at a time.
+type departure struct {
+	record record
+	at     time.Duration
 }
 
-func newRoster(log hclog.Logger) *roster {
-	return &roster{log: log, records: map[string]record{}}
+// departureMemory is how long a VM whose record was removed is taken into account by any.
+// In an outage in which leases run out all records vanish, and those of running VMs return
+// within seconds of its end.
+const departureMemory = 20 * time.Second
+
+func newRoster(log hclog.Logger, now func() time.Duration) *roster {
+	return &roster{log: log, now: now, records: map[string]record{}, departed: map[string]departure{}}
 }
 
 // decode returns the record of an entry, or false if it was deleted or is invalid.
@@ -52,11 +67,13 @@
 	members := slices.Clone(r.members)
 	if known {
 		members = slices.Delete(members, index, index+1)
+		r.departed[id] = departure{r.records[id], r.now()}
 		delete(r.records, id)
 	}
 	if ok && decoded.ID == id {
 		members = slices.Insert(members, index, decoded.member())
 		r.records[id] = decoded
+		delete(r.departed, id)
 	}
 	r.members = members
 }
@@ -86,14 +103,22 @@
 	return r.members
 }
 
-// any reports whether match holds for the record of any registered VM.
+// any reports whether match holds for the record of any VM that is registered or was
+// within departureMemory.
 func (r *roster) any(match func(record) bool) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, vm := range r.records {
 		if match(vm) {
 			return true
 		}
 	}
+	for id, left := range r.departed {
+		if r.now()-left.at > departureMemory {
+			delete(r.departed, id)
+		} else if match(left.record) {
+			return true
+		}
+	}
 	return false
 }
