--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -218,8 +218,8 @@
 }
 
 // runDecisions lets the planner decide after updates, and at least once every
-// maxDecisionInterval, until ctx ends. It pauses while the ownership is in doubt or a
-// mirror is out of date, and resigns when the journal has ended.
+// maxDecisionInterval, until ctx ends. It pauses while the ownership is in doubt, a mirror
+// is out of date or the journal takes no starts, and resigns when the journal has ended.
 func (c *Conductor) runDecisions(ctx context.Context) {
 	ticker := time.NewTicker(maxDecisionInterval)
 	defer ticker.Stop()
@@ -241,7 +241,7 @@
 			}
 		case <-ticker.C:
 		}
-		if !c.isOwner() || !c.upToDate() {
+		if !c.isOwner() || !c.upToDate() || !c.journal.Available() {
 			continue
 		}
 		c.decide(ctx)
--- a/journaler/queue.go
+++ b/journaler/queue.go
@@ -92,6 +92,14 @@
 	return !j.blockedSince.IsZero() && time.Since(j.blockedSince) >= stallTimeout
 }
 
+// Available reports whether new records are admitted: the journal has not ended, and
+// writing has not failed or hung for stallTimeout.
+func (j *Journaler) Available() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.endErr == nil && !j.closing && !j.stalled()
+}
+
 // withdraw removes an item from the queue because its caller no longer waits. It
 // returns ErrUnavailable if the item was still queued, the outcome if that is known
 // already, and otherwise ErrOutcomeUnknown.
