conductor: Decisions leave four fifths of the processor to orders

Cause: a decision came 6 ms after the last, however long that took. With 2 ms a decision at 1,100 workers this is a quarter of a core, and on a VM with 0.192 cores a decision takes 10 ms: decisions then take most of the processor, and what they decide is not ordered. Change: updates are batched for four times as long as the last decision took, at least 6 ms and at most 60 ms.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -19,6 +19,12 @@
 	// updateBatchDelay is how long updates are batched before the planner decides. It
 	// is short compared with the 250 ms within which urgent work must start.
 	updateBatchDelay = 6 * time.Millisecond
+	// idlePerDecision is the least time between two decisions as a multiple of how long
+	// the last one took, so that decisions take at most a fifth of the processor. The
+	// rest is for orders and heartbeats, without which nothing that was decided happens.
+	idlePerDecision = 4
+	// maxBatchDelay limits that time.
+	maxBatchDelay = 60 * time.Millisecond
 	// maxDecisionInterval is the longest time between two decisions. Some changes come
 	// without an update, such as the expiry of a lease.
 	maxDecisionInterval = 250 * time.Millisecond
@@ -70,6 +76,7 @@
 	routing        routingTable
 	tookOverAt     time.Duration // when the journal had been read
 	orderLatency   latencyWindow
+	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	wakeups        wakeupWindow
 	overloadLog    repeatedWarning // of slow orders because of the load
 	partitionLog   repeatedWarning // of unresponsive workers because of the load
@@ -234,7 +241,7 @@
 			<-ctx.Done()
 			return
 		case <-c.wakeup:
-			time.Sleep(updateBatchDelay)
+			c.sleep(batchDelay(c.decisionTime))
 			select {
 			case <-c.wakeup:
 			default:
@@ -252,6 +259,12 @@
 	}
 }
 
+// batchDelay returns how long updates are batched before a decision, if the last one took
+// that long.
+func batchDelay(lastDecision time.Duration) time.Duration {
+	return min(max(updateBatchDelay, idlePerDecision*lastDecision), maxBatchDelay)
+}
+
 // decide carries out the planner's decisions, and resigns if most workers do not respond
 // while the processor has spare time. A saturated owner reads their answers too late.
 func (c *Conductor) decide(ctx context.Context) {
@@ -259,6 +272,7 @@
 	now := c.now()
 	partitioned, saturated := c.planner.Partitioned(), c.wakeups.saturated()
 	actions := c.planner.Decide(now, wallClock())
+	c.decisionTime = c.now() - now
 	if partitioned && saturated {
 		if repeats, due := c.partitionLog.next(now); due {
 			c.log.Warn("most workers do not respond, and the processor has no spare time; keeping the ownership", "repeats", repeats)
