planner: Advice by list instead of by map, run time ratios without look-ups

Change: a step keeps its eligible workers with their tickets in one list, over which decisions iterate; a job points at its queue's statistics.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -11,37 +11,50 @@
 // advice is what a step has learned from the advice service, and its requests in
 // flight. Whether a worker is eligible doesn't change, but tickets are short-lived.
 type advice struct {
-	known    map[*worker]bool   // workers of which it is known whether they may run the step
-	eligible []*worker          // those of known that may run it, each once
-	tickets  map[*worker]ticket // some have expired
-	queried  map[*worker]bool   // workers in requests in flight
-	requests int                // number of requests in flight
+	known    map[*worker]*eligibleWorker // workers of which it is known whether they may run the step; nil if not
+	eligible []*eligibleWorker           // those of known that may run it, each once
+	queried  map[*worker]bool            // workers in requests in flight
+	requests int                         // number of requests in flight
 }
 
-// ticket lets tasks of a step start on one incarnation of a worker.
-type ticket struct {
-	text        string
-	expiry      time.Duration // ticketMargin before the end of its validity
-	incarnation int64         // of the worker
+// eligibleWorker is a worker that may run a step, with the newest ticket, which lets tasks
+// of the step start on one incarnation of it.
+type eligibleWorker struct {
+	worker      *worker
+	ticket      string
+	expiry      time.Duration // ticketMargin before the end of the ticket's validity; 0 without a ticket
+	incarnation int64         // of the worker that the ticket is for
 }
 
-// valid reports whether the ticket still lets tasks start on the worker.
-func (t ticket) valid(w *worker, now time.Duration) bool {
-	return now < t.expiry && t.incarnation == w.reg.Incarnation
+// hasTicket reports whether the ticket still lets tasks start on the worker.
+func (e *eligibleWorker) hasTicket(now time.Duration) bool {
+	return now < e.expiry && e.incarnation == e.worker.reg.Incarnation
+}
+
+// knows reports whether it is known if the worker may run the step.
+func (a *advice) knows(w *worker) bool {
+	_, known := a.known[w]
+	return known
 }
 
 // ticketMargin is how long before its end a ticket counts as expired, since the order
 // takes time to reach the worker.
 const ticketMargin = 150 * time.Millisecond
 
-func (a *advice) hasTicket(w *worker, now time.Duration) bool {
-	t, found := a.tickets[w]
-	return found && t.valid(w, now)
+// ticketText returns the newest ticket for the worker, empty if there is none.
+func (a *advice) ticketText(w *worker) string {
+	if e := a.known[w]; e != nil {
+		return e.ticket
+	}
+	return ""
 }
 
-func (a *advice) ticketText(w *worker) string { return a.tickets[w].text }
-
-func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
+// dropTicket forgets the ticket for the worker.
+func (a *advice) dropTicket(w *worker) {
+	if e := a.known[w]; e != nil {
+		e.ticket, e.expiry = "", 0
+	}
+}
 
 const (
 	// workerCostFactor sets how many workers a request names: so many that they add this
@@ -117,8 +130,8 @@
 		return false
 	}
 	eligible := float64(len(s.advice.queried)) * p.eligibleFraction(s.occurrence.job.spec.Queue)
-	for _, w := range s.advice.eligible {
-		if w.listed {
+	for _, e := range s.advice.eligible {
+		if e.worker.listed {
 			eligible++
 		}
 	}
@@ -141,7 +154,8 @@
 func (s *step) renewableTickets(now time.Duration) []*worker {
 	var renewable []*worker
 	fitting := 0
-	for _, w := range s.advice.eligible {
+	for _, e := range s.advice.eligible {
+		w := e.worker
 		if !s.mayUse(w) || s.advice.queried[w] {
 			continue
 		}
@@ -150,7 +164,7 @@
 			continue
 		}
 		fitting += n
-		if !s.advice.hasTicket(w, now) {
+		if !e.hasTicket(now) {
 			renewable = append(renewable, w)
 		}
 	}
@@ -178,7 +192,7 @@
 		if len(found) == limit {
 			break
 		}
-		if s.mayUse(w) && s.spec.Size.Fits(w.reg.Capacity) && !s.advice.known[w] && !s.advice.queried[w] {
+		if s.mayUse(w) && s.spec.Size.Fits(w.reg.Capacity) && !s.advice.knows(w) && !s.advice.queried[w] {
 			found = append(found, w)
 		}
 	}
@@ -221,8 +235,7 @@
 	}
 	p.learnEligible(s.occurrence.job.spec.Queue, float64(len(a.Tickets))/float64(max(1, len(a.Workers))))
 	if s.advice.known == nil {
-		s.advice.known = map[*worker]bool{}
-		s.advice.tickets = map[*worker]ticket{}
+		s.advice.known = map[*worker]*eligibleWorker{}
 	}
 	for _, id := range a.Workers {
 		w := p.workers[id]
@@ -230,12 +243,14 @@
 			continue
 		}
 		text, eligible := a.Tickets[id]
-		if eligible && !s.advice.known[w] {
-			s.advice.eligible = append(s.advice.eligible, w)
+		e := s.advice.known[w]
+		if eligible && e == nil {
+			e = &eligibleWorker{worker: w}
+			s.advice.eligible = append(s.advice.eligible, e)
 		}
-		s.advice.known[w] = true
+		s.advice.known[w] = e
 		if eligible {
-			s.advice.tickets[w] = ticket{text, a.Until - ticketMargin, w.reg.Incarnation}
+			e.ticket, e.expiry, e.incarnation = text, a.Until-ticketMargin, w.reg.Incarnation
 		}
 	}
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -251,8 +251,8 @@
 			}
 			return
 		}
-		for w, t := range s.advice.tickets {
-			if t.valid(w, now) && s.mayUse(w) && !yield(w) {
+		for _, e := range s.advice.eligible {
+			if e.hasTicket(now) && s.mayUse(e.worker) && !yield(e.worker) {
 				return
 			}
 		}
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -133,14 +134,7 @@
 // should end within releaseHorizon as ended.
 func (p *Planner) reserve(s *step, now time.Duration) {
 	var placements []placement
-	candidates := p.fleet
-	if s.occurrence.job.queue.AdviceCost != nil {
-		candidates = s.advice.eligible
-	}
-	for _, w := range candidates {
-		if w.reservedFor != nil || !s.mayUse(w) {
-			continue
-		}
+	for w := range p.reservableWorkers(s) {
 		free := p.freeSoon(w, now)
 		n := 0
 		for ; n < s.waitingTasks && s.spec.Size.Fits(free) && s.belowMaxPerWorker(w, n); n++ {
@@ -187,9 +181,29 @@
 	return free
 }
 
+// reservableWorkers iterates over the workers that may be reserved for the step, with or
+// without a ticket.
+func (p *Planner) reservableWorkers(s *step) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		if s.occurrence.job.queue.AdviceCost == nil {
+			for _, w := range p.fleet {
+				if w.reservedFor == nil && s.mayUse(w) && !yield(w) {
+					return
+				}
+			}
+			return
+		}
+		for _, e := range s.advice.eligible {
+			if e.worker.reservedFor == nil && s.mayUse(e.worker) && !yield(e.worker) {
+				return
+			}
+		}
+	}
+}
+
 // remainingTime returns how long a run is expected to go on.
 func (p *Planner) remainingTime(r *run, now time.Duration) time.Duration {
-	expected := time.Duration(float64(r.step.spec.Estimate)*p.runTimeRatio(r.step.occurrence.job.spec.Queue)) * time.Millisecond
+	expected := time.Duration(float64(r.step.spec.Estimate)*r.step.occurrence.job.stats.runTimeRatio()) * time.Millisecond
 	if r.decidedAt == 0 {
 		return expected * time.Duration(100-min(r.progress, 100)) / 100
 	}
--- a/planner/job.go
+++ b/planner/job.go
@@ -24,6 +24,7 @@
 type job struct {
 	spec         JobSpec
 	queue        Queue         // as in the newest configuration that has it
+	stats        *queueStats   // of its queue; nil for a run of an unknown job
 	team         *team         // nil on a queue open to all
 	acceptedAt   time.Duration // may be before this owner took over
 	stored       bool          // the journal holds the job; nothing starts before
--- a/planner/learn.go
+++ b/planner/learn.go
@@ -65,8 +65,8 @@
 
 // runTimeRatio returns the learned run time of the queue's tasks as a multiple of the
 // declared one.
-func (p *Planner) runTimeRatio(queue string) float64 {
-	if s := p.stats[queue]; s != nil && s.declaredWork > 0 {
+func (s *queueStats) runTimeRatio() float64 {
+	if s != nil && s.declaredWork > 0 {
 		return s.actualWork / s.declaredWork
 	}
 	return 1
--- a/planner/load.go
+++ b/planner/load.go
@@ -129,7 +129,7 @@
 // and the queue's run time ratio.
 func (p *Planner) demandOf(j *job) demand {
 	d := demand{latestStart: j.latestStart()}
-	ratio := p.runTimeRatio(j.spec.Queue)
+	ratio := j.stats.runTimeRatio()
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			waiting := s.spec.Size.DominantShare(p.load.meanWorker) * float64(s.waitingTasks)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -128,7 +128,7 @@
 }
 
 func (p *Planner) newJob(spec JobSpec, acceptedAt time.Duration) *job {
-	j := &job{spec: spec, queue: p.queues[spec.Queue], acceptedAt: acceptedAt, unfinished: max(1, spec.Occurrences)}
+	j := &job{spec: spec, queue: p.queues[spec.Queue], stats: p.statsOf(spec.Queue), acceptedAt: acceptedAt, unfinished: max(1, spec.Occurrences)}
 	if spec.Team != "" {
 		j.team = p.team(spec.Team)
 	}
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -154,7 +154,7 @@
 	f.addWorker("w0")
 	f.listEnd(first, 1, Done)
 	f.assertState("j", Completed)
-	f.Assert(f.p.runTimeRatio("q"), quicktest.Equals, 1.0)
+	f.Assert(f.p.statsOf("q").runTimeRatio(), quicktest.Equals, 1.0)
 }
 
 // TestPartitionedAfterTakeover checks that a new owner does not count as partitioned too
