--- a/planner/job.go
+++ b/planner/job.go
@@ -64,6 +64,7 @@
 	index             int
 	spec              *StepSpec
 	name              string // ID.K.STEP; K is the index of the occurrence
+	unknown           bool   // it stands for a run that is not known; name is the name of its only task, as the worker lists it
 	tasks             []task
 	waitingTasks      int // tasks that are not done and have no run
 	doneTasks         int
@@ -123,8 +124,13 @@
 	return id + "." + strconv.Itoa(k) + "." + strconv.Itoa(index)
 }
 
-// taskName returns ID.K.STEP.INDEX.
-func (s *step) taskName(index int) string { return s.name + "." + strconv.Itoa(index) }
+// taskName returns ID.K.STEP.INDEX, or the name of an unknown task as its worker lists it.
+func (s *step) taskName(index int) string {
+	if s.unknown {
+		return s.name
+	}
+	return s.name + "." + strconv.Itoa(index)
+}
 
 // parseTask splits ID.K.STEP.INDEX.
 func parseTask(name string) (id string, k, step, index int, ok bool) {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -257,14 +257,8 @@
 // ended.
 func (p *Planner) stopUnknownRun(w *worker, e RunningEntry) {
 	o := &occurrence{job: &job{finalState: Cancelled, spec: JobSpec{ID: e.Task}}}
-	s := &step{occurrence: o, name: e.Task, spec: &StepSpec{}, tasks: make([]task, 1)}
+	s := &step{occurrence: o, name: e.Task, unknown: true, spec: &StepSpec{}, tasks: make([]task, 1)}
 	r := &run{step: s, number: e.Number, worker: w, size: w.reg.Capacity, phase: phaseRunning, obsolete: true}
-	id, k, index, n, ok := parseTask(e.Task)
-	if ok {
-		s.name = taskPrefix(id, k, index)
-		s.tasks = make([]task, n+1)
-		r.taskIndex = n
-	}
 	p.allocate(r)
 	p.stop(r)
 }
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -179,3 +179,28 @@
 	f.p.HeartbeatMissed("w9")
 	f.Assert(f.p.Partitioned(), quicktest.IsTrue)
 }
+
+// TestMalformedTaskNames checks that runs that a worker lists under names that no task has
+// are stopped under these names, and that none of them, such as one with a huge index, takes
+// the process down.
+func TestMalformedTaskNames(t *testing.T) {
+	for _, name := range []string{"x.0.0.4000000000000", "0123456789abcdef.0.99999.3", "", "x", "...", "j.0.0.4000000000000", "j.0.7.0", "j.5.0.0"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.submit("j", newStep(1))
+			f.starts()
+			f.p.HandleStatus(WorkerStatus{
+				Worker: "w0", Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: name, Number: 3}},
+				Ended: []EndEntry{{1, End{Task: name, Number: 2, Result: Done}}},
+			}, f.now)
+			stops := f.decide()
+			f.Assert(stops, quicktest.HasLen, 1)
+			f.Assert(stops[0].Kind, quicktest.Equals, Stop)
+			f.Assert(stops[0].Task, quicktest.Equals, name)
+			f.p.ReportStop(stops[0], true, f.now)
+			f.now += second
+			f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: 1, SentAt: f.now}, f.now)
+			f.Assert(f.p.workers["w0"].allocated.CPU(), quicktest.Equals, int64(0))
+		})
+	}
+}
