conductor, claimer: An owner that the store does not serve hands over

Test: TestRefusedOwnerResigns (new decision, so nothing failed before it); conductor, runner, claimer pass with -race.

--- a/claimer/precedence.go
+++ b/claimer/precedence.go
@@ -20,6 +20,10 @@
 	c.resign(c.self.ID)
 }
 
+// ResignRefused gives up the ownership and deprioritizes this VM for a while, because the
+// store does not serve this VM while it serves others.
+func (c *Claimer) ResignRefused() { c.resign(c.self.ID) }
+
 // claimDelay returns how long this VM lets others claim first. It is longest if this VM
 // is deprioritized, and shorter if a much larger VM is registered or was until lately,
 // since the owner of a large fleet would use up the processor of a small VM.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -53,6 +53,7 @@
 	isOwner       func() bool
 	resign        func()
 	resignSlow    func()
+	resignRefused func()
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
 	calibrator    *Calibrator
@@ -121,6 +122,10 @@
 	return func(c *Conductor) { c.calibrator = calibrator }
 }
 
+// WithResignRefused sets the function that gives up the ownership when the store does not
+// serve this VM although it serves others.
+func WithResignRefused(resign func()) Option { return func(c *Conductor) { c.resignRefused = resign } }
+
 // WithMembers sets the function that lists the entry VMs, and the function that requests
 // advice through one of them. The latter returns tickets by worker id and how long they
 // are valid.
@@ -132,7 +137,7 @@
 func New(store keeper.Store, executors *platform.ExecutorClient, vmID string, term uint64, options ...Option) (*Conductor, error) {
 	c := &Conductor{
 		store: store, executors: executors, vmID: vmID, term: term,
-		isOwner: func() bool { return true }, resign: func() {}, resignSlow: func() {}, now: claimer.Now,
+		isOwner: func() bool { return true }, resign: func() {}, resignSlow: func() {}, resignRefused: func() {}, now: claimer.Now,
 		members:       func() []claimer.Member { return nil },
 		leaseDuration: 6 * time.Second, log: hclog.NewNullLogger(), registry: metrics.NewRegistry(),
 		wakeup: make(chan struct{}, 1), probeSlots: make(chan struct{}, maxProbes), orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{},
@@ -226,11 +231,13 @@
 
 // runDecisions lets the planner decide after updates, and at least once every
 // maxDecisionInterval, until ctx ends. It pauses while the ownership is in doubt, a mirror
-// is out of date or the journal takes no starts, and resigns when the journal has ended.
+// is out of date or the journal takes no starts. It resigns when the journal has ended or
+// the store does not serve this VM.
 func (c *Conductor) runDecisions(ctx context.Context) {
 	ticker := time.NewTicker(maxDecisionInterval)
 	defer ticker.Stop()
 	lastSweep := c.now()
+	var refusals refusalWatch
 	for {
 		select {
 		case <-ctx.Done():
@@ -248,7 +255,12 @@
 			}
 		case <-ticker.C:
 		}
-		if !c.isOwner() || !c.upToDate() || !c.journal.Available() {
+		isOwner, upToDate := c.isOwner(), c.upToDate()
+		if refusals.observe(isOwner, upToDate, c.now()) {
+			c.log.Warn("store renews the lease but answers no watch; resigning", "after", maxRefusal)
+			c.resignRefused()
+		}
+		if !isOwner || !upToDate || !c.journal.Available() {
 			continue
 		}
 		c.decide(ctx)
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -14,6 +14,10 @@
 	// without an answer of the store. A configuration must be in force 2 s after it was
 	// acknowledged, and nothing may start on a worker 2 s after it begins to drain.
 	maxStaleness = 1700 * time.Millisecond
+	// maxRefusal is how long an owner whose lease is renewed may be out of date before it
+	// resigns: the store serves its peers, through which the lease is renewed, but not its
+	// watches. A hand-over takes 0.2 s.
+	maxRefusal = 600 * time.Millisecond
 	// operatorPollInterval is how long changes by operators are batched.
 	operatorPollInterval = 20 * time.Millisecond
 	// workerPollInterval is how long changes of worker entries are batched. Each worker
@@ -123,6 +127,29 @@
 	return operators != nil && operators.Fresh(maxStaleness) && workers.Fresh(maxStaleness)
 }
 
+// refusalWatch tells how long an owner with a valid lease has been out of date. The zero
+// value is ready.
+type refusalWatch struct {
+	wasUpToDate bool          // since the takeover
+	since       time.Duration // when it was first out of date with a valid lease; 0 if it is not
+}
+
+// observe records whether the owner's lease is valid and its mirrors are up to date. It
+// reports whether the owner has been out of date for maxRefusal. A new owner whose mirrors
+// were never up to date is not counted, nor an owner without a lease: then the store serves
+// nobody.
+func (r *refusalWatch) observe(isOwner, upToDate bool, now time.Duration) bool {
+	r.wasUpToDate = r.wasUpToDate || upToDate
+	if upToDate || !isOwner || !r.wasUpToDate {
+		r.since = 0
+		return false
+	}
+	if r.since == 0 {
+		r.since = now
+	}
+	return now-r.since >= maxRefusal
+}
+
 func (c *Conductor) deregister(id, reason string) {
 	c.mu.Lock()
 	c.planner.Deregister(id)
--- a/conductor/mirrors_test.go
+++ b/conductor/mirrors_test.go
@@ -52,3 +52,36 @@
 	p.SetStoreFaults()
 	waitFor(time.Minute, http.StatusOK)
 }
+
+// TestRefusedOwnerResigns checks which owners resign because the store does not serve them:
+// in scenario inc-c2c7 of lychnos-fh the store reset the connections of the owner, which
+// renewed its lease through peers and did nothing for 5.5 s.
+func TestRefusedOwnerResigns(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for _, test := range []struct {
+		name                     string
+		isOwner, first, upToDate bool
+		wantResigned             bool
+	}{
+		{"served", true, true, true, false},
+		{"refused", true, true, false, true},
+		{"store away for all", false, true, false, false},
+		{"new owner still reads the lists", true, false, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var r refusalWatch
+			resigned := false
+			r.observe(true, test.first, 0)
+			for now := step; now <= maxRefusal+step; now += step {
+				resigned = r.observe(test.isOwner, test.upToDate, now) || resigned
+			}
+			quicktest.Assert(t, resigned, quicktest.Equals, test.wantResigned)
+		})
+	}
+	t.Run("refused for a moment", func(t *testing.T) {
+		var r refusalWatch
+		for now := time.Duration(0); now < 10*time.Second; now += step {
+			quicktest.Assert(t, r.observe(true, now/step%5 == 0, now), quicktest.IsFalse)
+		}
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -113,7 +113,7 @@
 		conductor.WithLease(r.settings.lease), conductor.WithLogger(r.log), conductor.WithRegistry(r.registry),
 		conductor.WithCalibrator(r.calibrator),
 		conductor.WithIsOwner(func() bool { return r.claimer.IsOwner(term) }),
-		conductor.WithResign(r.claimer.ResignCentre), conductor.WithResignSlow(r.claimer.ResignVM),
+		conductor.WithResign(r.claimer.ResignCentre), conductor.WithResignSlow(r.claimer.ResignVM), conductor.WithResignRefused(r.claimer.ResignRefused),
 		conductor.WithMembers(r.claimer.Members, r.requestAdvice))
 	if err == nil {
 		r.receiver.SetConductor(c)
