--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -63,6 +63,7 @@
 
 	journal    *journaler.Journaler
 	ctx        context.Context // of Run; ends with the ownership
+	orderCtx   context.Context // as ctx, but does not end: start orders are bounded by the lease of the ownership
 	wakeup     chan struct{}   // of capacity 1; has an element if the planner has updates to decide on
 	probeSlots chan struct{}   // of capacity maxProbes; has one element per probe in flight
 	orderSlots chan struct{}   // of capacity maxOrders; has one element per start order in flight
@@ -192,7 +193,7 @@
 // Run takes over the fleet and runs it until ctx ends. An error means that the takeover
 // failed, and the caller then has to give up the ownership.
 func (c *Conductor) Run(ctx context.Context) error {
-	c.ctx = ctx
+	c.ctx, c.orderCtx = ctx, context.WithoutCancel(ctx)
 	startedAt := c.now()
 	recovery, err := c.journal.Open(ctx, c.term)
 	if err != nil {
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"context"
 	"time"
 
 	"filberthaven.example/planner"
@@ -90,7 +89,7 @@
 	c.planner.ExtendLease(a.Worker, c.leaseExpiry(sentAt))
 	address := s.address
 	c.mu.Unlock()
-	result, err := c.executors.Start(context.WithoutCancel(c.ctx), address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
+	result, err := c.executors.Start(c.orderCtx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
 	if c.ctx.Err() != nil {
 		return
 	}
--- a/conductor/order_test.go
+++ b/conductor/order_test.go
@@ -57,7 +57,7 @@
 	}
 	c, err := New(keeper.Store{}, platform.NewExecutorClient(platform.DefaultIdle), "vm", 1, WithClock(func() time.Duration { return time.Second }))
 	quicktest.Assert(t, err, quicktest.IsNil)
-	c.ctx = t.Context()
+	c.ctx, c.orderCtx = t.Context(), t.Context()
 	c.operatorMirror, c.workerMirror = newConnectedMirror(t), newConnectedMirror(t)
 	c.planner.Configure(planner.Config{Version: 1, Queues: []planner.Queue{{Name: "q", Service: "s", Stretch: 2, Objective: time.Second}}}, 0)
 	for i := range n {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -50,7 +50,7 @@
 	remoteRounds      int // rounds per heartbeat to an entry VM of another data centre; at least 1
 	round             int // number of the last round of heartbeats; used only by Run's heartbeat goroutine
 	peers             *peers
-	heartbeats        sync.WaitGroup // heartbeats in flight; waited for when Run ends
+	heartbeats        sync.WaitGroup     // heartbeats in flight; waited for when Run ends
 	mu                sync.Mutex         // guards the fields below
 	nextKey           int                // key of the next subscription
 	subscribers       map[int]func([]VM) // by key; called with the VMs that changed
