--- a/conductor/latency.go
+++ b/conductor/latency.go
@@ -10,8 +10,8 @@
 	// latencySamples is the number of orders over which the median is computed.
 	latencySamples = 32
 	// maxMedianLatency is the median latency of orders above which another VM should
-	// own the fleet, unless the load is the cause. Usual medians are 3 to 20 ms. A median is used because a minority
-	// of unreachable workers does not change it much.
+	// own the fleet, unless the load is the cause. Usual medians are 3 to 20 ms. A median
+	// is used because a minority of slow workers does not change it much.
 	maxMedianLatency = 250 * time.Millisecond
 	// quietOrders is the number of orders in flight up to which an order does not wait for
 	// others: at 0.2 ms of processor time each, they take 50 ms on a VM with 0.12 cores.
