--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -130,7 +130,7 @@
 // renewLease renews the lease until the ownership ends. During a longer outage of the
 // store IsOwner returns false; the ownership continues if the lease survives the outage.
 func (c *Claimer) renewLease(ctx context.Context, lease keeper.LeaseID, term uint64) {
-	failures, loggedAt := 0, -warningInterval // since the last warning, and when that was logged
+	var warnings Repeats
 	for wait := c.ttl / renewalsPerTTL; ctx.Err() == nil; {
 		keeper.Sleep(ctx, wait)
 		if ctx.Err() != nil {
@@ -153,10 +153,8 @@
 			c.log.Warn("lease of the ownership has expired", "term", term)
 			return
 		case ctx.Err() == nil:
-			failures++
-			if now := c.now(); now-loggedAt >= warningInterval {
-				c.log.Warn("lease of the ownership not renewed", "term", term, "failures", failures, "error", err)
-				failures, loggedAt = 0, now
+			if repeats, due := warnings.Next(c.now()); due {
+				c.log.Warn("lease of the ownership not renewed", "term", term, "repeats", repeats, "error", err)
 			}
 		}
 		if entry, known := c.mirror.Get(ownerKey); c.mirror.ConnectedFor() > 0 && (!known || entry.Version() > term) {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -57,9 +57,6 @@
 	disconnectTimeout = 40 * time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 150 * time.Millisecond
-	// warningInterval is the time between two lines of the same warning, which then tells
-	// how many failures there were.
-	warningInterval = time.Second
 	// maxRegisterBackoff is the longest delay between two attempts to register. It is long
 	// because hundreds of VMs start at once, and the store accepts a few hundred writes
 	// a second.
--- a/claimer/member.go
+++ b/claimer/member.go
@@ -39,7 +39,7 @@
 func (c *Claimer) register(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = retryDelay, maxRegisterBackoff
-	failures, loggedAt := 0, -warningInterval // since the last warning, and when that was logged
+	var warnings Repeats
 	for ctx.Err() == nil {
 		lease, err := c.store.Grant(ctx, memberTTL)
 		if err == nil {
@@ -57,10 +57,8 @@
 			}
 		}
 		if ctx.Err() == nil {
-			failures++
-			if now := c.now(); now-loggedAt >= warningInterval {
-				c.log.Warn("entry VM not registered; retrying", "failures", failures, "error", err)
-				failures, loggedAt = 0, now
+			if repeats, due := warnings.Next(c.now()); due {
+				c.log.Warn("entry VM not registered; retrying", "repeats", repeats, "error", err)
 			}
 		}
 		keeper.Sleep(ctx, retry.NextBackOff())
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -81,8 +81,8 @@
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
 	runQueue       runQueue
-	overloadLog    repeatedWarning // of slow orders because of the load
-	partitionLog   repeatedWarning // of unresponsive workers because of the load
+	overloadLog    claimer.Repeats // of slow orders because of the load
+	partitionLog   claimer.Repeats // of unresponsive workers because of the load
 	ready          bool            // the journal has been read and the configuration is known
 }
 
@@ -153,7 +153,6 @@
 	if c.calibrator == nil {
 		c.calibrator = NewCalibrator(c.now)
 	}
-	c.overloadLog.interval, c.partitionLog.interval = warningInterval, warningInterval
 	c.metrics = newOwnerMetrics(c.registry)
 	c.planner = planner.New()
 	c.balancer = newAdviceBalancer()
@@ -288,7 +287,7 @@
 	actions := c.planner.Decide(now, wallClock())
 	c.decisionTime = c.now() - now
 	if partitioned && saturated {
-		if repeats, due := c.partitionLog.next(now); due {
+		if repeats, due := c.partitionLog.Next(now); due {
 			c.log.Warn("most workers do not respond, and the processor has no spare time; keeping the ownership", "repeats", repeats)
 		}
 	}
--- a/conductor/latency.go
+++ b/conductor/latency.go
@@ -58,7 +58,7 @@
 		c.resignSlow()
 		return
 	}
-	if repeats, due := c.overloadLog.next(now); due {
+	if repeats, due := c.overloadLog.Next(now); due {
 		c.log.Warn("orders take long because of the load; keeping the ownership", "limit", maxMedianLatency, "slowdown", slowdown, "inflight", inFlight, "repeats", repeats)
 	}
 }
@@ -75,26 +75,3 @@
 		}
 	}
 }
-
-// repeatedWarning limits a warning to one line for each interval, with the number of
-// those left out.
-type repeatedWarning struct {
-	interval time.Duration
-	loggedAt time.Duration // 0 before the first
-	repeats  int           // left out since loggedAt
-}
-
-// next counts a warning. It reports whether it should be logged and, if so, how many were
-// left out before it.
-func (r *repeatedWarning) next(now time.Duration) (repeats int, due bool) {
-	if r.loggedAt != 0 && now-r.loggedAt < r.interval {
-		r.repeats++
-		return 0, false
-	}
-	repeats = r.repeats
-	r.loggedAt, r.repeats = now, 0
-	return repeats, true
-}
-
-// warningInterval is the time between two lines of the same repeated warning.
-const warningInterval = time.Second
