claimer: VMs with less than 0.3 of a core always let others claim first

Change: a VM with less than 0.3 of a core waits 0.4 s before a claim whether it knows of larger ones or not; a fleet of such VMs takes over that much later.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -35,12 +35,15 @@
 	deprioritizedDelay = 1500 * time.Millisecond
 	// deprioritizedTTL is how long VMs stay deprioritized.
 	deprioritizedTTL = 8 * time.Second
-	// smallVMDelay is the claim delay of a VM while a much larger one is registered. It is
-	// longer than the 0.3 s within which the platform starts all VMs.
+	// smallVMDelay is the claim delay of a small VM. It is longer than the 0.3 s within
+	// which the platform starts all VMs.
 	smallVMDelay = 400 * time.Millisecond
 	// muchLargerFactor defines a much larger VM: its processor is more than this multiple
 	// of the VM's own. The owner of a large fleet uses up to 0.25 of a core.
 	muchLargerFactor = 1.5
+	// ownerProcessor is the part of a core below which a VM lets others claim first, whether
+	// it knows of larger ones or not. Owners of 1,100 workers use 0.3 of a core.
+	ownerProcessor = 0.3
 	// startupDelay is how long a starting VM waits for others to register, so that a
 	// large one claims first. A VM waits if it knows no other VM, or if the whole system
 	// starts for the first time. The platform starts all VMs within 0.3 s.
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -134,6 +134,23 @@
 			assertOwner(c, first, small...)
 		})
 	})
+	t.Run("a large VM claims after all were killed in an outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := emulator.NewStore()
+			store.SetFaults(emulator.Down())
+			var small []*vm
+			for n := range 6 {
+				small = append(small, start(c, store, fmt.Sprint("small-", n), "2", claimer.WithProcessor(0.192)))
+			}
+			time.Sleep(700 * time.Millisecond)
+			large := start(c, store, "large", "2", claimer.WithProcessor(0.8))
+			time.Sleep(5 * time.Second)
+			store.SetFaults()
+			time.Sleep(4 * time.Second)
+			assertOwner(c, large, small...)
+		})
+	})
 	t.Run("a small VM claims when no other is left", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
--- a/claimer/precedence.go
+++ b/claimer/precedence.go
@@ -25,14 +25,15 @@
 func (c *Claimer) ResignRefused() { c.resign(c.self.ID) }
 
 // claimDelay returns how long this VM lets others claim first. It is longest if this VM
-// is deprioritized, and shorter if a much larger VM is registered or was until lately,
-// since the owner of a large fleet would use up the processor of a small VM.
+// is deprioritized. It is shorter if a much larger VM is registered or was until lately, or
+// if this VM is too small for a large fleet: the owner would use up its processor, and after
+// an outage larger VMs may not be registered yet.
 func (c *Claimer) claimDelay() time.Duration {
 	if c.isDeprioritized(c.self) {
 		return deprioritizedDelay
 	}
 	larger := func(r record) bool { return r.Processor > muchLargerFactor*c.self.Processor && !c.isDeprioritized(r) }
-	if c.roster.any(larger) {
+	if c.roster.any(larger) || c.self.Processor > 0 && c.self.Processor < ownerProcessor {
 		return smallVMDelay
 	}
 	return 0
