conductor, claimer: An overloaded owner hands over to a much larger VM

Change: an owner with slow orders also hands over if a VM with 1.5 times its processor is registered and not deprioritized. Test: the new case of TestHandOverOfSlowOwner (overloaded small VM); by reading, it fails without the change. conductor, claimer, runner pass with -race.

--- a/claimer/precedence.go
+++ b/claimer/precedence.go
@@ -32,13 +32,18 @@
 	if c.isDeprioritized(c.self) {
 		return deprioritizedDelay
 	}
-	larger := func(r record) bool { return r.Processor > muchLargerFactor*c.self.Processor && !c.isDeprioritized(r) }
-	if c.roster.any(larger) || c.self.Processor > 0 && c.self.Processor < ownerProcessor {
+	if c.HasLargerPeer() || c.self.Processor > 0 && c.self.Processor < ownerProcessor {
 		return smallVMDelay
 	}
 	return 0
 }
 
+// HasLargerPeer reports whether a VM that is registered, or was until lately, has a much
+// larger processor than this one and is not deprioritized.
+func (c *Claimer) HasLargerPeer() bool {
+	return c.roster.any(func(r record) bool { return r.Processor > muchLargerFactor*c.self.Processor && !c.isDeprioritized(r) })
+}
+
 // isDeprioritized reports whether a VM or its data centre is deprioritized.
 func (c *Claimer) isDeprioritized(r record) bool {
 	_, vmFound := c.mirror.Get(deprioritizedPrefix + r.ID)
--- a/conductor/calibrator.go
+++ b/conductor/calibrator.go
@@ -126,8 +126,9 @@
 
 // mustHandOver reports whether an owner with slow orders should give up the ownership. It
 // should if its VM has become slow, or if orders are slow also while few are in flight, so
-// that the VM's network is the cause. An owner that only has too much to do keeps the
-// ownership: the next one would have as much to do and a takeover besides.
-func mustHandOver(slowdown float64, slowInQuiet bool) bool {
-	return slowdown >= slowFactor || slowInQuiet
+// that the VM's network is the cause, or if a much larger VM could own the fleet. Any other
+// owner that has too much to do keeps the ownership: the next one would have as much to do
+// and a takeover besides.
+func mustHandOver(slowdown float64, slowInQuiet, largerPeer bool) bool {
+	return slowdown >= slowFactor || slowInQuiet || largerPeer
 }
--- a/conductor/calibrator_test.go
+++ b/conductor/calibrator_test.go
@@ -35,17 +35,20 @@
 		name     string
 		slowdown int // of the processor
 		inFlight int // orders
+		larger   bool
 		want     bool
 	}{
-		{"overloaded", 1, 200, false},
-		{"slow VM with much to do", 5, 200, true},
-		{"slow VM with little to do", 5, 3, true},
-		{"slow network", 1, 3, true},
+		{"overloaded", 1, 200, false, false},
+		{"overloaded small VM", 1, 200, true, true},
+		{"slow VM with much to do", 5, 200, false, true},
+		{"slow VM with little to do", 5, 3, false, true},
+		{"slow network", 1, 3, false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			now, step := time.Minute, 20*time.Microsecond
 			resigned := false
-			c, err := New(keeper.Store{}, nil, "vm", 1, WithClock(func() time.Duration { now += step; return now }), WithResignSlow(func() { resigned = true }))
+			c, err := New(keeper.Store{}, nil, "vm", 1, WithClock(func() time.Duration { now += step; return now }), WithResignSlow(func() { resigned = true }),
+				WithHasLargerPeer(func() bool { return test.larger }))
 			quicktest.Assert(t, err, quicktest.IsNil)
 			step *= time.Duration(test.slowdown)
 			for range 2 * latencySamples {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -54,6 +54,7 @@
 	resign        func()
 	resignSlow    func()
 	resignRefused func()
+	hasLargerPeer func() bool
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
 	calibrator    *Calibrator
@@ -128,6 +129,10 @@
 // serve this VM although it serves others.
 func WithResignRefused(resign func()) Option { return func(c *Conductor) { c.resignRefused = resign } }
 
+// WithHasLargerPeer sets the function that reports whether a VM with a much larger processor
+// could own the fleet.
+func WithHasLargerPeer(has func() bool) Option { return func(c *Conductor) { c.hasLargerPeer = has } }
+
 // WithMembers sets the function that lists the entry VMs, and the function that requests
 // advice through one of them. The latter returns tickets by worker id and how long they
 // are valid.
@@ -139,7 +144,7 @@
 func New(store keeper.Store, executors *platform.ExecutorClient, vmID string, term uint64, options ...Option) (*Conductor, error) {
 	c := &Conductor{
 		store: store, executors: executors, vmID: vmID, term: term,
-		isOwner: func() bool { return true }, resign: func() {}, resignSlow: func() {}, resignRefused: func() {}, now: claimer.Now,
+		isOwner: func() bool { return true }, resign: func() {}, resignSlow: func() {}, resignRefused: func() {}, hasLargerPeer: func() bool { return false }, now: claimer.Now,
 		members:       func() []claimer.Member { return nil },
 		leaseDuration: 6 * time.Second, log: hclog.NewNullLogger(), registry: metrics.NewRegistry(),
 		wakeup: make(chan struct{}, 1), probeSlots: make(chan struct{}, maxProbes), orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{},
--- a/conductor/latency.go
+++ b/conductor/latency.go
@@ -53,8 +53,9 @@
 	}
 	c.orderLatency, c.quietLatency = latencyWindow{}, latencyWindow{}
 	slowdown := c.calibrator.Slowdown()
-	if mustHandOver(slowdown, slowInQuiet) {
-		c.log.Warn("orders take long; this VM is too slow to own the fleet", "limit", maxMedianLatency, "slowdown", slowdown, "quiet", slowInQuiet)
+	largerPeer := c.hasLargerPeer()
+	if mustHandOver(slowdown, slowInQuiet, largerPeer) {
+		c.log.Warn("orders take long; this VM is too slow to own the fleet", "limit", maxMedianLatency, "slowdown", slowdown, "quiet", slowInQuiet, "larger", largerPeer)
 		c.resignSlow()
 		return
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -114,6 +114,7 @@
 		conductor.WithCalibrator(r.calibrator),
 		conductor.WithIsOwner(func() bool { return r.claimer.IsOwner(term) }),
 		conductor.WithResign(r.claimer.ResignCentre), conductor.WithResignSlow(r.claimer.ResignVM), conductor.WithResignRefused(r.claimer.ResignRefused),
+		conductor.WithHasLargerPeer(r.claimer.HasLargerPeer),
 		conductor.WithMembers(r.claimer.Members, r.requestAdvice))
 	if err == nil {
 		r.receiver.SetConductor(c)
