conductor: Test again that the overload warning comes once a second

Change: the overloaded case of TestHandOverOfSlowOwner fills two windows within a second and expects one line. It fails when the limit is bypassed, and passes with -race.

--- a/conductor/calibrator_test.go
+++ b/conductor/calibrator_test.go
@@ -1,14 +1,17 @@
 package conductor
 
 import (
+	"bytes"
 	"math"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"filberthaven.example/keeper"
 	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 )
 
 // TestCalibrator checks that only a lasting slowdown counts, not an interrupted sample.
@@ -47,8 +50,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			now, step := time.Minute, 20*time.Microsecond
 			resigned := false
+			var log bytes.Buffer
 			c, err := New(keeper.Store{}, nil, "vm", 1, WithClock(func() time.Duration { now += step; return now }), WithResignSlow(func() { resigned = true }),
-				WithHasLargerPeer(func() bool { return test.larger }))
+				WithHasLargerPeer(func() bool { return test.larger }), WithLogger(hclog.New(&hclog.LoggerOptions{Output: &log})))
 			quicktest.Assert(t, err, quicktest.IsNil)
 			step *= time.Duration(test.slowdown)
 			for range 2 * latencySamples {
@@ -56,6 +60,9 @@
 				c.observeLatency(time.Second, test.inFlight)
 			}
 			quicktest.Assert(t, resigned, quicktest.Equals, test.want)
+			if !test.want {
+				quicktest.Assert(t, strings.Count(log.String(), "keeping the ownership"), quicktest.Equals, 1, quicktest.Commentf("two full windows within a second"))
+			}
 		})
 	}
 }
