conductor: Log when a job begins and how many are counted as pending

A start is logged when it is decided; its confirmation was only counted, and the answer to a caller's count not logged. Change: lines "job begun" and "pending jobs counted"; gauges jobs.pending and jobs.pending.ordered. What is counted stays as it is.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -223,6 +223,8 @@
 	if err := c.journal.Close(closing); err != nil {
 		c.log.Info("journal closed with unresolved records", "error", err)
 	}
+	c.metrics.pending.Update(0)
+	c.metrics.pendingOrdered.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -324,10 +326,13 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// sweep removes deregistered workers, and ended jobs past their retention.
+// sweep removes deregistered workers, and ended jobs past their retention, and updates
+// the gauges.
 func (c *Conductor) sweep(now time.Duration) {
 	c.mu.Lock()
 	c.planner.PruneJobs(now)
+	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
+	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
 	removed := c.planner.PruneWorkers(now)
 	for _, id := range removed {
 		delete(c.sessions, id)
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -7,6 +7,7 @@
 type ownerMetrics struct {
 	accepted, refused, unavailable               metrics.Counter // submitted jobs
 	completed, failed, cancelled                 metrics.Counter // ended jobs
+	pending, pendingOrdered                      metrics.Gauge   // jobs of which no task has begun; of these, those with a decided start
 	starts, stops                                metrics.Counter // orders that the planner decided on
 	startsAccepted, startsRefused, startsUnknown metrics.Counter // outcomes of start orders
 	runsEnded                                    metrics.Counter // ended runs that workers reported
@@ -24,6 +25,8 @@
 		completed:        metrics.GetOrRegisterCounter("jobs.completed", r),
 		failed:           metrics.GetOrRegisterCounter("jobs.failed", r),
 		cancelled:        metrics.GetOrRegisterCounter("jobs.cancelled", r),
+		pending:          metrics.GetOrRegisterGauge("jobs.pending", r),
+		pendingOrdered:   metrics.GetOrRegisterGauge("jobs.pending.ordered", r),
 		starts:           metrics.GetOrRegisterCounter("orders.starts", r),
 		stops:            metrics.GetOrRegisterCounter("orders.stops", r),
 		startsAccepted:   metrics.GetOrRegisterCounter("starts.begun", r),
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -100,6 +100,7 @@
 		c.observeLatency(c.now()-sentAt, inFlight)
 	}
 	c.planner.ReportStart(a, result.Outcome, c.now())
+	c.reportBegun(a.Worker)
 	if result.Outcome == planner.Accepted || result.Outcome == planner.Unknown {
 		c.startHeartbeats(s)
 	}
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -104,6 +104,7 @@
 		c.mu.Lock()
 		n := c.planner.Pending(queue.Name)
 		c.mu.Unlock()
+		c.log.Info("pending jobs counted", "queue", queue.Name, "pending", n)
 		return Response{Status: http.StatusOK, Body: platform.PendingBody(n)}
 	case !platform.ValidJobID(jobID):
 		return errorResponse(http.StatusBadRequest, "not the id of a job")
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -133,6 +133,7 @@
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended,
 	}, c.now())
+	c.reportBegun(s.id)
 	jobs := c.planner.TakeEnded()
 	incarnation = s.incarnation
 	c.mu.Unlock()
@@ -160,6 +161,14 @@
 	})
 }
 
+// reportBegun logs the jobs that have begun with an answer of the worker. The caller holds
+// c.mu.
+func (c *Conductor) reportBegun(worker string) {
+	for _, id := range c.planner.TakeBegun() {
+		c.log.Info("job begun", "job", id, "worker", worker)
+	}
+}
+
 // reportEnded lets callers see the end of jobs, which the journal holds, and notifies
 // those who wait for it. The caller holds c.mu.
 func (c *Conductor) reportEnded(jobs []string) {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -48,7 +48,7 @@
 	case Accepted:
 		r.phase = phaseRunning
 		r.confirmedAt = now
-		r.step.occurrence.job.begun = true
+		p.markBegun(r.step.occurrence.job)
 		w.unansweredCalls = 0
 		p.stopIfObsolete(r)
 	case Unknown:
@@ -181,7 +181,7 @@
 // applyEnd applies the end of a run that the worker lists.
 func (p *Planner) applyEnd(w *worker, e End, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		r.step.occurrence.job.begun = true
+		p.markBegun(r.step.occurrence.job)
 		switch e.Result {
 		case Done:
 			w.health.recordSuccess()
@@ -198,7 +198,7 @@
 	if s == nil || s.tasks[index].done {
 		return
 	}
-	s.occurrence.job.begun = true
+	p.markBegun(s.occurrence.job)
 	if e.Result == RunFailed {
 		p.countFailure(s, index, e.Number, now)
 		return
@@ -218,7 +218,7 @@
 // of a run allocated on the worker. Any other run is allocated now and stopped.
 func (p *Planner) applyRunning(w *worker, e RunningEntry, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		r.step.occurrence.job.begun = true
+		p.markBegun(r.step.occurrence.job)
 		r.progress, r.progressAt = e.Progress, now
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
@@ -237,7 +237,7 @@
 		p.stopUnknownRun(w, e)
 		return
 	}
-	s.occurrence.job.begun = true
+	p.markBegun(s.occurrence.job)
 	r := &run{step: s, taskIndex: index, number: e.Number, worker: w, size: s.spec.Size, phase: phaseRunning, decidedAt: now, confirmedAt: now, progress: e.Progress, checkpoint: e.Checkpoint}
 	p.allocate(r)
 	t := &s.tasks[index]
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -28,6 +28,7 @@
 	actions        []Action               // to be returned by the next Decide
 	waiters        map[waiterKey][]func(error)
 	newlyEnded     []string // jobs that ended since the last TakeEnded
+	newlyBegun     []string // jobs that have begun since the last TakeBegun
 }
 
 // settings holds what options set.
@@ -214,15 +215,45 @@
 // begun a task. A start that was only decided does not count: it may be withdrawn, be
 // refused or get no answer.
 func (p *Planner) Pending(queue string) int {
+	return p.countPending(func(j *job) bool { return j.spec.Queue == queue })
+}
+
+// PendingOrdered returns how many of the pending jobs of all queues have a start that was
+// decided, by this owner or an earlier one.
+func (p *Planner) PendingOrdered() int {
+	return p.countPending(func(j *job) bool { return j.ordered })
+}
+
+// PendingInAll returns the number of pending jobs of all queues.
+func (p *Planner) PendingInAll() int { return p.countPending(func(*job) bool { return true }) }
+
+// countPending returns the number of pending jobs that match.
+func (p *Planner) countPending(match func(*job) bool) int {
 	n := 0
 	for _, j := range p.live {
-		if j.spec.Queue == queue && j.finalState == "" && !j.begun {
+		if j.finalState == "" && !j.begun && match(j) {
 			n++
 		}
 	}
 	return n
 }
 
+// markBegun notes that a worker has begun a task of the job.
+func (p *Planner) markBegun(j *job) {
+	if j.begun || j.finalState != "" {
+		return
+	}
+	j.begun = true
+	p.newlyBegun = append(p.newlyBegun, j.spec.ID)
+}
+
+// TakeBegun returns the jobs that have begun since the last call.
+func (p *Planner) TakeBegun() []string {
+	ids := p.newlyBegun
+	p.newlyBegun = nil
+	return ids
+}
+
 // TakeEnded returns the jobs that ended since the last call. The caller calls
 // MarkEndStored for them once the journal holds the record that ended them.
 func (p *Planner) TakeEnded() []string {
--- a/planner/record.go
+++ b/planner/record.go
@@ -294,7 +294,7 @@
 	if st == nil {
 		return
 	}
-	st.occurrence.job.begun = true
+	p.markBegun(st.occurrence.job)
 	t := &st.tasks[n]
 	t.lastRun = max(t.lastRun, e.Number)
 	st.lastRun = max(st.lastRun, e.Number)
@@ -333,4 +333,5 @@
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
+	p.newlyBegun = nil
 }
