planner: Show that a gang counts as begun with its first member

A gang works only from the moment when all members of one try have started. TestPendingUntilGangComplete fails: pending 0, want 1.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -267,3 +267,23 @@
 	f.Assert(again, quicktest.HasLen, 3)
 	f.Assert(again[0].Number, quicktest.Equals, 2)
 }
+
+// TestPendingUntilGangComplete checks that a gang's job counts as pending until all members
+// of one try have started, since none works before.
+func TestPendingUntilGangComplete(t *testing.T) {
+	f := newFixture(t, 2)
+	gang := newStep(2)
+	gang.Gang, gang.CPU = true, 3000
+	f.submit("j", gang)
+	starts := f.decide()
+	f.Assert(starts, quicktest.HasLen, 2)
+	f.p.ReportStart(starts[0], Accepted, f.now)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+	f.p.HandleStatus(WorkerStatus{Worker: starts[0].Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: starts[0].Task, Number: 1}}}, f.now)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+	f.p.ReportStart(starts[1], Unknown, f.now)
+	f.listEnd(starts[0], 1, Stopped)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+	f.takeOver(10 * second)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+}
