planner: Show that a job is told to run when its start is only decided

What callers see: GET says running for a job that no worker has begun, while the pending count of its queue includes it. TestQueuedUntilBegun fails: running, want queued.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -287,3 +287,18 @@
 	f.takeOver(10 * second)
 	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
 }
+
+// TestQueuedUntilBegun checks that a job's state is queued until a worker has begun one of
+// its tasks, as its queue's pending count says.
+func TestQueuedUntilBegun(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", newStep(1))
+	start := f.decide()[0]
+	f.assertState("j", Queued)
+	f.p.ReportStart(start, Unknown, f.now)
+	f.assertState("j", Queued)
+	f.takeOver(10 * second)
+	f.assertState("j", Queued)
+	f.p.HandleStatus(WorkerStatus{Worker: start.Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: start.Task, Number: start.Number}}}, f.now)
+	f.assertState("j", Running)
+}
