planner: Show that the next owner does not know which jobs have begun

What callers see: after a takeover the pending count includes jobs that run, until their workers answer, and for good if those are lost. TestBegunAfterTakeover fails: pending 2, want 1.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -302,3 +302,16 @@
 	f.p.HandleStatus(WorkerStatus{Worker: start.Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: start.Task, Number: start.Number}}}, f.now)
 	f.assertState("j", Running)
 }
+
+// TestBegunAfterTakeover checks that a begun job stays running, and not pending, for the
+// next owner before its workers have answered that owner.
+func TestBegunAfterTakeover(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", newStep(1))
+	f.starts()
+	f.submit("k", newStep(1))
+	f.decide()
+	f.takeOver(10 * second)
+	f.assertState("j", Running)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+}
