planner: A gang's job is pending until all members of one try have started

The platform has a gang's tasks start from the moment when all tasks of one run are present; a member that waits has not begun. Change: a gang's job has begun once all members of one try are confirmed, a member lists progress or a checkpoint, or an end is done or carries a checkpoint.

--- a/planner/job.go
+++ b/planner/job.go
@@ -29,7 +29,7 @@
 	acceptedAt   time.Duration // may be before this owner took over
 	stored       bool          // the journal holds the job; nothing starts before
 	ordered      bool          // the start of a task was decided, by this owner or an earlier one
-	begun        bool          // a worker has confirmed a start or listed a run of a task
+	begun        bool          // a worker is known to have begun a task; of a gang, all members of one try
 	finalState   State         // Completed, Failed or Cancelled; empty if the job has not ended
 	endStored    bool          // the journal holds the end, so callers may see it
 	endedAt      time.Duration
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -48,7 +48,7 @@
 	case Accepted:
 		r.phase = phaseRunning
 		r.confirmedAt = now
-		p.markBegun(r.step.occurrence.job)
+		p.markBegunIf(r.step, r.step.works(r.number))
 		w.unansweredCalls = 0
 		p.stopIfObsolete(r)
 	case Unknown:
@@ -127,6 +127,10 @@
 	Progress   int    // percent
 }
 
+// hasProgress reports whether the run has worked. A member of a gang that waits for the
+// others has not.
+func (e RunningEntry) hasProgress() bool { return e.Progress > 0 || e.Checkpoint != "" }
+
 // EndEntry is a run that a worker lists as ended. Its serial is higher than those of
 // all earlier ends of the worker's incarnation.
 type EndEntry struct {
@@ -181,7 +185,7 @@
 // applyEnd applies the end of a run that the worker lists.
 func (p *Planner) applyEnd(w *worker, e End, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		p.markBegun(r.step.occurrence.job)
+		p.markBegunIf(r.step, r.step.worked(e))
 		switch e.Result {
 		case Done:
 			w.health.recordSuccess()
@@ -198,7 +202,7 @@
 	if s == nil || s.tasks[index].done {
 		return
 	}
-	p.markBegun(s.occurrence.job)
+	p.markBegunIf(s, s.worked(e))
 	if e.Result == RunFailed {
 		p.countFailure(s, index, e.Number, now)
 		return
@@ -218,7 +222,6 @@
 // of a run allocated on the worker. Any other run is allocated now and stopped.
 func (p *Planner) applyRunning(w *worker, e RunningEntry, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		p.markBegun(r.step.occurrence.job)
 		r.progress, r.progressAt = e.Progress, now
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
@@ -230,6 +233,7 @@
 			r.phase, r.confirmedAt = phaseRunning, now
 			p.stopIfObsolete(r)
 		}
+		p.markBegunIf(r.step, e.hasProgress() || r.step.works(r.number))
 		return
 	}
 	s, index := p.stepOf(e.Task)
@@ -237,7 +241,6 @@
 		p.stopUnknownRun(w, e)
 		return
 	}
-	p.markBegun(s.occurrence.job)
 	r := &run{step: s, taskIndex: index, number: e.Number, worker: w, size: s.spec.Size, phase: phaseRunning, decidedAt: now, confirmedAt: now, progress: e.Progress, checkpoint: e.Checkpoint}
 	p.allocate(r)
 	t := &s.tasks[index]
@@ -249,6 +252,7 @@
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, e.Number)
 	s.lastRun = max(s.lastRun, e.Number)
+	p.markBegunIf(s, e.hasProgress() || s.works(e.Number))
 	p.abandon(r)
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -238,9 +238,10 @@
 	return n
 }
 
-// markBegun notes that a worker has begun a task of the job.
-func (p *Planner) markBegun(j *job) {
-	if j.begun || j.finalState != "" {
+// markBegunIf notes that the step's job has begun if a task of it works or has worked.
+func (p *Planner) markBegunIf(s *step, works bool) {
+	j := s.occurrence.job
+	if !works || j.begun || j.finalState != "" {
 		return
 	}
 	j.begun = true
--- a/planner/record.go
+++ b/planner/record.go
@@ -294,7 +294,7 @@
 	if st == nil {
 		return
 	}
-	p.markBegun(st.occurrence.job)
+	p.markBegunIf(st, st.worked(e))
 	t := &st.tasks[n]
 	t.lastRun = max(t.lastRun, e.Number)
 	st.lastRun = max(st.lastRun, e.Number)
