--- /dev/null
+++ b/conductor/begun_test.go
@@ -0,0 +1,47 @@
+package conductor
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/planner"
+	"filberthaven.example/platform"
+	"github.com/frankban/quicktest"
+)
+
+// TestBegunJobsPersisted checks that the next owner knows of a begun job although the record
+// that first took it along failed and no other followed.
+func TestBegunJobsPersisted(t *testing.T) {
+	c := quicktest.New(t)
+	store := emulator.NewStore().KV()
+	open := func(term uint64) (*Conductor, *planner.Planner) {
+		owner, err := New(store, platform.NewExecutorClient(platform.DefaultIdle), "vm", term)
+		c.Assert(err, quicktest.IsNil)
+		owner.ctx, owner.orderCtx = t.Context(), t.Context()
+		recovery, err := owner.journal.Open(t.Context(), term)
+		c.Assert(err, quicktest.IsNil)
+		p := planner.New()
+		c.Assert(p.Restore(recovery.Snapshot(), recovery.Records(), 0, wallClock(), 0), quicktest.IsNil)
+		return owner, p
+	}
+	owner, _ := open(1)
+	owner.persist(planner.Record{Job: &planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 1000, Memory: 1}}}}, nil)
+	owner.begun = []string{"j"}
+	owner.withdrawStarts(nil, owner.takeBegun(), errors.New("refused"))
+	owner.sweep(0)
+	stored := make(chan struct{})
+	empty, err := planner.Record{}.Encode()
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(owner.journal.EnqueueMandatory(empty, func(error) { close(stored) }), quicktest.IsNil)
+	select {
+	case <-stored:
+	case <-time.After(time.Minute):
+		c.Fatal("records not persisted")
+	}
+	owner.journal.Abort()
+	_, next := open(2)
+	c.Assert(next.LiveJobs(), quicktest.Equals, 1)
+	c.Assert(next.Pending("q"), quicktest.Equals, 0)
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -82,6 +82,7 @@
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
 	runQueue       runQueue
+	begun          []string        // ids of jobs that have begun, for the next record in the journal
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
 	ready          bool            // the journal has been read and the configuration is known
@@ -326,14 +327,15 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// sweep removes deregistered workers, and ended jobs past their retention, and updates
-// the gauges.
+// sweep removes deregistered workers and ended jobs past their retention, updates the
+// gauges, and persists begun jobs that no other record has taken along.
 func (c *Conductor) sweep(now time.Duration) {
 	c.mu.Lock()
 	c.planner.PruneJobs(now)
 	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
 	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
 	removed := c.planner.PruneWorkers(now)
+	unrecorded := len(c.begun) > 0
 	for _, id := range removed {
 		delete(c.sessions, id)
 	}
@@ -342,13 +344,25 @@
 		c.log.Info("worker removed", "worker", id)
 		c.persist(planner.Record{RemovedWorker: id}, nil)
 	}
+	if unrecorded {
+		c.persist(planner.Record{}, nil)
+	}
+}
+
+// takeBegun returns the begun jobs that no record holds yet, for the caller's record.
+func (c *Conductor) takeBegun() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := c.begun
+	c.begun = nil
+	return begun
 }
 
 // persist queues a record of an event that has already happened. The journal retries
 // until the ownership ends. Once it holds the record, it calls stored if that is not
 // nil.
 func (c *Conductor) persist(r planner.Record, stored func()) {
-	r.At = wallClock()
+	r.At, r.Begun = wallClock(), c.takeBegun()
 	data, err := r.Encode()
 	if err != nil {
 		c.log.Error("failed to encode record", "error", err)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -24,7 +24,7 @@
 // owner knows where each task may be running. Starts that the journal does not take
 // are withdrawn.
 func (c *Conductor) orderStarts(starts []planner.Action) {
-	record := planner.Record{At: wallClock()}
+	record := planner.Record{At: wallClock(), Begun: c.takeBegun()}
 	for _, a := range starts {
 		record.Begins = append(record.Begins, planner.Begin{Task: a.Task, Number: a.Number, Worker: a.Worker})
 	}
@@ -35,7 +35,7 @@
 				err = c.ctx.Err()
 			}
 			if err != nil {
-				c.withdrawStarts(starts, err)
+				c.withdrawStarts(starts, record.Begun, err)
 				return
 			}
 			for _, a := range starts {
@@ -44,15 +44,17 @@
 		})
 	}
 	if err != nil {
-		c.withdrawStarts(starts, err)
+		c.withdrawStarts(starts, record.Begun, err)
 	}
 }
 
-// withdrawStarts reports to the planner that starts were not ordered, because of err.
-func (c *Conductor) withdrawStarts(starts []planner.Action, err error) {
+// withdrawStarts reports to the planner that starts were not ordered because of err, and
+// leaves the begun jobs of their record to the next one.
+func (c *Conductor) withdrawStarts(starts []planner.Action, begun []string, err error) {
 	c.log.Info("starts taken back", "starts", len(starts), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun = append(c.begun, begun...)
 	for _, a := range starts {
 		c.planner.ReportStart(a, planner.Withdrawn, c.now())
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -161,12 +161,14 @@
 	})
 }
 
-// reportBegun logs the jobs that have begun with an answer of the worker. The caller holds
-// c.mu.
+// reportBegun logs the jobs that have begun with an answer of the worker, and keeps them
+// for the next record in the journal. The caller holds c.mu.
 func (c *Conductor) reportBegun(worker string) {
-	for _, id := range c.planner.TakeBegun() {
+	begun := c.planner.TakeBegun()
+	for _, id := range begun {
 		c.log.Info("job begun", "job", id, "worker", worker)
 	}
+	c.begun = append(c.begun, begun...)
 }
 
 // reportEnded lets callers see the end of jobs, which the journal holds, and notifies
--- a/planner/helper_test.go
+++ b/planner/helper_test.go
@@ -46,6 +46,7 @@
 
 func (f *fixture) record(r Record) {
 	r.At = wall + f.now.Milliseconds()
+	r.Begun = f.p.TakeBegun()
 	data, err := r.Encode()
 	f.Assert(err, quicktest.IsNil)
 	f.records = append(f.records, data)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -248,7 +248,9 @@
 	p.newlyBegun = append(p.newlyBegun, j.spec.ID)
 }
 
-// TakeBegun returns the jobs that have begun since the last call.
+// TakeBegun returns the jobs that have begun since the last call. The caller writes them
+// to the journal with one of its next records, so that the next owner knows them before
+// their workers have answered it.
 func (p *Planner) TakeBegun() []string {
 	ids := p.newlyBegun
 	p.newlyBegun = nil
--- a/planner/record.go
+++ b/planner/record.go
@@ -44,6 +44,7 @@
 	RemovedWorker string   `cbor:"5,keyasint,omitempty"` // id of a worker that runs none any more
 	At            int64    `cbor:"6,keyasint,omitempty"` // Unix ms
 	Begins        []Begin  `cbor:"7,keyasint,omitempty"`
+	Begun         []string `cbor:"8,keyasint,omitempty"` // ids of jobs that have begun, as TakeBegun returned them
 }
 
 // Encode returns the record in CBOR.
@@ -255,6 +256,11 @@
 			p.addInheritedRun(st, index, b.Number, b.Worker)
 		}
 	}
+	for _, id := range r.Begun {
+		if j := p.jobs[id]; j != nil {
+			j.begun = true
+		}
+	}
 	for _, e := range r.Ends {
 		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond, now, wall)
 	}
