planner: A job's state is queued until a worker has begun a task

Callers saw: running for a job whose start was only decided, or had no answer, while the pending count of its queue includes it. Change: State and the pending count use the same fact, begun.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -196,7 +196,7 @@
 		return "", false
 	case j.finalState != "" && j.endStored:
 		return j.finalState, true
-	case j.ordered:
+	case j.begun:
 		return Running, true
 	default:
 		return Queued, true
