--- a/conductor/begun_test.go
+++ b/conductor/begun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -45,3 +46,15 @@
 	c.Assert(next.LiveJobs(), quicktest.Equals, 1)
 	c.Assert(next.Pending("q"), quicktest.Equals, 0)
 }
+
+// TestPendingGauges checks that the gauges tell pending jobs with a decided start from those
+// without.
+func TestPendingGauges(t *testing.T) {
+	c, _ := newOrderer(t, 1, func(http.ResponseWriter, *http.Request) {})
+	_, err := c.planner.Submit(planner.JobSpec{ID: "k", Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 2000, Memory: 1}}}, 0)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	c.planner.MarkStored("k")
+	c.sweep(time.Second)
+	quicktest.Assert(t, c.metrics.pending.Value(), quicktest.Equals, int64(2))
+	quicktest.Assert(t, c.metrics.pendingOrdered.Value(), quicktest.Equals, int64(1))
+}
