--- /dev/null
+++ b/narrator/decided_test.go
@@ -0,0 +1,27 @@
+package narrator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestDecidedStartIsNotRunning checks that a start that was decided and withdrawn is not
+// explained as a running job.
+func TestDecidedStartIsNotRunning(t *testing.T) {
+	const start = "2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=1 worker=i-1 reason=room\n"
+	for name, log := range map[string]string{
+		"decided": start,
+		"withdrawn": start +
+			"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: start withdrawn: task=" + id + ".0.0.0 run=1 worker=i-1 fresh=false late=false wanted=true\n",
+		"taken back": start +
+			"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: starts taken back: starts=1 error=unavailable\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			timeline := New(id)
+			quicktest.Assert(t, timeline.Read(strings.NewReader(log)), quicktest.IsNil)
+			quicktest.Assert(t, timeline.Cause(), quicktest.Not(quicktest.Contains), "it runs")
+		})
+	}
+}
--- /dev/null
+++ b/planner/stale_test.go
@@ -0,0 +1,58 @@
+package planner
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestFailedStateAfterTakeover checks that a job that was shown as failed stays failed for
+// the next owner, which reads the journal before it knows the attempts of the queue.
+func TestFailedStateAfterTakeover(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", newStep(1))
+	f.listEnd(f.starts()[0], 1, RunFailed)
+	f.listEnd(f.starts()[0], 2, RunFailed)
+	f.assertState("j", Failed)
+	f.takeOver(0)
+	f.assertState("j", Failed)
+}
+
+// TestPendingUntilCancelStored checks that a queued job counts as pending until the journal
+// holds its cancelling, as its state says.
+func TestPendingUntilCancelStored(t *testing.T) {
+	f := newFixture(t, 0)
+	f.submit("j", newStep(1))
+	f.p.Cancel("j", "team", f.now)
+	f.assertState("j", Queued)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+}
+
+// TestEndsNotReportedAgain checks that the next owner does not count and log again the ends
+// of jobs that it reads from the journal.
+func TestEndsNotReportedAgain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", newStep(1))
+	f.listEnd(f.starts()[0], 1, Done)
+	f.takeOver(0)
+	f.assertState("j", Completed)
+	f.Assert(f.p.TakeEnded(), quicktest.HasLen, 0)
+}
+
+// TestRefusedWhereOnlySilentWorkersAreFree checks that a job is not accepted as timely on
+// account of a worker that doesn't answer, on which nothing starts.
+func TestRefusedWhereOnlySilentWorkersAreFree(t *testing.T) {
+	f := newFixture(t, 1)
+	long := newStep(4)
+	long.Estimate = 60_000
+	f.submit("long", long)
+	f.Assert(f.starts(), quicktest.HasLen, 4)
+	f.addWorker("silent")
+	f.p.HeartbeatMissed("silent")
+	f.submit("ahead", newStep(4))
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.now += second
+	_, err := f.p.Submit(JobSpec{ID: "j", Queue: "q", Team: "team", Steps: []StepSpec{newStep(4)}}, f.now)
+	var refusal *RefusalError
+	f.Assert(err, quicktest.ErrorAs, &refusal)
+}
