--- a/conductor/begun_test.go
+++ b/conductor/begun_test.go
@@ -28,9 +28,12 @@
 		return owner, p
 	}
 	owner, _ := open(1)
+	owner.mu.Lock()
 	owner.persist(planner.Record{Job: &planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 1000, Memory: 1}}}}, nil)
 	owner.begun = []string{"j"}
-	owner.withdrawStarts(nil, owner.takeBegun(), errors.New("refused"))
+	begun := owner.takeBegun()
+	owner.mu.Unlock()
+	owner.withdrawStarts(nil, begun, errors.New("refused"))
 	owner.sweep(0)
 	stored := make(chan struct{})
 	empty, err := planner.Record{}.Encode()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -335,32 +335,31 @@
 	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
 	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
 	removed := c.planner.PruneWorkers(now)
-	unrecorded := len(c.begun) > 0
 	for _, id := range removed {
 		delete(c.sessions, id)
+		c.persist(planner.Record{RemovedWorker: id}, nil)
+	}
+	if len(c.begun) > 0 {
+		c.persist(planner.Record{}, nil)
 	}
 	c.mu.Unlock()
 	for _, id := range removed {
 		c.log.Info("worker removed", "worker", id)
-		c.persist(planner.Record{RemovedWorker: id}, nil)
-	}
-	if unrecorded {
-		c.persist(planner.Record{}, nil)
 	}
 }
 
-// takeBegun returns the begun jobs that no record holds yet, for the caller's record.
+// takeBegun returns the begun jobs that no record holds yet, for the caller's record. The
+// caller holds c.mu.
 func (c *Conductor) takeBegun() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	begun := c.begun
 	c.begun = nil
 	return begun
 }
 
 // persist queues a record of an event that has already happened. The journal retries
-// until the ownership ends. Once it holds the record, it calls stored if that is not
-// nil.
+// until the ownership ends. Once it holds the record, stored is called with c.mu held if
+// it is not nil. The caller holds c.mu since it passed the event to the planner, so that
+// the journal holds events in the order in which the planner applied them.
 func (c *Conductor) persist(r planner.Record, stored func()) {
 	r.At, r.Begun = wallClock(), c.takeBegun()
 	data, err := r.Encode()
@@ -374,6 +373,8 @@
 			return
 		}
 		if stored != nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			stored()
 		}
 	})
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -101,19 +101,17 @@
 	if reconnect {
 		c.startHeartbeats(s) // to learn the worker's clock and its runs
 	}
-	c.mu.Unlock()
-	if !changed && !isNew {
-		return
-	}
-	c.log.Info("worker registered", "worker", id, "centre", registration.Centre, "draining", registration.Draining, "born", registration.Incarnation)
 	if isNew {
 		c.persist(planner.Record{AddedWorker: id}, func() {
-			c.mu.Lock()
 			c.planner.MarkWorkerStored(id)
-			c.mu.Unlock()
 			c.wake()
 		})
 	}
+	c.mu.Unlock()
+	if !changed && !isNew {
+		return
+	}
+	c.log.Info("worker registered", "worker", id, "centre", registration.Centre, "draining", registration.Draining, "born", registration.Incarnation)
 	c.wake()
 }
 
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -24,7 +24,9 @@
 // owner knows where each task may be running. Starts that the journal does not take
 // are withdrawn.
 func (c *Conductor) orderStarts(starts []planner.Action) {
+	c.mu.Lock()
 	record := planner.Record{At: wallClock(), Begun: c.takeBegun()}
+	c.mu.Unlock()
 	for _, a := range starts {
 		record.Begins = append(record.Begins, planner.Begin{Task: a.Task, Number: a.Number, Worker: a.Worker})
 	}
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -240,10 +240,13 @@
 	stored := make(chan struct{}, 1)
 	c.mu.Lock()
 	cancellation := c.planner.Cancel(id, team, c.now())
-	jobs := c.planner.TakeEnded()
 	if cancellation.Known && !cancellation.Stored {
 		c.planner.Await(id, planner.JobEndStored, func(error) { stored <- struct{}{} })
 	}
+	if cancellation.Known && !cancellation.Ended {
+		jobs := c.planner.TakeEnded()
+		c.persist(planner.Record{Cancel: id}, func() { c.reportEnded(jobs) })
+	}
 	c.mu.Unlock()
 	switch {
 	case !cancellation.Known:
@@ -252,11 +255,6 @@
 		return Response{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
 	case !cancellation.Ended:
 		c.log.Info("job cancelled", "job", id, "team", team)
-		c.persist(planner.Record{Cancel: id}, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.reportEnded(jobs)
-		})
 		c.wake()
 	}
 	select {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -134,26 +134,24 @@
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended,
 	}, c.now())
 	c.reportBegun(s.id)
-	jobs := c.planner.TakeEnded()
-	incarnation = s.incarnation
-	c.mu.Unlock()
 	if len(ends) > 0 {
-		c.persistEnds(s, incarnation, ends, result.Ended[len(result.Ended)-1].Serial, jobs)
+		c.persistEnds(s, ends, result.Ended[len(result.Ended)-1].Serial)
 	}
+	c.mu.Unlock()
 	c.wake()
 	return true
 }
 
 // persistEnds writes the ends of runs to the journal. After that the worker may forget
-// the ends up to lastSerial, and callers see the end of the given jobs.
-func (c *Conductor) persistEnds(s *session, incarnation int64, ends []planner.End, lastSerial uint64, jobs []string) {
+// the ends up to lastSerial, and callers see the end of the jobs that have ended with
+// them. The caller holds c.mu.
+func (c *Conductor) persistEnds(s *session, ends []planner.End, lastSerial uint64) {
 	c.metrics.runsEnded.Inc(int64(len(ends)))
 	for _, e := range ends {
 		c.log.Info("end", "task", e.Task, "run", e.Number, "worker", s.id, "how", e.Result)
 	}
+	incarnation, jobs := s.incarnation, c.planner.TakeEnded()
 	c.persist(planner.Record{Ends: ends}, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		if s.incarnation == incarnation {
 			s.persistedSerial = max(s.persistedSerial, lastSerial)
 		}
--- a/conductor/state_test.go
+++ b/conductor/state_test.go
@@ -11,6 +11,7 @@
 	"filberthaven.example/placer"
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
+	"filberthaven.example/platform/imitator"
 	"github.com/frankban/quicktest"
 )
 
@@ -35,7 +36,9 @@
 	owner.mu.Unlock()
 	c.Assert(err, quicktest.IsNil)
 	stored := make(chan struct{})
+	owner.mu.Lock()
 	owner.persist(planner.Record{Job: &spec}, func() { close(stored) })
+	owner.mu.Unlock()
 	<-stored
 	owner.mu.Lock()
 	owner.planner.Register(planner.Registration{ID: "w", Centre: "c", Service: "s", Incarnation: 1, Capacity: placer.NewResources(1000, 1000, 0)}, owner.now())
@@ -110,6 +113,6 @@
 		{Serial: 1, End: planner.End{Task: starts[0].Task, Number: 1, Result: planner.Done}},
 	}}, c.now())
 	c.reportEnded(c.planner.TakeEnded())
-	response := c.submit(t.Context(), planner.Queue{Name: "q"}, "", "j", []byte(`{"spec":"p","steps":[{"num-tasks":1,"cpu":1000,"mem-mb":1}]}`))
+	response := c.submit(t.Context(), planner.Queue{Name: "q"}, "", "j", []byte(imitator.JobBody))
 	quicktest.Assert(t, string(response.Body), quicktest.Equals, string(platform.StateBody(planner.Completed)))
 }
--- a/conductor/takeover_test.go
+++ b/conductor/takeover_test.go
@@ -1,9 +1,13 @@
 package conductor
 
 import (
+	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"filberthaven.example/claimer"
 	"filberthaven.example/emulator"
 	"filberthaven.example/keeper"
 	"filberthaven.example/placer"
@@ -37,6 +41,8 @@
 	_, err := owner.planner.Submit(spec, owner.now())
 	quicktest.Assert(t, err, quicktest.IsNil)
 	owner.planner.MarkStored("j")
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
 	owner.persist(planner.Record{Job: &spec}, nil)
 	starts := owner.planner.Decide(owner.now(), wallClock())
 	quicktest.Assert(t, starts, quicktest.HasLen, n)
@@ -74,58 +80,89 @@
 	quicktest.Assert(t, next.planner.Pending("q"), quicktest.Equals, 0)
 }
 
-// TestCompletedOnlyWithAllEndsStored checks that a job is not shown as completed before the
-// journal holds the ends of all its tasks. The next owner would show it as running again.
-// Two workers' answers are applied in one order and their records queued in the other, as
-// heartbeats in parallel may do.
-func TestCompletedOnlyWithAllEndsStored(t *testing.T) {
-	store := emulator.NewStore().KV()
-	owner := openOwner(t, store, 1)
-	starts := submitAndStart(t, owner, 2)
-	var ends [2][]planner.End
-	for i, a := range starts {
-		ends[i] = owner.planner.HandleStatus(planner.WorkerStatus{Worker: a.Worker, Incarnation: 1, SentAt: owner.now(), Ended: []planner.EndEntry{
-			{Serial: 1, End: planner.End{Task: a.Task, Number: a.Number, Result: planner.Done}},
-		}}, owner.now())
-		quicktest.Assert(t, ends[i], quicktest.HasLen, 1)
+// newBusyOwner returns an owner with an open journal and n jobs of one task, each of which
+// runs on a worker of its own. Each worker lists its run as done.
+func newBusyOwner(t *testing.T, store keeper.Store, n int) *Conductor {
+	t.Helper()
+	var taskAt sync.Map // task by address of its worker
+	c, _ := newOrderer(t, n, func(w http.ResponseWriter, r *http.Request) {
+		task, _ := taskAt.Load(r.Host)
+		fmt.Fprintf(w, `{"clock-ms":1,"born":1,"ended":[[1,"%s",1,"done",""]]}`, task)
+	})
+	c.now = claimer.Now
+	owner, err := New(store, c.executors, "vm", 1)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	_, err = owner.journal.Open(t.Context(), 1)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	c.journal, c.planner = owner.journal, owner.planner
+	c.planner.Configure(planner.Config{Version: 1, Queues: []planner.Queue{{Name: "q", Service: "s", Stretch: 2, Objective: time.Second}}}, c.now())
+	for i := range n {
+		id := fmt.Sprint("w", i)
+		c.planner.Register(planner.Registration{ID: id, Centre: "c", Service: "s", Incarnation: 1, Capacity: placer.NewResources(1000, 1000, 0)}, c.now())
+		c.planner.MarkWorkerStored(id)
+		spec := planner.JobSpec{ID: fmt.Sprint("j", i), Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 1000, Memory: 1}}}
+		_, err := c.planner.Submit(spec, c.now())
+		quicktest.Assert(t, err, quicktest.IsNil)
+		c.planner.MarkStored(spec.ID)
+		c.mu.Lock()
+		c.persist(planner.Record{Job: &spec}, nil)
+		c.mu.Unlock()
 	}
-	// The first worker's record is still to be queued: persist waits for c.mu.
-	owner.persistEnds(&session{id: starts[1].Worker, incarnation: 1}, 1, ends[1], 1, owner.planner.TakeEnded())
-	flush(t, owner)
-	owner.mu.Lock()
-	shown, _ := owner.planner.State("j", "q", "")
-	owner.mu.Unlock()
-	owner.journal.Abort()
-	next := openOwner(t, store, 2)
-	state, _ := next.planner.State("j", "q", "")
-	quicktest.Assert(t, state, quicktest.Equals, shown, quicktest.Commentf("state after a takeover, against the one shown before"))
+	starts := c.planner.Decide(c.now(), wallClock())
+	quicktest.Assert(t, starts, quicktest.HasLen, n)
+	for _, a := range starts {
+		c.planner.ReportStart(a, planner.Accepted, c.now())
+		taskAt.Store(c.sessions[a.Worker].address, a.Task)
+	}
+	return c
 }
 
-// TestCancelledStaysCancelled checks that a job whose cancelling was acknowledged stays
-// cancelled for the next owner, also if the end of its last task was queued for the journal
-// between the cancelling and its record.
+// TestEndsQueuedWithTheirEffect checks that nobody sees the effect of an end on the planner
+// before its record is queued for the journal. Otherwise the record of a later end may go
+// first, and its job is shown as completed while the journal lacks an end.
+func TestEndsQueuedWithTheirEffect(t *testing.T) {
+	const workers = 100
+	c := newBusyOwner(t, emulator.NewStore().KV(), workers)
+	var heartbeats sync.WaitGroup
+	for _, s := range c.sessions {
+		heartbeats.Go(func() { c.heartbeat(s, true) })
+	}
+	for idle := 0; idle < workers; {
+		c.mu.Lock()
+		idle = 0
+		for id := range c.sessions {
+			if !c.planner.Busy(id) {
+				idle++
+			}
+		}
+		queued := c.metrics.runsEnded.Count()
+		c.mu.Unlock()
+		quicktest.Assert(t, queued, quicktest.Equals, int64(idle))
+	}
+	heartbeats.Wait()
+}
+
+// TestCancelledStaysCancelled checks that the next owner shows each job as the owner did
+// whose cancelling was acknowledged while its last task ended.
 func TestCancelledStaysCancelled(t *testing.T) {
+	const jobs = 100
 	store := emulator.NewStore().KV()
-	owner := openOwner(t, store, 1)
-	start := submitAndStart(t, owner, 1)[0]
-	owner.planner.Cancel("j", "", owner.now()) // as cancel does, under c.mu
-	jobs := owner.planner.TakeEnded()
-	ends := owner.planner.HandleStatus(planner.WorkerStatus{Worker: start.Worker, Incarnation: 1, SentAt: owner.now(), Ended: []planner.EndEntry{
-		{Serial: 1, End: planner.End{Task: start.Task, Number: 1, Result: planner.Done}},
-	}}, owner.now())
-	owner.persistEnds(&session{id: start.Worker, incarnation: 1}, 1, ends, 1, nil)
-	owner.persist(planner.Record{Cancel: "j"}, func() {
-		owner.mu.Lock()
-		defer owner.mu.Unlock()
-		owner.reportEnded(jobs)
-	})
-	flush(t, owner)
-	owner.mu.Lock()
-	shown, _ := owner.planner.State("j", "q", "")
-	owner.mu.Unlock()
-	quicktest.Assert(t, shown, quicktest.Equals, planner.Cancelled)
-	owner.journal.Abort()
+	c := newBusyOwner(t, store, jobs)
+	var calls sync.WaitGroup
+	for _, s := range c.sessions {
+		calls.Go(func() { c.heartbeat(s, true) })
+	}
+	for i := range jobs {
+		calls.Go(func() { c.cancel(t.Context(), "", fmt.Sprint("j", i)) })
+	}
+	calls.Wait()
+	flush(t, c)
+	c.journal.Abort()
 	next := openOwner(t, store, 2)
-	state, _ := next.planner.State("j", "q", "")
-	quicktest.Assert(t, state, quicktest.Equals, planner.Cancelled)
+	for i := range jobs {
+		id := fmt.Sprint("j", i)
+		shown, _ := c.planner.State(id, "q", "")
+		state, _ := next.planner.State(id, "q", "")
+		quicktest.Assert(t, state, quicktest.Equals, shown, quicktest.Commentf("%s", id))
+	}
 }
