--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -328,7 +328,7 @@
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
 // sweep removes deregistered workers and ended jobs past their retention, updates the
-// gauges, and persists begun jobs that no other record has taken along.
+// gauges, and persists what no other record has taken along.
 func (c *Conductor) sweep(now time.Duration) {
 	c.mu.Lock()
 	c.planner.PruneJobs(now)
@@ -339,15 +339,20 @@
 		delete(c.sessions, id)
 		c.persist(planner.Record{RemovedWorker: id}, nil)
 	}
-	if len(c.begun) > 0 {
-		c.persist(planner.Record{}, nil)
-	}
+	c.flush()
 	c.mu.Unlock()
 	for _, id := range removed {
 		c.log.Info("worker removed", "worker", id)
 	}
 }
 
+// flush persists begun and ended jobs that no record holds yet. The caller holds c.mu.
+func (c *Conductor) flush() {
+	if len(c.begun) > 0 || c.planner.HasEnded() {
+		c.persist(planner.Record{}, nil)
+	}
+}
+
 // takeBegun returns the begun jobs that no record holds yet, for the caller's record. The
 // caller holds c.mu.
 func (c *Conductor) takeBegun() []string {
@@ -356,12 +361,14 @@
 	return begun
 }
 
-// persist queues a record of an event that has already happened. The journal retries
-// until the ownership ends. Once it holds the record, stored is called with c.mu held if
-// it is not nil. The caller holds c.mu since it passed the event to the planner, so that
-// the journal holds events in the order in which the planner applied them.
+// persist queues a record of an event that has already happened, and with it the jobs that
+// have begun or ended. The journal retries until the ownership ends. Once it holds the
+// record, callers see the ends, and stored is called with c.mu held if it is not nil. The
+// caller holds c.mu since it passed the event to the planner, so that the journal holds
+// events in the order in which the planner applied them.
 func (c *Conductor) persist(r planner.Record, stored func()) {
-	r.At, r.Begun = wallClock(), c.takeBegun()
+	ended := c.planner.TakeEnded()
+	r.At, r.Begun, r.Failed = wallClock(), c.takeBegun(), c.planner.Failed(ended)
 	data, err := r.Encode()
 	if err != nil {
 		c.log.Error("failed to encode record", "error", err)
@@ -372,11 +379,12 @@
 			c.log.Warn("record not persisted", "error", err)
 			return
 		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		if stored != nil {
-			c.mu.Lock()
-			defer c.mu.Unlock()
 			stored()
 		}
+		c.reportEnded(ended)
 	})
 	if err != nil {
 		c.log.Warn("record not persisted", "error", err)
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -61,10 +61,17 @@
 		c.log.Error("configuration rejected", "version", e.Version(), "error", err)
 		return
 	}
+	c.configure(config)
+}
+
+// configure brings a configuration into force. Jobs may fail by it, if their queue allows
+// fewer attempts than before.
+func (c *Conductor) configure(config planner.Config) {
 	c.mu.Lock()
 	if c.planner.Configure(config, c.now()) {
 		c.routing = newRoutingTable(config)
 		c.ready = true
+		c.flush()
 	}
 	c.mu.Unlock()
 	c.log.Info("configuration in force", "version", config.Version, "queues", len(config.Queues), "teams", len(config.Teams))
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -244,8 +244,7 @@
 		c.planner.Await(id, planner.JobEndStored, func(error) { stored <- struct{}{} })
 	}
 	if cancellation.Known && !cancellation.Ended {
-		jobs := c.planner.TakeEnded()
-		c.persist(planner.Record{Cancel: id}, func() { c.reportEnded(jobs) })
+		c.persist(planner.Record{Cancel: id}, nil)
 	}
 	c.mu.Unlock()
 	switch {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -143,19 +143,17 @@
 }
 
 // persistEnds writes the ends of runs to the journal. After that the worker may forget
-// the ends up to lastSerial, and callers see the end of the jobs that have ended with
-// them. The caller holds c.mu.
+// the ends up to lastSerial. The caller holds c.mu.
 func (c *Conductor) persistEnds(s *session, ends []planner.End, lastSerial uint64) {
 	c.metrics.runsEnded.Inc(int64(len(ends)))
 	for _, e := range ends {
 		c.log.Info("end", "task", e.Task, "run", e.Number, "worker", s.id, "how", e.Result)
 	}
-	incarnation, jobs := s.incarnation, c.planner.TakeEnded()
+	incarnation := s.incarnation
 	c.persist(planner.Record{Ends: ends}, func() {
 		if s.incarnation == incarnation {
 			s.persistedSerial = max(s.persistedSerial, lastSerial)
 		}
-		c.reportEnded(jobs)
 	})
 }
 
--- a/conductor/state_test.go
+++ b/conductor/state_test.go
@@ -79,7 +79,7 @@
 // attempts a configuration has lowered, although the next answer of a worker lists no ends.
 func TestFailureByConfigurationIsShown(t *testing.T) {
 	c := newFailingJob(t)
-	c.planner.Configure(planner.Config{Version: 2, Queues: []planner.Queue{{Name: "q", Service: "s", Attempts: 1, Stretch: 2, Objective: time.Second}}}, c.now())
+	c.configure(planner.Config{Version: 2, Queues: []planner.Queue{{Name: "q", Service: "s", Attempts: 1, Stretch: 2, Objective: time.Second}}})
 	quicktest.Assert(t, c.planner.FinalState("j"), quicktest.Equals, planner.Failed)
 	quicktest.Assert(t, c.heartbeat(c.sessions["w0"], false), quicktest.IsTrue)
 	var state planner.State
--- a/planner/helper_test.go
+++ b/planner/helper_test.go
@@ -91,8 +91,9 @@
 // listEnd makes the worker list a run as ended, and records that end.
 func (f *fixture) listEnd(a Action, serial uint64, result string) {
 	ends := f.p.HandleStatus(WorkerStatus{Worker: a.Worker, Incarnation: 1, SentAt: f.now, Ended: []EndEntry{{serial, End{Task: a.Task, Number: a.Number, Result: result}}}}, f.now)
-	f.record(Record{Ends: ends})
-	for _, id := range f.p.TakeEnded() {
+	ended := f.p.TakeEnded()
+	f.record(Record{Ends: ends, Failed: f.p.Failed(ended)})
+	for _, id := range ended {
 		f.p.MarkEndStored(id)
 	}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -257,8 +257,12 @@
 	return ids
 }
 
-// TakeEnded returns the jobs that ended since the last call. The caller calls
-// MarkEndStored for them once the journal holds the record that ended them.
+// HasEnded reports whether TakeEnded would return a job.
+func (p *Planner) HasEnded() bool { return len(p.newlyEnded) > 0 }
+
+// TakeEnded returns the jobs that ended since the last call. The caller writes those that
+// failed to the journal, as the next owner may allow other attempts, and calls
+// MarkEndStored for all of them once the journal holds the record that ended them.
 func (p *Planner) TakeEnded() []string {
 	ids := p.newlyEnded
 	p.newlyEnded = nil
@@ -332,6 +336,17 @@
 // still counts until the next Decide.
 func (p *Planner) LiveJobs() int { return len(p.live) }
 
+// Failed returns those of the jobs that have failed.
+func (p *Planner) Failed(ids []string) []string {
+	var failed []string
+	for _, id := range ids {
+		if p.FinalState(id) == Failed {
+			failed = append(failed, id)
+		}
+	}
+	return failed
+}
+
 // FinalState returns the final state of a job, empty if it has not ended or is not
 // known.
 func (p *Planner) FinalState(id string) State {
--- a/planner/record.go
+++ b/planner/record.go
@@ -45,6 +45,7 @@
 	At            int64    `cbor:"6,keyasint,omitempty"` // Unix ms
 	Begins        []Begin  `cbor:"7,keyasint,omitempty"`
 	Begun         []string `cbor:"8,keyasint,omitempty"` // ids of jobs that have begun, as TakeBegun returned them
+	Failed        []string `cbor:"9,keyasint,omitempty"` // ids of jobs that have failed, of those that TakeEnded returned
 }
 
 // Encode returns the record in CBOR.
@@ -264,16 +265,24 @@
 	for _, e := range r.Ends {
 		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond, now, wall)
 	}
-	if j := p.jobs[r.Cancel]; j != nil && j.finalState == "" {
-		p.end(j, Cancelled, now-time.Duration(max(0, wall-r.At))*time.Millisecond)
-		j.endStored = true
+	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
+	for _, id := range r.Failed {
+		p.replayFinal(id, Failed, at)
 	}
+	p.replayFinal(r.Cancel, Cancelled, at)
 	if r.AddedWorker != "" {
 		p.persisted[r.AddedWorker] = true
 	}
 	delete(p.persisted, r.RemovedWorker)
 }
 
+// replayFinal ends a job that the journal says has ended at that time.
+func (p *Planner) replayFinal(id string, state State, at time.Duration) {
+	if j := p.jobs[id]; j != nil && j.finalState == "" {
+		p.end(j, state, at)
+	}
+}
+
 // dueTime returns when occurrence k is due.
 func (j *job) dueTime(k int, now time.Duration, wall int64) time.Duration {
 	if j.spec.Occurrences <= 0 {
@@ -318,11 +327,11 @@
 	case RunFailed:
 		p.countFailure(st, n, e.Number, at)
 	}
-	st.occurrence.job.endStored = st.occurrence.job.finalState != ""
 }
 
 // inherit marks all workers as possibly running tasks for earlier owners until
-// leaseExpiry, and collects the jobs that have not ended.
+// leaseExpiry, and collects the jobs that have not ended. The journal holds the ends of
+// the others.
 func (p *Planner) inherit(leaseExpiry time.Duration) {
 	for id := range p.persisted {
 		p.worker(id)
@@ -336,8 +345,10 @@
 	for _, j := range p.jobs {
 		if j.finalState == "" {
 			p.live = append(p.live, j)
+		} else {
+			j.endStored = true
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
-	p.newlyBegun = nil
+	p.newlyBegun, p.newlyEnded = nil, nil
 }
