--- a/planner/decide.go
+++ b/planner/decide.go
@@ -121,17 +121,20 @@
 }
 
 // candidates returns the occurrences with waiting tasks in the order in which they
-// are served, and removes ended jobs from p.live. Work that can still be in time goes
+// are served, and removes jobs that are over from p.live. Work that can still be in time goes
 // before late work of its class, which would make it late too on a full fleet. Work
 // that nobody waits for any more goes last.
 func (p *Planner) candidates(now time.Duration) []candidate {
 	var list []candidate
 	live := p.live[:0]
 	for _, j := range p.live {
-		if j.finalState != "" {
+		if j.isOver() {
 			continue
 		}
 		live = append(live, j)
+		if j.finalState != "" {
+			continue
+		}
 		for _, o := range j.occurrences {
 			if o.hasWaitingTask() {
 				list = append(list, p.rank(o, now))
--- a/planner/job.go
+++ b/planner/job.go
@@ -39,6 +39,10 @@
 	criticalPath time.Duration // estimate for one whole occurrence; 0 until computed
 }
 
+// isOver reports whether the job has ended and the journal holds its end, so that callers
+// may see it.
+func (j *job) isOver() bool { return j.finalState != "" && j.endStored }
+
 // isLongRunning reports whether the job has tasks that run until it is cancelled.
 func (j *job) isLongRunning() bool {
 	for i := range j.spec.Steps {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -17,7 +17,7 @@
 	fleet          []*worker       // the values of workers, in order of addition; Decide visits these
 	persisted      map[string]bool // workers that the journal names; tasks start only on these
 	jobs           map[string]*job // including ended jobs until PruneJobs removes them
-	live           []*job          // stored jobs, oldest first; Decide removes those that have ended
+	live           []*job          // stored jobs, oldest first; Decide removes those that are over
 	stats          map[string]*queueStats
 	load           load
 	maxFreeCPU     int64 // most free thousandths of a processor on a worker when the current decision began
@@ -194,7 +194,7 @@
 	switch {
 	case j == nil || j.spec.Queue != queue || !j.stored:
 		return "", false
-	case j.finalState != "" && j.endStored:
+	case j.isOver():
 		return j.finalState, true
 	case j.begun:
 		return Running, true
@@ -211,8 +211,8 @@
 	return j
 }
 
-// Pending returns the number of jobs in the queue of which no worker is known to have
-// begun a task. A start that was only decided does not count: it may be withdrawn, be
+// Pending returns the number of jobs in the queue whose state is queued: no worker is known
+// to have begun a task, and the journal holds no end. A start that was only decided does not count: it may be withdrawn, be
 // refused or get no answer.
 func (p *Planner) Pending(queue string) int {
 	return p.countPending(func(j *job) bool { return j.spec.Queue == queue })
@@ -231,7 +231,7 @@
 func (p *Planner) countPending(match func(*job) bool) int {
 	n := 0
 	for _, j := range p.live {
-		if j.finalState == "" && !j.begun && match(j) {
+		if !j.isOver() && !j.begun && match(j) {
 			n++
 		}
 	}
@@ -332,8 +332,8 @@
 	}
 }
 
-// LiveJobs returns the number of stored jobs that have not ended. A job that has ended
-// still counts until the next Decide.
+// LiveJobs returns the number of stored jobs that are not over. A job that is over still
+// counts until the next Decide.
 func (p *Planner) LiveJobs() int { return len(p.live) }
 
 // Failed returns those of the jobs that have failed.
