model: Add tests of four guards that the code lacks

Cause: with orders.pml, the checker finds an error without NO_HEARTBEAT_CHECK, NO_LATE_DONE, NO_INHERITED_DELAY and NO_ANSWER_INC, and reading shows that the code lacks these guards.

Measured: TestNoLeaseAfterOwnership, TestDoneOfReplacedRun, TestInheritedStartOnRestartedWorker and TestStartAnsweredByNewIncarnation fail; the other tests of planner and conductor pass with -race.

Conclusion: four faults, each narrow, of which three need a restarted worker or a partition at the same time as a takeover or an expired lease.

--- a/conductor/order_test.go
+++ b/conductor/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -136,3 +137,44 @@
 		})
 	}
 }
+
+// TestStartAnsweredByNewIncarnation checks a start that a restarted worker has executed
+// before the platform's list shows the restart. The run must not count as lost with the
+// earlier incarnation: it would be started anew while it runs.
+func TestStartAnsweredByNewIncarnation(t *testing.T) {
+	c, starts := newOrderer(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"clock-ms":1,"born":2}`)
+	})
+	c.start(starts[0])
+	c.planner.Register(planner.Registration{ID: "w0", Centre: "c", Service: "s", Incarnation: 2, Capacity: placer.NewResources(1000, 1000, 0)}, time.Second)
+	for _, a := range c.planner.Decide(time.Second, 0) {
+		quicktest.Check(t, a.Kind, quicktest.Not(quicktest.Equals), planner.Start)
+	}
+}
+
+// TestNoLeaseAfterOwnership checks that a heartbeat grants no lease if the lease of the
+// ownership may have expired since runHeartbeats checked it, as after a suspension of the
+// VM. The next owner would not count that lease.
+func TestNoLeaseAfterOwnership(t *testing.T) {
+	granted := false
+	c, starts := newOrderer(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Until int64 `json:"until-ms"`
+		}
+		quicktest.Check(t, json.NewDecoder(r.Body).Decode(&body), quicktest.IsNil)
+		granted = granted || r.URL.Path == "/-/hold" && body.Until != 0
+		fmt.Fprint(w, `{"clock-ms":1}`)
+	})
+	c.start(starts[0])
+	ctx, cancel := context.WithCancel(t.Context())
+	c.ctx = ctx
+	checks := 0
+	c.isOwner = func() bool {
+		if checks++; checks == 4 {
+			cancel()
+		}
+		return checks == 1
+	}
+	c.runHeartbeats(c.sessions["w0"])
+	quicktest.Assert(t, granted, quicktest.IsFalse)
+}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -315,3 +315,20 @@
 	f.assertState("j", Running)
 	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
 }
+
+// TestDoneOfReplacedRun checks that no run starts after the end "done" of an earlier one was
+// acknowledged. The worker could not be reached until the lease had expired, and lists the
+// end while the task runs elsewhere.
+func TestDoneOfReplacedRun(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("j", newStep(1))
+	replaced := f.starts()[0]
+	f.p.ExtendLease(replaced.Worker, 6*second)
+	f.p.HeartbeatMissed(replaced.Worker)
+	f.now = 7 * second
+	replacement := f.starts()[0]
+	f.listEnd(replaced, 1, Done) // the journal holds the end, so the worker may forget it
+	f.listEnd(replacement, 1, RunFailed)
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.assertState("j", Completed)
+}
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -204,3 +204,22 @@
 		})
 	}
 }
+
+// TestInheritedStartOnRestartedWorker checks that a new owner starts a task anew only when
+// the order of the earlier owner can't arrive any more. That owner got no answer, and the
+// worker has restarted since: the new incarnation knows neither the fence nor the run.
+func TestInheritedStartOnRestartedWorker(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", newStep(1))
+	f.Assert(f.decide(), quicktest.HasLen, 1)
+	f.takeOver(6 * second)
+	f.addWorker("w0")
+	f.addWorker("w1")
+	restarted := f.p.workers["w0"].reg
+	restarted.Incarnation = 2
+	f.p.Register(restarted, f.now)
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.now = 2 * maxOrderDelay
+	f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: 2, SentAt: f.now}, f.now)
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+}
