planner: An end done counts although the task has another run

Cause: applyEnd ignored an end done of a run whose lease had expired if the task had another run by then, but stored and acknowledged it. If the other run failed, a third started; the next owner counted the task as done. Change: such an end completes the task, and the other runs are stopped, also those of a newer try of a gang. TestDoneOfReplacedGang (new) checks the stops of a gang's newer try.

--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -197,7 +197,7 @@
 	}
 	// The run is not allocated on this worker: an earlier owner started it, or its
 	// lease has expired. Its end still counts, unless the task has another run by now;
-	// then only a failure does.
+	// then only success and failure do.
 	s, index := p.stepOf(e.Task)
 	if s == nil || s.tasks[index].done {
 		return
@@ -207,14 +207,14 @@
 		p.countFailure(s, index, e.Number, now)
 		return
 	}
-	if len(s.tasks[index].runs) > 0 {
+	if len(s.tasks[index].runs) > 0 && e.Result != Done {
 		return
 	}
 	if e.Checkpoint != "" {
 		s.tasks[index].checkpoint = e.Checkpoint
 	}
 	if e.Result == Done {
-		p.completeTask(s, index, now)
+		p.completeTask(s, index, e.Number, now)
 	}
 }
 
@@ -330,7 +330,7 @@
 	p.learnRunTime(r, result, now)
 	switch result {
 	case Done:
-		p.completeTask(s, r.taskIndex, now)
+		p.completeTask(s, r.taskIndex, r.number, now)
 	case RunFailed:
 		p.countFailure(s, r.taskIndex, r.number, now)
 	case Lost:
@@ -338,10 +338,10 @@
 	}
 }
 
-// completeTask marks a task, or its whole gang, as done, and finishes the step when all
-// tasks are done. It abandons the other runs of a done task. It only marks those of a
-// gang as obsolete, since they end by themselves.
-func (p *Planner) completeTask(s *step, index int, now time.Duration) {
+// completeTask marks a task, or its whole gang, as done by the run with that number, and
+// finishes the step when all tasks are done. It abandons the other runs of a done task. It
+// only marks those of the same try of a gang as obsolete, since they end by themselves.
+func (p *Planner) completeTask(s *step, index, number int, now time.Duration) {
 	if s.spec.LongRunning {
 		return // the task has to run again
 	}
@@ -354,7 +354,7 @@
 	}
 	for i := range s.tasks {
 		for _, r := range s.tasks[i].runs {
-			if s.spec.Gang {
+			if s.spec.Gang && r.number == number {
 				r.obsolete = true
 			} else if s.tasks[i].done {
 				p.abandon(r)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -332,3 +332,29 @@
 	f.Assert(f.starts(), quicktest.HasLen, 0)
 	f.assertState("j", Completed)
 }
+
+// TestDoneOfReplacedGang checks that the newer try of a gang is stopped once an earlier one
+// is known to be done.
+func TestDoneOfReplacedGang(t *testing.T) {
+	f := newFixture(t, 4)
+	gang := newStep(2)
+	gang.Gang, gang.CPU = true, 3000
+	f.submit("j", gang)
+	replaced := f.starts()
+	f.Assert(replaced, quicktest.HasLen, 2)
+	for _, a := range replaced {
+		f.p.ExtendLease(a.Worker, 6*second)
+		f.p.HeartbeatMissed(a.Worker)
+	}
+	f.now = 7 * second
+	replacement := f.starts()
+	f.Assert(replacement, quicktest.HasLen, 2)
+	f.listEnd(replaced[0], 1, Done)
+	f.assertState("j", Completed)
+	stopped := map[string]bool{}
+	for _, a := range f.decide() {
+		f.Assert(a.Kind, quicktest.Equals, Stop)
+		stopped[a.Worker] = true
+	}
+	f.Assert(stopped, quicktest.DeepEquals, map[string]bool{replacement[0].Worker: true, replacement[1].Worker: true})
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -323,7 +323,7 @@
 	}
 	switch e.Result {
 	case Done:
-		p.completeTask(st, n, at)
+		p.completeTask(st, n, e.Number, at)
 	case RunFailed:
 		p.countFailure(st, n, e.Number, at)
 	}
