planner: An inherited start stays until a restarted worker has answered

Cause: after a takeover, a noticed restart of a worker ended its inherited runs at once. An order of the earlier owner without an answer may still reach the new incarnation, which knows no fence. Change: such a run stays until the new incarnation has answered this owner, and so knows its fence, or until maxOrderDelay and the lease are over.

--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -76,18 +76,23 @@
 
 // workerRestarted ends the runs of the worker's earlier incarnation. A start without an
 // answer may still reach the new incarnation, so its run stays allocated until it is
-// stopped there or maxOrderDelay and the lease are over.
+// stopped there or maxOrderDelay and the lease are over. An inherited run stays until the
+// new incarnation has answered, since it then refuses orders of earlier owners.
 func (p *Planner) workerRestarted(w *worker, incarnation int64, now time.Duration) {
 	w.reg.Incarnation = incarnation
 	w.lastSerial = 0
 	w.earlierOwnersFenced = true
 	for _, r := range w.runs {
-		if r.phase == phaseUnanswered || r.phase == phaseDecided {
+		switch r.phase {
+		case phaseUnanswered, phaseDecided:
 			r.workerRestartedAt = now
 			r.stopOrdered = false
 			r.obsolete = true
 			p.stopIfObsolete(r)
 			continue
+		case phaseInherited:
+			r.workerRestartedAt = now
+			continue
 		}
 		p.endRun(r, Lost, r.checkpoint, now)
 	}
