planner, conductor: A start's answer tells of a restarted worker

Cause: a restarted worker carried out a start before its entry in the store showed the restart. Only heartbeats and entries told the planner of incarnations, so the entry then counted that run as lost with the earlier incarnation, and it was started anew. Change: the answer to a start is observed like that to a heartbeat. The run itself is stopped and starts again once that is answered, which costs a little work and is safe. One function observes incarnations in all three places; a registration that only shows a restart counts as a change.

--- a/conductor/order.go
+++ b/conductor/order.go
@@ -99,6 +99,7 @@
 	}
 	c.mu.Lock()
 	s.observe(result, sentAt)
+	c.planner.ObserveIncarnation(a.Worker, result.Incarnation, c.now())
 	if result.Outcome != planner.Unknown {
 		// An order without an answer tells of its worker, not of this VM.
 		c.observeLatency(c.now()-sentAt, inFlight)
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -23,11 +23,10 @@
 // called MarkWorkerStored.
 func (p *Planner) Register(r Registration, now time.Duration) (isNew, changed bool) {
 	w := p.worker(r.ID)
-	if w.reg.Incarnation != 0 && r.Incarnation > w.reg.Incarnation {
-		p.workerRestarted(w, r.Incarnation, now)
-	}
+	known := w.reg
+	p.observeIncarnation(w, r.Incarnation, now)
 	r.Incarnation = max(r.Incarnation, w.reg.Incarnation)
-	changed = !w.listed || !w.reg.equal(r)
+	changed = !w.listed || !known.equal(r)
 	w.reg = r
 	w.listed = true
 	return !p.persisted[r.ID], changed
@@ -78,8 +77,7 @@
 // answer may still reach the new incarnation, so its run stays allocated until it is
 // stopped there or maxOrderDelay and the lease are over. An inherited run stays until the
 // new incarnation has answered, since it then refuses orders of earlier owners.
-func (p *Planner) workerRestarted(w *worker, incarnation int64, now time.Duration) {
-	w.reg.Incarnation = incarnation
+func (p *Planner) workerRestarted(w *worker, now time.Duration) {
 	w.lastSerial = 0
 	w.earlierOwnersFenced = true
 	for _, r := range w.runs {
@@ -98,6 +96,26 @@
 	}
 }
 
+// ObserveIncarnation applies the incarnation that the answer to a start names. The worker
+// may have restarted since the order was sent, before the platform's list shows it.
+func (p *Planner) ObserveIncarnation(id string, incarnation int64, now time.Duration) {
+	if w := p.workers[id]; w != nil {
+		p.observeIncarnation(w, incarnation, now)
+	}
+}
+
+// observeIncarnation applies the incarnation of a worker if it is newer than the known one.
+func (p *Planner) observeIncarnation(w *worker, incarnation int64, now time.Duration) {
+	known := w.reg.Incarnation
+	if incarnation <= known {
+		return
+	}
+	w.reg.Incarnation = incarnation
+	if known != 0 {
+		p.workerRestarted(w, now)
+	}
+}
+
 // Busy reports whether the worker may be running tasks. After a takeover, any worker may
 // be until it answers or its leases expire.
 func (p *Planner) Busy(id string) bool {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -145,15 +145,10 @@
 	if w == nil {
 		return nil
 	}
-	if status.Incarnation != 0 && status.Incarnation != w.reg.Incarnation {
-		if status.Incarnation < w.reg.Incarnation {
-			return nil // from an earlier incarnation
-		}
-		if w.reg.Incarnation != 0 {
-			p.workerRestarted(w, status.Incarnation, now)
-		}
-		w.reg.Incarnation = status.Incarnation
+	if status.Incarnation != 0 && status.Incarnation < w.reg.Incarnation {
+		return nil // from an earlier incarnation
 	}
+	p.observeIncarnation(w, status.Incarnation, now)
 	w.unansweredCalls, w.heartbeatTried = 0, true
 	w.earlierOwnersFenced = true
 	var ends []End
