conductor: Answers to repeated submissions and late cancels tell the job's state

Callers saw: queued for a repeated submission of a job that runs or is over, cancelled for a cancel of a job that had completed. Cause: the answers stated what had been asked for. Change: both tell the state, by the same function as GET.

--- a/conductor/request.go
+++ b/conductor/request.go
@@ -134,8 +134,15 @@
 	return Response{Status: http.StatusOK, Body: platform.StateBody(state)}
 }
 
+// storedState returns the response that tells the state of a job that the journal holds.
+func (c *Conductor) storedState(id string) Response {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Response{Status: http.StatusOK, Body: platform.StateBody(c.planner.StateOf(id))}
+}
+
 // submit admits a job and acknowledges it once the journal holds it. A repeated
-// submission waits for the first one.
+// submission waits for the first one, and its response tells the job's state.
 func (c *Conductor) submit(ctx context.Context, queue planner.Queue, team, id string, body []byte) Response {
 	arrivedAt := c.now()
 	spec, err := platform.DecodeJob(body)
@@ -178,7 +185,7 @@
 		c.metrics.accepted.Inc(1)
 		c.log.Info("job accepted", "job", id, "queue", queue.Name, "team", team, "steps", len(spec.Steps), "version", c.configVersion())
 	}
-	return Response{Status: http.StatusOK, Body: platform.StateBody(planner.Queued)}
+	return c.storedState(id)
 }
 
 // finishSubmission notifies the planner and all waiting callers that a job was written to
@@ -234,8 +241,8 @@
 	}
 }
 
-// cancel ends a job and responds once the journal holds its end. A job that has
-// already ended gets the same response.
+// cancel ends a job and responds once the journal holds its end. The response to a cancel
+// of a job that has already ended tells how it ended.
 func (c *Conductor) cancel(ctx context.Context, team, id string) Response {
 	stored := make(chan struct{}, 1)
 	c.mu.Lock()
@@ -251,14 +258,14 @@
 	case !cancellation.Known:
 		return errorResponse(http.StatusGone, "no such job")
 	case cancellation.Stored:
-		return Response{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
+		return c.storedState(id)
 	case !cancellation.Ended:
 		c.log.Info("job cancelled", "job", id, "team", team)
 		c.wake()
 	}
 	select {
 	case <-stored:
-		return Response{Status: http.StatusOK, Body: platform.StateBody(planner.Cancelled)}
+		return c.storedState(id)
 	case <-ctx.Done():
 		return errorResponse(http.StatusGatewayTimeout, "outcome unknown")
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -191,15 +191,28 @@
 // holds it.
 func (p *Planner) State(id, queue, team string) (State, bool) {
 	j := p.find(id, team)
-	switch {
-	case j == nil || j.spec.Queue != queue || !j.stored:
+	if j == nil || j.spec.Queue != queue || !j.stored {
 		return "", false
+	}
+	return j.state(), true
+}
+
+// StateOf returns the state of a job, and Queued if it is not known.
+func (p *Planner) StateOf(id string) State {
+	if j := p.jobs[id]; j != nil {
+		return j.state()
+	}
+	return Queued
+}
+
+func (j *job) state() State {
+	switch {
 	case j.isOver():
-		return j.finalState, true
+		return j.finalState
 	case j.begun:
-		return Running, true
+		return Running
 	default:
-		return Queued, true
+		return Queued
 	}
 }
 
