narrator: Explain a job as running only if it has begun

Callers saw: explain says "it runs, or its end was not reported yet" for a job whose start was only decided, and may be withdrawn, refused or lost. Cause: the rule took the line of the decision, conductor: start:, as the fact. Since the line job begun tells the fact. start withdrawn had no rule; starts taken back names no job, so its line was never read and its rule never matched. Change: "it runs" needs job begun. With less, explain says what is certain: that a run is done, or that a start was decided and no line shows that a worker has begun it. So it does for logs of versions without job begun. start withdrawn is a cause. starts taken back counts as a line about the whole fleet, and the sentence says "starts of some jobs". Of the new cases of TestCause, "another job begun", "done in a log without begun jobs", "withdrawn" and "taken back and started again" fail on the code before and pass; "begun" and "decided by serve" pass on both. Logs of serve: their lines (Decided., Start reverted., Run lost.) match no rule, so explain says that the logs don't tell, as before.

--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -43,7 +43,7 @@
 
 // generalMessages returns the log messages of events that affect all jobs.
 func generalMessages() []string {
-	return []string{"ownership claimed", "ownership ended", "fleet taken over", "journal is over", "lease of the ownership not renewed", "resigning", "stopping:"}
+	return []string{"ownership claimed", "ownership ended", "fleet taken over", "journal is over", "lease of the ownership not renewed", "resigning", "stopping:", "starts taken back"}
 }
 
 // Read adds the lines of a log that name the job or affect all jobs.
@@ -125,14 +125,16 @@
 		{"how=alone", "a run gave up waiting for the other members of its gang"},
 		{"how=failed", "a run failed"},
 		{"start not confirmed", "a start got no response or was refused"},
-		{"starts taken back", "starts were withdrawn because the journal could not be written"},
+		{"start withdrawn", "a start was withdrawn before its order was sent"},
+		{"starts taken back", "starts of some jobs were withdrawn meanwhile because the journal could not be written"},
 		{"fleet taken over", "the fleet changed its owner meanwhile"},
 	}
 }
 
 // Cause states in a sentence how the job ended and what delayed it or had it refused. If no
 // line tells, it states whether the job runs or what it waits for, as far as the lines
-// show.
+// show: a decided start may still be withdrawn, refused or lost, and earlier versions don't
+// log that a job has begun.
 func (t *Timeline) Cause() string {
 	text := ""
 	for _, l := range t.relevantLines() {
@@ -153,8 +155,12 @@
 	switch {
 	case len(parts) > 0:
 		return strings.Join(parts, "; ")
-	case strings.Contains(text, "conductor: start:"):
+	case strings.Contains(text, "conductor: job begun:"):
 		return "it runs, or its end was not reported yet"
+	case strings.Contains(text, "how=done"):
+		return "a run of it is done, and its end was not reported yet"
+	case strings.Contains(text, "conductor: start:"):
+		return "its start was decided, but no line shows that a worker has begun it"
 	case strings.Contains(text, "conductor: ask:"):
 		return "it waits for free capacity, or for advice on which executors may run it"
 	default:
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -32,6 +32,38 @@
 			"2026-01-20T01:58:45.000Z [INFO]  filberthaven.receiver: request not passed on: method=POST path=/q/" + id + " sure=true",
 			"2026-01-20T01:58:45.000Z [INFO]  filberthaven.conductor: job ended: job=other state=failed",
 		},
+		{
+			"begun", "it runs, or its end was not reported yet",
+			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=1 worker=i-1 reason=room",
+			"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: job begun: job=" + id + " worker=i-1",
+		},
+		{
+			"another job begun", "its start was decided, but no line shows that a worker has begun it",
+			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=1 worker=i-1 reason=room",
+			"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: job begun: job=other worker=i-1",
+		},
+		{
+			"done in a log without begun jobs", "a run of it is done, and its end was not reported yet",
+			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=1 worker=i-1 reason=room",
+			"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: end: task=" + id + ".0.0.0 run=1 worker=i-1 how=done",
+		},
+		{
+			"withdrawn", "a start was withdrawn before its order was sent",
+			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=1 worker=i-1 reason=room",
+			"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: start withdrawn: task=" + id + ".0.0.0 run=1 worker=i-1 fresh=true late=true wanted=true",
+		},
+		{
+			"taken back and started again", "it completed; starts of some jobs were withdrawn meanwhile because the journal could not be written",
+			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=1 worker=i-1 reason=room\n" +
+				"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: starts taken back: starts=3 error=unavailable",
+			"2026-01-20T01:58:41.300Z [INFO]  filberthaven.conductor: start: task=" + id + ".0.0.0 run=2 worker=i-1 reason=room\n" +
+				"2026-01-20T01:58:45.000Z [INFO]  filberthaven.conductor: job ended: job=" + id + " state=completed",
+		},
+		{
+			"decided by serve", "the logs don't tell",
+			"2026-01-20T01:58:41.100Z [INFO]  scheduler: Decided.: shard=a.0 decision=start task=" + id + "/0 worker=w-1 attempt=1 reason=room",
+			"2026-01-20T01:58:41.200Z [INFO]  scheduler: Start reverted.: shard=a.0 task=" + id + "/0 worker=w-1 reason=\"worker not reached\"",
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
