scheduler: A job is queued until a worker has confirmed a start

Callers saw: state running, the task counted as running and "Nothing waits: 1 tasks run." for a job whose start was only decided, also where the order reached no worker; and running for a job that never ran while its cancellation was being written. Cause: state, the number of running tasks and the explanation used job.running and the placer's count, which mean that a worker is allocated; and each unpersisted record of a job counted as a sign that it runs, such as that of its cancellation or of a reverted start. Change: a run has begun once its worker has accepted the start or reported the run or its end. State and counts use begun runs, and ends of begun runs that are not persisted. The placer's sentence says "on workers". New: TestRunningOnceConfirmed failed before (running while the confirmation was lost), TestQueuedUntilCancelStored too (running, want queued); both pass. Tests of scheduler, placer, server and commands pass. Conclusion: fixed by test.

--- a/placer/explain.go
+++ b/placer/explain.go
@@ -11,7 +11,7 @@
 	reason     string
 	pending    int       // tasks in the queue
 	delayed    int       // tasks in back-off
-	running    int       // tasks on workers
+	running    int       // tasks on workers, whether they have begun there or not
 	candidates int       // workers on which the next task fits now
 	workers    int       // workers that take tasks
 	reserved   int       // tasks with a reservation
@@ -33,7 +33,7 @@
 // Delayed returns how many tasks are in back-off.
 func (e Explanation) Delayed() int { return e.delayed }
 
-// Running returns how many tasks are on workers.
+// Running returns how many tasks are on workers, whether they have begun there or not.
 func (e Explanation) Running() int { return e.running }
 
 // Candidates returns on how many workers the next task fits now.
@@ -90,7 +90,7 @@
 	case j.cancelled:
 		return fmt.Sprintf("The job is cancelled; %d tasks are still stopping.", e.running)
 	case e.pending == 0 && e.delayed == 0:
-		return fmt.Sprintf("Nothing waits: %d tasks run.", e.running)
+		return fmt.Sprintf("Nothing waits: %d tasks are on workers.", e.running)
 	case j.paused:
 		return fmt.Sprintf("%d tasks are kept from starting until all workers have been read back.", e.pending+e.delayed)
 	case !p.startsAllowed:
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -39,6 +39,7 @@
 	incarnation *incarnation // of the worker that runs it; nil unless running
 	attempt     uint32       // number of the last run, 0 before the first
 	running     bool         // started, or about to be, and not known to have ended
+	begun       bool         // running, and its worker has confirmed that
 	stage       startStage   // progress of the start
 	finalResult result       // 0 while the task may still run
 	losses      uint8        // consecutive runs lost with their workers under this owner
@@ -51,8 +52,10 @@
 	digest      uint64                     // hash of the content, to detect reuse of the request id
 	tasks       []task                     // nil before the first start
 	running     int                        // number of tasks that are running
+	begun       int                        // number of these that have begun; callers see only them as running
 	finalCounts [resultCancelled + 1]int32 // number of tasks by their final result
 	unpersisted int32                      // ends of runs and of the job that are not yet persisted
+	begunEnds   int32                      // of these, ends of runs that had begun
 	hop         uint32                     // number of moves between shards
 	target      string                     // shard that the job is moving or has moved to, empty for none
 	moved       bool                       // the target shard has accepted it
@@ -88,6 +91,9 @@
 	if !t.running {
 		j.running++
 	}
+	if t.begun {
+		j.begun--
+	}
 	*t = task{incarnation: on, attempt: attempt, running: true, losses: t.losses}
 	return true
 }
@@ -102,6 +108,9 @@
 	if t.running {
 		j.running--
 	}
+	if t.begun {
+		j.begun--
+	}
 	*t = task{attempt: attempt, losses: t.losses}
 	if r != resultRequeued {
 		t.finalResult = r
@@ -110,6 +119,14 @@
 	return true
 }
 
+// markBegun marks a running task as begun.
+func (j *job) markBegun(t *task) {
+	if t.running && !t.begun {
+		t.begun = true
+		j.begun++
+	}
+}
+
 // withdrawn reports whether the job was cancelled or has expired, so that none of
 // its tasks starts again.
 func (j *job) withdrawn() bool { return j.cancelled || j.expired }
@@ -150,13 +167,14 @@
 // are persisted.
 func (j *job) endPersisted() bool { return !j.endedAt.IsZero() && j.unpersisted == 0 }
 
-// state returns the state that callers see. It is final only once the end is persisted.
+// state returns the state that callers see. It is final only once the end is persisted. A
+// job is queued while no worker has confirmed a start, since the order may not arrive.
 func (j *job) state() State {
 	switch {
 	case j.moved:
 		return Moved
 	case !j.endPersisted():
-		if j.running > 0 || j.unpersisted > 0 {
+		if j.begun > 0 || j.begunEnds > 0 {
 			return Running
 		}
 		return Queued
@@ -171,6 +189,14 @@
 	}
 }
 
+// explainRuns says what a job does of which no task waits for a worker.
+func (j *job) explainRuns() string {
+	if unconfirmed := j.running - j.begun; unconfirmed > 0 {
+		return fmt.Sprintf("%d tasks run; %d more are assigned to workers that have not confirmed the start yet.", j.begun, unconfirmed)
+	}
+	return fmt.Sprintf("Nothing waits: %d tasks run.", j.begun)
+}
+
 // attemptOf identifies the last run of a task.
 func (j *job) attemptOf(index int) dispatcher.Attempt {
 	return dispatcher.NewAttempt(placer.NewTaskID(j.spec.ID(), index), j.tasks[index].attempt)
--- a/scheduler/response.go
+++ b/scheduler/response.go
@@ -110,13 +110,19 @@
 			s.revertStartOf(l, o.Attempt(), "refused by the worker")
 			continue
 		}
-		if _, t := s.state.taskOf(o.Attempt().Task()); t != nil && t.running && t.attempt == o.Attempt().Number() {
-			t.stage = startConfirmed
-			t.incarnation = l.incarnation
+		if j, t := s.state.taskOf(o.Attempt().Task()); t != nil && t.running && t.attempt == o.Attempt().Number() {
+			confirmStart(l, j, t)
 		}
 	}
 }
 
+// confirmStart marks a run as begun on the worker of l, which has accepted its start or
+// reported it.
+func confirmStart(l *link, j *job, t *task) {
+	t.stage, t.incarnation = startConfirmed, l.incarnation
+	j.markBegun(t)
+}
+
 // runsOn reports whether attempt is the task's current run and runs on the worker of l.
 func (t *task) runsOn(l *link, attempt dispatcher.Attempt) bool {
 	return t != nil && t.running && t.attempt == attempt.Number() && t.incarnation != nil && t.incarnation.worker == l.id
@@ -141,6 +147,7 @@
 		}
 		return
 	}
+	j.markBegun(t)
 	l.unpersistedEnds[attempt] = struct{}{}
 	s.finishRun(l, j, id.Index(), f.Outcome(), func(err error) {
 		delete(l.unpersistedEnds, attempt)
@@ -163,7 +170,7 @@
 		l.enqueue(dispatcher.StopOrder(attempt))
 		return
 	}
-	t.stage, t.incarnation = startConfirmed, l.incarnation
+	confirmStart(l, j, t)
 	if j.withdrawn() {
 		l.enqueue(dispatcher.StopOrder(attempt))
 		return
@@ -186,7 +193,7 @@
 		return false
 	}
 	j.applyStart(id.Index(), attempt.Number(), l.incarnation)
-	t.stage = startConfirmed
+	confirmStart(l, j, t)
 	l.tasks[id] = struct{}{}
 	s.writeStart(j, id.Index(), true, nil)
 	s.logger.Info("Running task taken over.", "shard", s.shard, "worker", l.id, "task", id.String(), "attempt", attempt.Number())
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -325,7 +325,7 @@
 // called with the result of the write.
 func (s *Scheduler) close(l *link, j *job, index int, r result, done func(error)) {
 	t := &j.tasks[index]
-	attempt := t.attempt
+	attempt, begun := t.attempt, t.begun
 	delete(l.tasks, placer.NewTaskID(j.spec.ID(), index))
 	if !j.applyEnd(index, attempt, r) {
 		return
@@ -333,8 +333,14 @@
 	now := time.Now()
 	j.finalize(now)
 	j.unpersisted++
+	if begun {
+		j.begunEnds++
+	}
 	s.write(record{Kind: recordEnd, Job: j.spec.ID(), Index: index, Attempt: attempt, Result: r, At: millis(now)}, true, func(err error) {
 		if err == nil {
+			if begun {
+				j.begunEnds--
+			}
 			s.onEndPersisted(j)
 		}
 		if done != nil {
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -1,11 +1,13 @@
 package scheduler_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"filberthaven.example/dispatcher"
+	"filberthaven.example/emulator"
 	"filberthaven.example/scheduler"
 	qt "github.com/frankban/quicktest"
 )
@@ -50,3 +52,70 @@
 		})
 	}
 }
+
+// checkJob checks what callers see of the only job with that name, and returns its
+// explanation.
+func (cl *cluster) checkJob(c *qt.C, name string, state scheduler.State, running int) string {
+	c.Helper()
+	for _, id := range cl.accepted() {
+		if cl.jobs[id].Name() != name {
+			continue
+		}
+		status, err := cl.jobStatus(id)
+		c.Check(err, qt.IsNil)
+		c.Check(status.State(), qt.Equals, state)
+		c.Check(status.Running(), qt.Equals, running)
+		text, err := cl.shards["a.0"].newest().sched.Explain(id)
+		c.Check(err, qt.IsNil)
+		return text
+	}
+	c.Errorf("job %s isn't known", name)
+	return ""
+}
+
+// TestRunningOnceConfirmed checks that a job is queued while the confirmation of its start
+// is lost, although its task runs, and running once its worker reports it.
+func TestRunningOnceConfirmed(t *testing.T) {
+	withCluster(t, func(cl *cluster, s *clusterShard) {
+		c := qt.New(t)
+		// Between two heartbeats the workers still accept a start.
+		time.Sleep(scheduler.DefaultHeartbeat / 2)
+		for _, worker := range s.workers {
+			s.newest().partition(worker.ID(), false, true)
+		}
+		cl.submitFullSize(s, "job", 1, time.Minute)
+		c.Assert(s.busyWorker().Running(), qt.Equals, 1)
+		c.Check(cl.checkJob(c, "job", scheduler.Queued, 0), qt.Equals, "0 tasks run; 1 more are assigned to workers that have not confirmed the start yet.")
+		for _, worker := range s.workers {
+			s.newest().partition(worker.ID(), false, false)
+		}
+		time.Sleep(2 * time.Second)
+		c.Check(cl.checkJob(c, "job", scheduler.Running, 1), qt.Equals, "Nothing waits: 1 tasks run.")
+	})
+}
+
+// TestQueuedUntilCancelStored checks that a job that never ran is not shown as running while
+// its cancellation is being persisted, and that one that ran is, until its end is persisted.
+func TestQueuedUntilCancelStored(t *testing.T) {
+	withCluster(t, func(cl *cluster, s *clusterShard) {
+		c := qt.New(t)
+		cl.submitFullSize(s, "filler", workersPerShard, time.Minute)
+		cl.submitFullSize(s, "job", 1, time.Minute)
+		s.newest().client.SetFaults(emulator.Down())
+		for _, id := range cl.accepted() {
+			cl.calls.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				_ = s.newest().sched.Cancel(ctx, id)
+			})
+		}
+		time.Sleep(time.Second)
+		c.Assert(s.busyWorker().Running(), qt.Equals, 0)
+		cl.checkJob(c, "job", scheduler.Queued, 0)
+		cl.checkJob(c, "filler", scheduler.Running, 0)
+		cl.heal()
+		time.Sleep(fillerTime)
+		cl.checkJob(c, "job", scheduler.Cancelled, 0)
+		cl.checkJob(c, "filler", scheduler.Cancelled, 0)
+	})
+}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -10,7 +10,9 @@
 // State is the state of a job.
 type State uint8
 
-// The states of a job. Done and those after it are final.
+// The states of a job. Done and those after it are final. Before it moves or ends, a job is
+// Running while workers have confirmed runs of it or the ends of such runs are not
+// persisted, and otherwise Queued.
 const (
 	Queued State = iota + 1
 	Running
@@ -43,7 +45,7 @@
 type Status struct {
 	spec    placer.JobSpec
 	state   State
-	running int       // tasks
+	running int       // tasks whose workers have confirmed the start
 	ended   int       // tasks with a final result
 	done    int       // ended tasks that succeeded
 	failed  int       // ended tasks that failed
@@ -70,7 +72,8 @@
 // Tasks returns the number of tasks.
 func (s Status) Tasks() int { return s.spec.Tasks() }
 
-// Running returns the number of running tasks.
+// Running returns the number of tasks that run, as confirmed by their workers. A task
+// whose start is not confirmed yet counts as waiting.
 func (s Status) Running() int { return s.running }
 
 // Ended returns the number of tasks with a final result.
@@ -97,7 +100,7 @@
 		ended += int(n)
 	}
 	status := Status{
-		spec: j.spec, state: j.state(), running: j.running, ended: ended,
+		spec: j.spec, state: j.state(), running: j.begun, ended: ended,
 		done: int(j.finalCounts[resultDone]), failed: int(j.finalCounts[resultFailed]), lost: int(j.finalCounts[resultUnknown]),
 	}
 	if j.moved {
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -221,7 +221,7 @@
 			s.stopRun(l, j, index, stopOrder(j, index))
 		}
 	}
-	s.logger.Info("Job cancelled.", "shard", s.shard, "job", id, "running", j.running)
+	s.logger.Info("Job cancelled.", "shard", s.shard, "job", id, "running", j.begun)
 	written := make(chan error, 1)
 	s.recordWithdrawal(j, record{Kind: recordCancel, Job: id}, func(err error) { written <- callerError(err) })
 	s.mu.Unlock()
@@ -310,5 +310,9 @@
 	case !j.spec.Idempotent() && s.outbox.down:
 		return "The key-value service is down; a task that must not run twice waits for it.", nil
 	}
-	return s.placer.Explain(id, time.Now()).Reason(), nil
+	explanation := s.placer.Explain(id, time.Now())
+	if j.running > 0 && !j.withdrawn() && explanation.Pending()+explanation.Delayed() == 0 {
+		return j.explainRuns(), nil
+	}
+	return explanation.Reason(), nil
 }
