scheduler: A begun job stays running for callers when the owner changes

A new owner shows the journaled runs of such a job as running until their workers answer or their leases have expired. Other journaled starts count as queued until a worker reports a run; the first answer comes with the first call. For a job of one task the record is exact. Compatibility: the record's kind and the field are new.

--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -16,6 +16,7 @@
 	for name, r := range map[string]record{
 		"accept": {Kind: recordAccept, Spec: newSpecRecord(spec), Request: "overnight-2026-12-04", Digest: 1 << 60},
 		"start":  {Kind: recordStart, Job: spec.ID(), Index: 57, Attempt: 1, Worker: "pianura-a-worker-117", Incarnation: "pianura-a-worker-117-1", At: 1_790_000_000_000},
+		"begun":  {Kind: recordBegun, Job: spec.ID(), Index: 57, Attempt: 1},
 		"end":    {Kind: recordEnd, Job: spec.ID(), Index: 57, Attempt: 1, Result: 1, At: 1_790_000_000_000},
 	} {
 		b.Run(name, func(b *testing.B) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -39,7 +39,7 @@
 	incarnation *incarnation // of the worker that runs it; nil unless running
 	attempt     uint32       // number of the last run, 0 before the first
 	running     bool         // started, or about to be, and not known to have ended
-	begun       bool         // running, and its worker has confirmed that
+	begun       bool         // running, as its worker has confirmed or, after a takeover, the journal lets assume
 	stage       startStage   // progress of the start
 	finalResult result       // 0 while the task may still run
 	losses      uint8        // consecutive runs lost with their workers under this owner
@@ -55,6 +55,7 @@
 	begun       int                        // number of these that have begun; callers see only them as running
 	finalCounts [resultCancelled + 1]int32 // number of tasks by their final result
 	unpersisted int32                      // ends of runs and of the job that are not yet persisted
+	hasBegun    bool                       // a worker has confirmed a run since none was running; persisted
 	begunEnds   int32                      // of these, ends of runs that had begun
 	hop         uint32                     // number of moves between shards
 	target      string                     // shard that the job is moving or has moved to, empty for none
@@ -112,6 +113,7 @@
 		j.begun--
 	}
 	*t = task{attempt: attempt, losses: t.losses}
+	j.hasBegun = j.hasBegun && j.running > 0
 	if r != resultRequeued {
 		t.finalResult = r
 		j.finalCounts[r]++
@@ -119,6 +121,13 @@
 	return true
 }
 
+// applyBegun stores that a run was confirmed, unless it has ended or is unknown.
+func (j *job) applyBegun(index int, attempt uint32) {
+	if t := j.task(index); t != nil && t.running && t.attempt == attempt {
+		j.hasBegun = true
+	}
+}
+
 // markBegun marks a running task as begun.
 func (j *job) markBegun(t *task) {
 	if t.running && !t.begun {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -29,6 +29,7 @@
 	recordSettle                       // never written; read like recordClaim
 	recordClose                        // the owner stopped after all its records were persisted
 	recordProof                        // changes nothing; its write proves the ownership
+	recordBegun                        // a worker has confirmed a run of a job of which none had begun
 )
 
 // record is one change of a shard's state. The journal may replay a record twice or
@@ -54,6 +55,7 @@
 	Cancelled   bool         `cbor:"17,keyasint,omitempty"`
 	Expired     bool         `cbor:"18,keyasint,omitempty"`
 	Term        uint64       `cbor:"19,keyasint,omitempty"`
+	Begun       bool         `cbor:"20,keyasint,omitempty"` // job.hasBegun, of an accept record
 }
 
 // taskRecord is the state of a task in an accept record. It is encoded as an array.
--- a/scheduler/recovery.go
+++ b/scheduler/recovery.go
@@ -88,6 +88,9 @@
 		case t.running:
 			l := s.linkOf(t.incarnation.worker)
 			l.tasks[id] = struct{}{}
+			if j.hasBegun {
+				j.markBegun(t)
+			}
 			s.logPlacerError(s.placer.RestoreTask(id, l.id, time.Now()))
 		}
 	}
--- a/scheduler/response.go
+++ b/scheduler/response.go
@@ -111,16 +111,24 @@
 			continue
 		}
 		if j, t := s.state.taskOf(o.Attempt().Task()); t != nil && t.running && t.attempt == o.Attempt().Number() {
-			confirmStart(l, j, t)
+			s.confirmStart(l, j, o.Attempt())
 		}
 	}
 }
 
-// confirmStart marks a run as begun on the worker of l, which has accepted its start or
-// reported it.
-func confirmStart(l *link, j *job, t *task) {
+// confirmStart marks the current run of a task as begun on the worker of l, which has
+// accepted its start or reported it. The first such run of a job is recorded, so that the
+// job stays running for callers when the owner changes.
+func (s *Scheduler) confirmStart(l *link, j *job, attempt dispatcher.Attempt) {
+	index := attempt.Task().Index()
+	t := &j.tasks[index]
 	t.stage, t.incarnation = startConfirmed, l.incarnation
 	j.markBegun(t)
+	if j.hasBegun || s.phase != serving {
+		return
+	}
+	j.hasBegun = true
+	s.write(record{Kind: recordBegun, Job: j.spec.ID(), Index: index, Attempt: attempt.Number()}, true, nil)
 }
 
 // runsOn reports whether attempt is the task's current run and runs on the worker of l.
@@ -170,7 +178,7 @@
 		l.enqueue(dispatcher.StopOrder(attempt))
 		return
 	}
-	confirmStart(l, j, t)
+	s.confirmStart(l, j, attempt)
 	if j.withdrawn() {
 		l.enqueue(dispatcher.StopOrder(attempt))
 		return
@@ -193,9 +201,9 @@
 		return false
 	}
 	j.applyStart(id.Index(), attempt.Number(), l.incarnation)
-	confirmStart(l, j, t)
 	l.tasks[id] = struct{}{}
 	s.writeStart(j, id.Index(), true, nil)
+	s.confirmStart(l, j, attempt)
 	s.logger.Info("Running task taken over.", "shard", s.shard, "worker", l.id, "task", id.String(), "attempt", attempt.Number())
 	return true
 }
--- a/scheduler/shard_state.go
+++ b/scheduler/shard_state.go
@@ -64,6 +64,8 @@
 	switch r.Kind {
 	case recordStart:
 		j.applyStart(r.Index, r.Attempt, s.incarnation(r.Worker, r.Incarnation))
+	case recordBegun:
+		j.applyBegun(r.Index, r.Attempt)
 	case recordEnd:
 		j.applyEnd(r.Index, r.Attempt, r.Result)
 	case recordCancel:
@@ -101,6 +103,7 @@
 		}
 		j.applyEnd(t.Index, t.Attempt, t.Result)
 	}
+	j.hasBegun = r.Begun && j.running > 0
 	s.jobs[r.Spec.ID] = j
 	if r.Request != "" && ShardOf(r.Spec.ID) == s.shard {
 		s.requests[requestKey{j.spec.Team(), r.Request}] = &request{jobID: r.Spec.ID, digest: r.Digest, changedAt: timeOf(r.At)}
@@ -139,7 +142,7 @@
 func (j *job) record() record {
 	r := record{
 		Kind: recordAccept, Spec: newSpecRecord(j.spec), Request: j.requestID, Digest: j.digest, Hop: j.hop,
-		Cancelled: j.cancelled, Expired: j.expired, Target: j.target, At: millis(j.endedAt),
+		Cancelled: j.cancelled, Expired: j.expired, Target: j.target, At: millis(j.endedAt), Begun: j.hasBegun,
 	}
 	if j.moved {
 		r.Result = resultDone
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -119,3 +119,37 @@
 		cl.checkJob(c, "filler", scheduler.Cancelled, 0)
 	})
 }
+
+// TestStateAfterTakeover checks what callers see of a journaled start while the new owner
+// does not reach its worker: a run that was confirmed to the previous owner stays running,
+// and one that was not is queued.
+func TestStateAfterTakeover(t *testing.T) {
+	for name, test := range map[string]struct {
+		reached bool
+		state   scheduler.State
+		running int
+	}{
+		"begun":         {true, scheduler.Running, 1},
+		"not confirmed": {false, scheduler.Queued, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, func(cl *cluster, s *clusterShard) {
+				c := qt.New(t)
+				time.Sleep(scheduler.DefaultHeartbeat / 2)
+				for _, worker := range s.workers {
+					s.newest().partition(worker.ID(), false, !test.reached)
+				}
+				cl.submitFullSize(s, "job", 1, time.Minute)
+				c.Assert(s.busyWorker().Running(), qt.Equals, 1)
+				cl.checkJob(c, "job", test.state, test.running)
+				s.unreachable = s.busyWorker().ID()
+				s.newest().kill()
+				cl.takeOver(s)
+				time.Sleep(time.Second)
+				cl.checkJob(c, "job", test.state, test.running)
+				time.Sleep(3 * fillerTime)
+				cl.checkJob(c, "job", scheduler.Running, 1)
+			})
+		})
+	}
+}
