scheduler, server: The status counts only confirmed tasks as running

Operators saw: status, its page and the effects of a plan counted a task as running, and no longer as pending, from the decision of its start on. Cause: the usage of teams took the placer's number of tasks on workers. Change: an owner counts the runs that have begun by team, and reports these as running and all other tasks as pending. Processors, memory and accelerators in use, from which shares and limits follow, stay what is allocated; their comments say so now. Evidence: TestUsageOfStarts failed (2 running and 0 pending, want 0 and 2) and passes; the processors in use are the same in both. Conclusion: fixed by test.

--- a/scheduler/cluster_owner_test.go
+++ b/scheduler/cluster_owner_test.go
@@ -27,6 +27,7 @@
 	paused        chan struct{}   // nil, or closed by resume
 	dropRequests  map[string]bool // ids of workers that its batches don't reach
 	dropResponses map[string]bool // ids of workers whose responses don't reach it
+	usage         []scheduler.Usage
 }
 
 // listWorkers passes the platform's list of workers to the owner.
@@ -40,6 +41,20 @@
 	o.sched.SetWorkers(list)
 }
 
+// setUsage stores the usage of the teams that the owner reports.
+func (o *owner) setUsage(usage []scheduler.Usage) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.usage = usage
+}
+
+// lastUsage returns the usage that the owner reported last.
+func (o *owner) lastUsage() []scheduler.Usage {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.usage
+}
+
 // wrapJournal returns a journal that blocks writes while the owner is paused, and that
 // leaves out the guards which the cluster disables.
 func (o *owner) wrapJournal(journal scheduler.Journal) scheduler.Journal {
--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -126,6 +126,7 @@
 			}
 			return -1
 		}),
+		scheduler.WithUsageReporter(o.setUsage),
 		scheduler.WithDraining(s.drained),
 		scheduler.WithTransfer(cl.target(s), cl.transfer),
 	)
@@ -325,7 +326,8 @@
 }
 
 // findViolations returns the invariant violations so far, and one for each accepted job
-// that is lost, has not ended or counts as done without a run.
+// that is lost, has not ended or counts as done without a run, and for each team that
+// counts as running tasks although all jobs must have ended.
 func (cl *cluster) findViolations() []string {
 	found := append(cl.checker.Violations(), cl.violations...)
 	for _, id := range cl.accepted() {
@@ -340,6 +342,13 @@
 			found = append(found, cl.tasksNeverDone(id, status)...)
 		}
 	}
+	for _, name := range cl.shardNames {
+		for _, usage := range cl.shards[name].newest().lastUsage() {
+			if usage.RunningTasks() != 0 {
+				found = append(found, fmt.Sprintf("%d tasks of team %s count as running in %s", usage.RunningTasks(), usage.Team(), name))
+			}
+		}
+	}
 	for _, name := range cl.notRun {
 		if n := cl.checker.StartsByName(name); n > 0 {
 			found = append(found, fmt.Sprintf("job %s was reported as not run and started %d times", name, n))
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -128,12 +128,14 @@
 	}
 }
 
-// markBegun marks a running task as begun.
-func (j *job) markBegun(t *task) {
-	if t.running && !t.begun {
-		t.begun = true
-		j.begun++
+// markBegun marks a running task as begun, and reports false if it was or doesn't run.
+func (j *job) markBegun(t *task) bool {
+	if !t.running || t.begun {
+		return false
 	}
+	t.begun = true
+	j.begun++
+	return true
 }
 
 // withdrawn reports whether the job was cancelled or has expired, so that none of
--- a/scheduler/recovery.go
+++ b/scheduler/recovery.go
@@ -89,7 +89,7 @@
 			l := s.linkOf(t.incarnation.worker)
 			l.tasks[id] = struct{}{}
 			if j.hasBegun {
-				j.markBegun(t)
+				s.markBegun(j, t)
 			}
 			s.logPlacerError(s.placer.RestoreTask(id, l.id, time.Now()))
 		}
--- a/scheduler/response.go
+++ b/scheduler/response.go
@@ -123,7 +123,7 @@
 	index := attempt.Task().Index()
 	t := &j.tasks[index]
 	t.stage, t.incarnation = startConfirmed, l.incarnation
-	j.markBegun(t)
+	s.markBegun(j, t)
 	if j.hasBegun || s.phase != serving {
 		return
 	}
@@ -131,6 +131,13 @@
 	s.write(record{Kind: recordBegun, Job: j.spec.ID(), Index: index, Attempt: attempt.Number()}, true, nil)
 }
 
+// markBegun marks a running task as begun and counts it for its team.
+func (s *Scheduler) markBegun(j *job, t *task) {
+	if j.markBegun(t) {
+		s.begunTasks[j.spec.Team()]++
+	}
+}
+
 // runsOn reports whether attempt is the task's current run and runs on the worker of l.
 func (t *task) runsOn(l *link, attempt dispatcher.Attempt) bool {
 	return t != nil && t.running && t.attempt == attempt.Number() && t.incarnation != nil && t.incarnation.worker == l.id
@@ -155,7 +162,7 @@
 		}
 		return
 	}
-	j.markBegun(t)
+	s.markBegun(j, t)
 	l.unpersistedEnds[attempt] = struct{}{}
 	s.finishRun(l, j, id.Index(), f.Outcome(), func(err error) {
 		delete(l.unpersistedEnds, attempt)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -46,7 +46,8 @@
 	for _, team := range teams {
 		s.updateTeam(team.Name(), unfenced)
 		s.limits.Report(team.Name(), team.Used().CPU()+unfenced, team.Demand().CPU())
-		usages = append(usages, Usage{team: team.Name(), used: team.Used(), running: team.Running(), pending: team.Pending()})
+		begun := s.begunTasks[team.Name()]
+		usages = append(usages, Usage{team: team.Name(), used: team.Used(), running: begun, pending: max(team.Pending()+team.Running()-begun, 0)})
 	}
 	s.reportUsage(usages)
 	s.placer.SetRemoteUsage(s.remoteUsage())
@@ -330,6 +331,9 @@
 	if !j.applyEnd(index, attempt, r) {
 		return
 	}
+	if begun {
+		s.begunTasks[j.spec.Team()]--
+	}
 	now := time.Now()
 	j.finalize(now)
 	j.unpersisted++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,21 +59,22 @@
 // Usage is what a team uses in a shard.
 type Usage struct {
 	team    string
-	used    placer.Resources // by running tasks
-	running int              // number of tasks
-	pending int              // number of tasks
+	used    placer.Resources // allocated to tasks on workers, begun or not
+	running int              // number of tasks that have begun
+	pending int              // number of the other tasks, also of those on workers
 }
 
 // Team returns the name of the team.
 func (u Usage) Team() string { return u.team }
 
-// Used returns the resources that running tasks take.
+// Used returns the resources allocated to tasks on workers, whether they have begun there
+// or not.
 func (u Usage) Used() placer.Resources { return u.used }
 
-// RunningTasks returns the number of running tasks.
+// RunningTasks returns the number of tasks that run, as confirmed by their workers.
 func (u Usage) RunningTasks() int { return u.running }
 
-// PendingTasks returns the number of pending tasks.
+// PendingTasks returns the number of tasks that wait to begin.
 func (u Usage) PendingTasks() int { return u.pending }
 
 // Scheduler is the owner of one shard during one term.
@@ -96,6 +97,7 @@
 	outbox              outbox
 	pendingStarts       []pendingStart  // starts of idempotent tasks whose record is being written
 	jobsAwaitingJournal []string        // ids of jobs that are paused until the journal is up again
+	begunTasks          map[string]int  // number of running tasks that have begun, by team
 	backoffs            []backoff       // jobs that are paused before a retry
 	retryLimiter        *rate.Limiter   // limits the retries of lost tasks that start without a delay
 	teamsRefreshedAt    time.Time       // last call of refreshTeams
@@ -233,6 +235,7 @@
 		state:        newShardState(shard),
 		placer:       placement,
 		links:        map[string]*link{},
+		begunTasks:   map[string]int{},
 		retryLimiter: newRetryLimiter(),
 		wakeup:       make(chan struct{}, 1),
 		ready:        make(chan struct{}),
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -153,3 +153,43 @@
 		})
 	}
 }
+
+// checkUsage checks the usage that the owner reports of the team "free".
+func (o *owner) checkUsage(c *qt.C, running, pending int, cpu int64) {
+	c.Helper()
+	for _, usage := range o.lastUsage() {
+		if usage.Team() == "free" {
+			c.Check(usage.RunningTasks(), qt.Equals, running)
+			c.Check(usage.PendingTasks(), qt.Equals, pending)
+			c.Check(usage.Used().CPU(), qt.Equals, cpu)
+			return
+		}
+	}
+	c.Errorf("no usage of the team")
+}
+
+// TestUsageOfStarts checks that a task counts as pending in its team's usage until its
+// worker has confirmed the start, after a takeover too, and that it has its resources from
+// the decision on.
+func TestUsageOfStarts(t *testing.T) {
+	withCluster(t, func(cl *cluster, s *clusterShard) {
+		c := qt.New(t)
+		for _, worker := range s.workers {
+			s.newest().partition(worker.ID(), true, false)
+		}
+		cl.submitFullSize(s, "job", 2, time.Minute)
+		time.Sleep(time.Second)
+		s.newest().checkUsage(c, 0, 2, 2*workerCPU)
+		for _, worker := range s.workers {
+			s.newest().partition(worker.ID(), false, false)
+		}
+		time.Sleep(4 * time.Second)
+		s.newest().checkUsage(c, 2, 0, 2*workerCPU)
+		s.newest().kill()
+		cl.takeOver(s)
+		time.Sleep(4 * time.Second)
+		s.newest().checkUsage(c, 2, 0, 2*workerCPU)
+		time.Sleep(time.Minute)
+		s.newest().checkUsage(c, 0, 0, 0)
+	})
+}
--- a/server/collector.go
+++ b/server/collector.go
@@ -22,16 +22,16 @@
 
 // TeamLoad is the load of a team in one or more shards.
 type TeamLoad struct {
-	Used         int64 `cbor:"used"`                   // thousandths of a processor, of running tasks
-	Memory       int64 `cbor:"memory"`                 // MiB, of running tasks
-	Accelerators int64 `cbor:"accelerators,omitempty"` // of running tasks
-	Pending      int   `cbor:"pending"`                // tasks
+	Used         int64 `cbor:"used"`                   // thousandths of a processor, allocated to tasks on workers
+	Memory       int64 `cbor:"memory"`                 // MiB, allocated likewise
+	Accelerators int64 `cbor:"accelerators,omitempty"` // allocated likewise
+	Pending      int   `cbor:"pending"`                // tasks that have not begun
 }
 
 // ShardLoad is the load of a shard as its owner reports it.
 type ShardLoad struct {
-	Running int                 `cbor:"running"` // tasks
-	Pending int                 `cbor:"pending"` // tasks
+	Running int                 `cbor:"running"` // tasks that have begun
+	Pending int                 `cbor:"pending"` // the other tasks
 	Teams   map[string]TeamLoad `cbor:"teams"`   // by name
 }
 
--- a/server/status.go
+++ b/server/status.go
@@ -24,9 +24,9 @@
 	Workers    int   `json:"workers"`
 	Executors  int   `json:"executors"`
 	Processors int64 `json:"processors"` // offered by workers
-	Used       int64 `json:"used"`       // processors allocated to running tasks
-	Running    int   `json:"running"`    // tasks
-	Pending    int   `json:"pending"`    // tasks
+	Used       int64 `json:"used"`       // processors allocated to tasks, whether they have begun or not
+	Running    int   `json:"running"`    // tasks that their workers confirmed as running
+	Pending    int   `json:"pending"`    // the other tasks, also those whose start is not confirmed
 	Flight     int   `json:"flight"`     // urgent requests in flight
 }
 
@@ -36,10 +36,10 @@
 	Share   float64 `json:"share"`   // weight
 	Part    float64 `json:"part"`    // fraction of the fleet's processors that the team uses, 0 to 1
 	Limit   int64   `json:"limit"`   // of processors; configurer.Unlimited or more: none
-	Used    int64   `json:"used"`    // processors allocated to running tasks
+	Used    int64   `json:"used"`    // processors allocated to tasks, whether they have begun or not
 	Slots   int64   `json:"slots"`   // largest number of urgent requests in flight; configurer.Unlimited or more: no limit
 	Flight  int     `json:"flight"`  // urgent requests in flight
-	Pending int     `json:"pending"` // tasks
+	Pending int     `json:"pending"` // tasks, counted as for the fleet
 }
 
 // CentreStatus is the status of a data centre.
@@ -49,8 +49,8 @@
 	Reason  string `json:"reason,omitempty"`
 	Entries int    `json:"entries"` // entry VMs that are not gone
 	Workers int    `json:"workers"`
-	Running int    `json:"running"` // tasks
-	Pending int    `json:"pending"` // tasks
+	Running int    `json:"running"` // tasks, counted as for the fleet
+	Pending int    `json:"pending"` // tasks, counted as for the fleet
 }
 
 // ShardStatus names the owner of a shard.
