scheduler: Explain an end that is not persisted as such

An owner that takes over then may continue the job. Cause: the placer has dropped the job by then, and its sentence for unknown jobs was passed on. Tests of scheduler, server and commands pass.

--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -111,12 +111,13 @@
 		}
 		time.Sleep(time.Second)
 		c.Assert(s.busyWorker().Running(), qt.Equals, 0)
-		cl.checkJob(c, "job", scheduler.Queued, 0)
-		cl.checkJob(c, "filler", scheduler.Running, 0)
+		const explanation = "The end of the job is being written to the journal."
+		c.Check(cl.checkJob(c, "job", scheduler.Queued, 0), qt.Equals, explanation)
+		c.Check(cl.checkJob(c, "filler", scheduler.Running, 0), qt.Equals, explanation)
 		cl.heal()
 		time.Sleep(fillerTime)
-		cl.checkJob(c, "job", scheduler.Cancelled, 0)
-		cl.checkJob(c, "filler", scheduler.Cancelled, 0)
+		c.Check(cl.checkJob(c, "job", scheduler.Cancelled, 0), qt.Equals, "The job is cancelled.")
+		c.Check(cl.checkJob(c, "filler", scheduler.Cancelled, 0), qt.Equals, "The job is cancelled.")
 	})
 }
 
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -301,6 +301,8 @@
 		return "", j.movedError()
 	case j.endPersisted():
 		return "The job is " + j.state().String() + ".", nil
+	case !j.endedAt.IsZero():
+		return "The end of the job is being written to the journal.", nil
 	case j.movedOrMoving():
 		return "The job moves to shard " + j.target + ".", nil
 	case s.draining && j.running == 0:
