--- a/scheduler/response.go
+++ b/scheduler/response.go
@@ -110,13 +110,34 @@
 			s.revertStartOf(l, o.Attempt(), "refused by the worker")
 			continue
 		}
-		if _, t := s.state.taskOf(o.Attempt().Task()); t != nil && t.running && t.attempt == o.Attempt().Number() {
-			t.stage = startConfirmed
-			t.incarnation = l.incarnation
+		if j, t := s.state.taskOf(o.Attempt().Task()); t != nil && t.running && t.attempt == o.Attempt().Number() {
+			s.confirmStart(l, j, o.Attempt())
 		}
 	}
 }
 
+// confirmStart marks the current run of a task as begun on the worker of l, which has
+// accepted its start or reported it. The first such run of a job is recorded, so that the
+// job stays running for callers when the owner changes.
+func (s *Scheduler) confirmStart(l *link, j *job, attempt dispatcher.Attempt) {
+	index := attempt.Task().Index()
+	t := &j.tasks[index]
+	t.stage, t.incarnation = startConfirmed, l.incarnation
+	s.markBegun(j, t)
+	if j.hasBegun || s.phase != serving {
+		return
+	}
+	j.hasBegun = true
+	s.write(record{Kind: recordBegun, Job: j.spec.ID(), Index: index, Attempt: attempt.Number()}, true, nil)
+}
+
+// markBegun marks a running task as begun and counts it for its team.
+func (s *Scheduler) markBegun(j *job, t *task) {
+	if j.markBegun(t) {
+		s.begunTasks[j.spec.Team()]++
+	}
+}
+
 // runsOn reports whether attempt is the task's current run and runs on the worker of l.
 func (t *task) runsOn(l *link, attempt dispatcher.Attempt) bool {
 	return t != nil && t.running && t.attempt == attempt.Number() && t.incarnation != nil && t.incarnation.worker == l.id
@@ -141,6 +162,7 @@
 		}
 		return
 	}
+	s.markBegun(j, t)
 	l.unpersistedEnds[attempt] = struct{}{}
 	s.finishRun(l, j, id.Index(), f.Outcome(), func(err error) {
 		delete(l.unpersistedEnds, attempt)
@@ -163,7 +185,7 @@
 		l.enqueue(dispatcher.StopOrder(attempt))
 		return
 	}
-	t.stage, t.incarnation = startConfirmed, l.incarnation
+	s.confirmStart(l, j, attempt)
 	if j.withdrawn() {
 		l.enqueue(dispatcher.StopOrder(attempt))
 		return
@@ -186,9 +208,9 @@
 		return false
 	}
 	j.applyStart(id.Index(), attempt.Number(), l.incarnation)
-	t.stage = startConfirmed
 	l.tasks[id] = struct{}{}
 	s.writeStart(j, id.Index(), true, nil)
+	s.confirmStart(l, j, attempt)
 	s.logger.Info("Running task taken over.", "shard", s.shard, "worker", l.id, "task", id.String(), "attempt", attempt.Number())
 	return true
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -46,7 +46,8 @@
 	for _, team := range teams {
 		s.updateTeam(team.Name(), unfenced)
 		s.limits.Report(team.Name(), team.Used().CPU()+unfenced, team.Demand().CPU())
-		usages = append(usages, Usage{team: team.Name(), used: team.Used(), running: team.Running(), pending: team.Pending()})
+		begun := s.begunTasks[team.Name()]
+		usages = append(usages, Usage{team: team.Name(), used: team.Used(), running: begun, pending: max(team.Pending()+team.Running()-begun, 0)})
 	}
 	s.reportUsage(usages)
 	s.placer.SetRemoteUsage(s.remoteUsage())
@@ -325,16 +326,25 @@
 // called with the result of the write.
 func (s *Scheduler) close(l *link, j *job, index int, r result, done func(error)) {
 	t := &j.tasks[index]
-	attempt := t.attempt
+	attempt, begun := t.attempt, t.begun
 	delete(l.tasks, placer.NewTaskID(j.spec.ID(), index))
 	if !j.applyEnd(index, attempt, r) {
 		return
 	}
+	if begun {
+		s.begunTasks[j.spec.Team()]--
+	}
 	now := time.Now()
 	j.finalize(now)
 	j.unpersisted++
+	if begun {
+		j.begunEnds++
+	}
 	s.write(record{Kind: recordEnd, Job: j.spec.ID(), Index: index, Attempt: attempt, Result: r, At: millis(now)}, true, func(err error) {
 		if err == nil {
+			if begun {
+				j.begunEnds--
+			}
 			s.onEndPersisted(j)
 		}
 		if done != nil {
