conductor: Gauges of pending jobs follow also while nothing is decided

Cause: the gauges were updated with the removal of ended jobs, which waits for decisions. Change: updated at the takeover and every 2 s, whether the owner decides or not. Test: TestGaugesWithoutDecisions times out when the loop does not update them, and passes.

--- a/conductor/begun_test.go
+++ b/conductor/begun_test.go
@@ -1,11 +1,13 @@
 package conductor
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
 	"time"
 
+	"filberthaven.example/claimer"
 	"filberthaven.example/emulator"
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
@@ -57,7 +59,32 @@
 	_, err := c.planner.Submit(planner.JobSpec{ID: "k", Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 2000, Memory: 1}}}, 0)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	c.planner.MarkStored("k")
-	c.sweep(time.Second)
+	c.updateGauges()
 	quicktest.Assert(t, c.metrics.pending.Value(), quicktest.Equals, int64(2))
 	quicktest.Assert(t, c.metrics.pendingOrdered.Value(), quicktest.Equals, int64(1))
 }
+
+// TestGaugesWithoutDecisions checks that an owner that may not decide updates its gauges.
+func TestGaugesWithoutDecisions(t *testing.T) {
+	c, _ := newOrderer(t, 1, func(http.ResponseWriter, *http.Request) {})
+	c.isOwner, c.now = func() bool { return false }, claimer.Now
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.runDecisions(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	for want := range int64(2) {
+		for end := time.Now().Add(time.Minute); c.metrics.pending.Value() != 1-want; time.Sleep(time.Millisecond) {
+			quicktest.Assert(t, time.Now().Before(end), quicktest.IsTrue)
+		}
+		c.mu.Lock()
+		c.planner.Cancel("j", "", c.now())
+		c.planner.MarkEndStored("j")
+		c.mu.Unlock()
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -37,8 +37,8 @@
 	journalSlots = 512
 	// journalBatchDelay is how long records are batched when the journal is idle.
 	journalBatchDelay = 8 * time.Millisecond
-	// sweepInterval is the time between two removals of ended jobs and
-	// deregistered workers.
+	// sweepInterval is the time between two removals of ended jobs and deregistered
+	// workers, and between two updates of the gauges.
 	sweepInterval = 2 * time.Second
 )
 
@@ -245,7 +245,8 @@
 func (c *Conductor) runDecisions(ctx context.Context) {
 	ticker := time.NewTicker(maxDecisionInterval)
 	defer ticker.Stop()
-	lastSweep := c.now()
+	c.updateGauges()
+	lastSweep, lastGauges := c.now(), c.now()
 	var refusals refusalWatch
 	for {
 		select {
@@ -264,6 +265,10 @@
 			}
 		case <-ticker.C:
 		}
+		if now := c.now(); now-lastGauges > sweepInterval {
+			lastGauges = now
+			c.updateGauges()
+		}
 		isOwner, upToDate := c.isOwner(), c.upToDate()
 		if refusals.observe(isOwner, upToDate, c.now()) {
 			c.log.Warn("store renews the lease but answers no watch; resigning", "after", maxRefusal)
@@ -327,13 +332,19 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// sweep removes deregistered workers and ended jobs past their retention, updates the
-// gauges, and persists what no other record has taken along.
-func (c *Conductor) sweep(now time.Duration) {
+// updateGauges updates the gauges of pending jobs.
+func (c *Conductor) updateGauges() {
 	c.mu.Lock()
-	c.planner.PruneJobs(now)
+	defer c.mu.Unlock()
 	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
 	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
+}
+
+// sweep removes deregistered workers and ended jobs past their retention, and persists
+// what no other record has taken along.
+func (c *Conductor) sweep(now time.Duration) {
+	c.mu.Lock()
+	c.planner.PruneJobs(now)
 	removed := c.planner.PruneWorkers(now)
 	for _, id := range removed {
 		delete(c.sessions, id)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -59,6 +59,7 @@
 	c.begun = append(c.begun, begun...)
 	for _, a := range starts {
 		c.planner.ReportStart(a, planner.Withdrawn, c.now())
+		c.log.Info("start withdrawn", "task", a.Task, "run", a.Number, "worker", a.Worker, "error", err)
 	}
 }
 
