configurer: Test changes during repeated pauses and after their caller has gone

No test ended the caller's context. Change: tests only. TestReplicateCancelled is new. TestReplicateCancelled passes.

--- a/configurer/replicator_test.go
+++ b/configurer/replicator_test.go
@@ -71,10 +71,27 @@
 	}
 }
 
+// sequence applies each of the delays.
+func sequence(delays []delay) delay {
+	return func(ctx context.Context, elapsed time.Duration) error {
+		for _, d := range delays {
+			if err := d(ctx, elapsed); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // replicate brings revision 2 into force on entry-1 and replicates it to entry-2 and
 // entry-3, which have revision 1. It returns the revisions and how long this took.
 // A peer that refuses keeps its revision.
 func replicate(c *qt.C, d delay, refuses bool) ([]VMRevision, time.Duration) {
+	c.Helper()
+	return replicateContext(c.Context(), c, d, refuses)
+}
+
+func replicateContext(ctx context.Context, c *qt.C, d delay, refuses bool) ([]VMRevision, time.Duration) {
 	start := time.Now()
 	hosts := map[string]http.Handler{}
 	m, err := messenger.New(messenger.WithClient(connection(func(request *http.Request) (*http.Response, error) {
@@ -105,7 +122,7 @@
 	own := NewCopy()
 	c.Assert(own.Offer(newTestRevision(c, 2).Data()), qt.IsTrue)
 	peers := func() []Peer { return []Peer{NewPeer("entry-2", "entry-2"), NewPeer("entry-3", "entry-3")} }
-	revisions := NewReplicator("entry-1", own, m, peers).Replicate(c.Context())
+	revisions := NewReplicator("entry-1", own, m, peers).Replicate(ctx)
 	c.Assert(revisions, qt.HasLen, 3)
 	return revisions, time.Since(start)
 }
@@ -157,19 +174,37 @@
 }
 
 // TestReplicatePaused checks that peers are not reported as unreachable only because the
-// calling VM was paused for longer than ReplicationTimeout.
+// calling VM was paused, once for longer than ReplicationTimeout or again in the last query.
 func TestReplicatePaused(t *testing.T) {
-	for _, from := range []time.Duration{0, pushDelay} {
-		t.Run(from.String(), func(t *testing.T) {
+	const long = ReplicationTimeout + time.Second
+	tests := map[string][]delay{
+		"in the first query": {paused(0, long)},
+		"in a push":          {paused(pushDelay, long)},
+		"in the last query":  {closedUntil(ReplicationTimeout), paused(ReplicationTimeout, 2*time.Second)},
+		"three times":        {paused(0, long), paused(long, long), paused(2*long, long)},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				revisions, _ := replicate(c, paused(from, ReplicationTimeout+time.Second), false)
+				revisions, _ := replicate(c, sequence(delays), false)
 				assertPeers(c, revisions, 2)
 			})
 		})
 	}
 }
 
+// TestReplicateCancelled checks that a change no longer waits when its caller has gone.
+func TestReplicateCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, took := replicateContext(ctx, c, silentUntil(time.Hour), false)
+		c.Assert(took, qt.Equals, 500*time.Millisecond)
+	})
+}
+
 // TestReplicateBehind checks that a peer that answers with an older revision until the end
 // is reported with it, not as unreachable.
 func TestReplicateBehind(t *testing.T) {
