configurer: A pause of the caller is not an unreachable peer

An operator saw: drain ends with exit status 6 and "entry-2: not reached: deadline_exceeded" for entry VMs that were not called since the pause and have the change in force; and "not reached" for a peer that answered with an older revision. Cause: all queries of Replicate shared one context of 3 s. A pause of the entry VM used it up, and its end cut the last query of peers that were behind. Change: each query has its own second. The last one starts after the 3 s. A query that ends 0.1 s or more after its timeout was interrupted by a pause; it is logged and repeated. Peers that never answer are now reported after 4.3 s (3.0 s), those that refuse calls after 3.0 s as before. A process that gets no second of its own between pauses still ends with exit status 6 or its caller's timeout.

--- a/configurer/handler.go
+++ b/configurer/handler.go
@@ -170,8 +170,8 @@
 	return operation(c)
 }
 
-// changeResponse waits until an accepted change is in force on all entry VMs, up to
-// ReplicationTimeout, and returns the change's response. It takes the results of a Writer's
+// changeResponse waits until an accepted change is in force on all entry VMs, as long as
+// Replicate does, and returns the change's response. It takes the results of a Writer's
 // method; an error among them is returned.
 func (h *Handler) changeResponse(ctx context.Context, revision uint64, err error) (changeWire, error) {
 	if err != nil {
--- a/configurer/replicator.go
+++ b/configurer/replicator.go
@@ -21,8 +21,11 @@
 	// the key-value service before the change is pushed to it.
 	pushDelay = 300 * time.Millisecond
 	// ReplicationTimeout is how long a change waits for entry VMs that don't have it in
-	// force yet.
+	// force yet, before the last query of each.
 	ReplicationTimeout = 3 * time.Second
+	// maxOverrun is how long after its timeout a query may end. One that ends later was
+	// interrupted by a pause of this entry VM.
+	maxOverrun = 100 * time.Millisecond
 	// FetchInterval is the time between two fetches from other entry VMs.
 	FetchInterval = 5 * time.Second
 )
@@ -121,22 +124,32 @@
 }
 
 // Replicate waits until all entry VMs have this entry VM's revision or a later one in
-// force, for ReplicationTimeout at most. It returns the revision in force on each, by id.
+// force, for ReplicationTimeout and one more query at most, not counting pauses of this
+// entry VM. It returns the revision in force on each, by id.
 func (r *Replicator) Replicate(ctx context.Context) []VMRevision {
-	ctx, cancel := context.WithTimeout(ctx, ReplicationTimeout)
-	defer cancel()
 	return r.collect(func(peer Peer) VMRevision { return r.awaitPeer(ctx, peer) })
 }
 
 // awaitPeer waits until the peer has this entry VM's revision or a later one in force. If
-// the peer's watch hasn't brought the revision after pushDelay, it is pushed.
+// the peer's watch hasn't brought the revision after pushDelay, it is pushed. The last
+// query starts after ReplicationTimeout and has its whole timeout. It is repeated if this
+// entry VM was paused meanwhile, since its failure says nothing about the peer.
 func (r *Replicator) awaitPeer(ctx context.Context, peer Peer) VMRevision {
 	start := time.Now()
 	for {
-		peerRevision := r.query(ctx, peer, time.Since(start) >= pushDelay)
+		queried := time.Now()
+		peerRevision := r.query(ctx, peer, queried.Sub(start) >= pushDelay)
 		if peerRevision.err == nil && peerRevision.revision >= r.copy.Revision() {
 			return peerRevision
 		}
+		took := time.Since(queried)
+		paused := took > callTimeout+maxOverrun
+		if paused {
+			r.log.Warn("query interrupted by a pause of this entry VM; repeated", "vm", peer.id, "took", took, "error", peerRevision.err)
+		}
+		if queried.Sub(start) >= ReplicationTimeout && !paused {
+			return peerRevision
+		}
 		select {
 		case <-ctx.Done():
 			return peerRevision
