--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -102,6 +102,28 @@
 	f.Assert(restarts[0].Number, quicktest.Equals, 2)
 }
 
+// TestTakeoverAfterLostWorker checks a task whose worker is lost. Its run expires, and the
+// worker is removed from the journal before the task can start elsewhere. The journal still
+// holds the start of the run, which must expire for the next owner too.
+func TestTakeoverAfterLostWorker(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", newStep(1))
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.p.ExtendLease("w0", 6*second)
+	f.p.Deregister("w0")
+	f.now = 7 * second
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.Assert(f.p.PruneWorkers(f.now), quicktest.DeepEquals, []string{"w0"})
+	f.record(Record{RemovedWorker: "w0"})
+	f.takeOver(13 * second)
+	f.addWorker("w1")
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.now = 14 * second
+	restarts := f.starts()
+	f.Assert(restarts, quicktest.HasLen, 1)
+	f.Assert(restarts[0].Number, quicktest.Equals, 2)
+}
+
 // TestSlowTakeover checks a takeover that takes longer than any lease, for instance over
 // a slow link. The runs of a listed worker must not count as expired before the worker
 // was called, since it may still list their ends.
