planner: What shows that a job has begun stands in one place

Cause, from the review: a member of a gang that is stopped while it waits may list a checkpoint, since one is taken at a stop; that made its job begun. Test: TestPendingAfterStoppedGangMember (new) fails with checkpoints counted (0, want 1; by the former code) and passes.

--- a/planner/gang.go
+++ b/planner/gang.go
@@ -52,24 +52,6 @@
 	}
 }
 
-// works reports whether tasks of the step work under the run number, one of which has
-// started. The members of a gang work from the moment when all of them have started.
-func (s *step) works(number int) bool {
-	if !s.spec.Gang {
-		return true
-	}
-	for i := range s.tasks {
-		if !slices.ContainsFunc(s.tasks[i].runs, func(r *run) bool { return r.number == number && r.phase == phaseRunning }) {
-			return false
-		}
-	}
-	return true
-}
-
-// worked reports whether the end of a run shows that the run has worked. A member of a
-// gang may end before the others have started.
-func (s *step) worked(e End) bool { return !s.spec.Gang || e.Result == Done || e.Checkpoint != "" }
-
 // findPlacements returns placements for all tasks of a gang, nil if they don't all
 // fit. If the gang prefers one rack, it uses one that takes all of them, if any does.
 func (p *Planner) findPlacements(s *step, now time.Duration) []placement {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -48,7 +48,7 @@
 	case Accepted:
 		r.phase = phaseRunning
 		r.confirmedAt = now
-		p.markBegunIf(r.step, r.step.works(r.number))
+		p.observeStart(r.step, r.number)
 		w.unansweredCalls = 0
 		p.stopIfObsolete(r)
 	case Unknown:
@@ -127,10 +127,6 @@
 	Progress   int    // percent
 }
 
-// hasProgress reports whether the run has worked. A member of a gang that waits for the
-// others has not.
-func (e RunningEntry) hasProgress() bool { return e.Progress > 0 || e.Checkpoint != "" }
-
 // EndEntry is a run that a worker lists as ended. Its serial is higher than those of
 // all earlier ends of the worker's incarnation.
 type EndEntry struct {
@@ -180,7 +176,7 @@
 // applyEnd applies the end of a run that the worker lists.
 func (p *Planner) applyEnd(w *worker, e End, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		p.markBegunIf(r.step, r.step.worked(e))
+		p.observeEnd(r.step, e)
 		switch e.Result {
 		case Done:
 			w.health.recordSuccess()
@@ -197,7 +193,7 @@
 	if s == nil || s.tasks[index].done {
 		return
 	}
-	p.markBegunIf(s, s.worked(e))
+	p.observeEnd(s, e)
 	if e.Result == RunFailed {
 		p.countFailure(s, index, e.Number, now)
 		return
@@ -228,7 +224,7 @@
 			r.phase, r.confirmedAt = phaseRunning, now
 			p.stopIfObsolete(r)
 		}
-		p.markBegunIf(r.step, e.hasProgress() || r.step.works(r.number))
+		p.observeRunning(r.step, e)
 		return
 	}
 	s, index := p.stepOf(e.Task)
@@ -247,7 +243,7 @@
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, e.Number)
 	s.lastRun = max(s.lastRun, e.Number)
-	p.markBegunIf(s, e.hasProgress() || s.works(e.Number))
+	p.observeRunning(s, e)
 	p.abandon(r)
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -251,25 +251,6 @@
 	return n
 }
 
-// markBegunIf notes that the step's job has begun if a task of it works or has worked.
-func (p *Planner) markBegunIf(s *step, works bool) {
-	j := s.occurrence.job
-	if !works || j.begun || j.finalState != "" {
-		return
-	}
-	j.begun = true
-	p.newlyBegun = append(p.newlyBegun, j.spec.ID)
-}
-
-// TakeBegun returns the jobs that have begun since the last call. The caller writes them
-// to the journal with one of its next records, so that the next owner knows them before
-// their workers have answered it.
-func (p *Planner) TakeBegun() []string {
-	ids := p.newlyBegun
-	p.newlyBegun = nil
-	return ids
-}
-
 // HasEnded reports whether TakeEnded would return a job.
 func (p *Planner) HasEnded() bool { return len(p.newlyEnded) > 0 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -358,3 +358,23 @@
 	}
 	f.Assert(stopped, quicktest.DeepEquals, map[string]bool{replacement[0].Worker: true, replacement[1].Worker: true})
 }
+
+// TestPendingAfterStoppedGangMember checks that a checkpoint of a member that was stopped
+// while it waited for the others does not make its gang's job begun.
+func TestPendingAfterStoppedGangMember(t *testing.T) {
+	f := newFixture(t, 2)
+	gang := newStep(2)
+	gang.Gang, gang.CPU = true, 3000
+	f.submit("j", gang)
+	starts := f.decide()
+	f.p.ReportStart(starts[0], Accepted, f.now)
+	f.p.ReportStart(starts[1], Refused, f.now)
+	f.p.HandleStatus(WorkerStatus{Worker: starts[0].Worker, Incarnation: 1, SentAt: f.now, Ended: []EndEntry{
+		{1, End{Task: starts[0].Task, Number: 1, Result: Stopped, Checkpoint: "c"}},
+	}}, f.now)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+	for _, a := range f.starts() {
+		f.p.HandleStatus(WorkerStatus{Worker: a.Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: a.Task, Number: a.Number}}}, f.now)
+	}
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 0)
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -309,7 +309,7 @@
 	if st == nil {
 		return
 	}
-	p.markBegunIf(st, st.worked(e))
+	p.observeEnd(st, e)
 	t := &st.tasks[n]
 	t.lastRun = max(t.lastRun, e.Number)
 	st.lastRun = max(st.lastRun, e.Number)
