planner: A job is forgotten only once its end is stored

Cause: PruneJobs removed jobs that had ended, stored or not; MarkEndStored then found none, and the job stayed in the list of live jobs. Change: PruneJobs removes jobs that are over. Test: TestPruneAfterLongOutage failed (1, want 0) and passes. Conclusion: fixed by test.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -317,10 +317,10 @@
 	}
 }
 
-// PruneJobs removes jobs that ended longer ago than the retention.
+// PruneJobs removes jobs that are over and ended longer ago than the retention.
 func (p *Planner) PruneJobs(now time.Duration) {
 	for id, j := range p.jobs {
-		if j.finalState != "" && now-j.endedAt > p.settings.retention {
+		if j.isOver() && now-j.endedAt > p.settings.retention {
 			delete(p.jobs, id)
 		}
 	}
--- a/planner/state_test.go
+++ b/planner/state_test.go
@@ -56,3 +56,18 @@
 	var refusal *RefusalError
 	f.Assert(err, quicktest.ErrorAs, &refusal)
 }
+
+// TestPruneAfterLongOutage checks that a job whose end was stored only after its retention,
+// because of an outage of the store, does not stay pending.
+func TestPruneAfterLongOutage(t *testing.T) {
+	f := newFixture(t, 0)
+	f.submit("j", newStep(1))
+	f.p.Cancel("j", "team", f.now)
+	f.now = 2 * defaultRetention
+	f.p.PruneJobs(f.now)
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 1)
+	f.p.MarkEndStored("j")
+	f.Assert(f.p.Pending("q"), quicktest.Equals, 0)
+	f.p.PruneJobs(f.now)
+	f.Assert(f.p.Known("j", "team"), quicktest.IsFalse)
+}
