--- a/conductor/state_test.go
+++ b/conductor/state_test.go
@@ -91,14 +91,21 @@
 	quicktest.Assert(t, state, quicktest.Equals, planner.Failed)
 }
 
-// TestCancelOfEndedJob checks that the answer to a late cancel gives the job's true state.
-func TestCancelOfEndedJob(t *testing.T) {
+// newCompletedJob returns a conductor with a job that has completed.
+func newCompletedJob(t *testing.T) *Conductor {
+	t.Helper()
 	c, starts := newOrderer(t, 1, func(http.ResponseWriter, *http.Request) {})
 	c.planner.ReportStart(starts[0], planner.Accepted, c.now())
 	c.planner.HandleStatus(planner.WorkerStatus{Worker: "w0", Incarnation: 1, SentAt: c.now(), Ended: []planner.EndEntry{
 		{Serial: 1, End: planner.End{Task: starts[0].Task, Number: 1, Result: planner.Done}},
 	}}, c.now())
 	c.reportEnded(c.planner.TakeEnded())
+	return c
+}
+
+// TestCancelOfEndedJob checks that the answer to a late cancel gives the job's true state.
+func TestCancelOfEndedJob(t *testing.T) {
+	c := newCompletedJob(t)
 	quicktest.Assert(t, string(c.jobState(planner.Queue{Name: "q"}, "", "j").Body), quicktest.Equals, string(platform.StateBody(planner.Completed)))
 	response := c.cancel(t.Context(), "", "j")
 	quicktest.Assert(t, string(response.Body), quicktest.Equals, string(platform.StateBody(planner.Completed)))
@@ -107,12 +114,7 @@
 // TestRepeatedSubmissionOfEndedJob checks that the answer to a repeated submission gives
 // the job's true state.
 func TestRepeatedSubmissionOfEndedJob(t *testing.T) {
-	c, starts := newOrderer(t, 1, func(http.ResponseWriter, *http.Request) {})
-	c.planner.ReportStart(starts[0], planner.Accepted, c.now())
-	c.planner.HandleStatus(planner.WorkerStatus{Worker: "w0", Incarnation: 1, SentAt: c.now(), Ended: []planner.EndEntry{
-		{Serial: 1, End: planner.End{Task: starts[0].Task, Number: 1, Result: planner.Done}},
-	}}, c.now())
-	c.reportEnded(c.planner.TakeEnded())
+	c := newCompletedJob(t)
 	response := c.submit(t.Context(), planner.Queue{Name: "q"}, "", "j", []byte(imitator.JobBody))
 	quicktest.Assert(t, string(response.Body), quicktest.Equals, string(platform.StateBody(planner.Completed)))
 }
--- a/planner/helper_test.go
+++ b/planner/helper_test.go
@@ -116,3 +116,10 @@
 
 // newStep returns a step of n tasks that take a processor, 100 MiB and 1 s each.
 func newStep(n int) StepSpec { return StepSpec{Tasks: n, CPU: 1000, Memory: 100, Estimate: 1000} }
+
+// newWideGang returns a gang of two tasks, of which a worker of the fixture holds one.
+func newWideGang() StepSpec {
+	gang := newStep(2)
+	gang.Gang, gang.CPU = true, 3000
+	return gang
+}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -272,9 +272,7 @@
 // of one try have started, since none works before.
 func TestPendingUntilGangComplete(t *testing.T) {
 	f := newFixture(t, 2)
-	gang := newStep(2)
-	gang.Gang, gang.CPU = true, 3000
-	f.submit("j", gang)
+	f.submit("j", newWideGang())
 	starts := f.decide()
 	f.Assert(starts, quicktest.HasLen, 2)
 	f.p.ReportStart(starts[0], Accepted, f.now)
@@ -337,9 +335,7 @@
 // is known to be done.
 func TestDoneOfReplacedGang(t *testing.T) {
 	f := newFixture(t, 4)
-	gang := newStep(2)
-	gang.Gang, gang.CPU = true, 3000
-	f.submit("j", gang)
+	f.submit("j", newWideGang())
 	replaced := f.starts()
 	f.Assert(replaced, quicktest.HasLen, 2)
 	for _, a := range replaced {
@@ -363,9 +359,7 @@
 // while it waited for the others does not make its gang's job begun.
 func TestPendingAfterStoppedGangMember(t *testing.T) {
 	f := newFixture(t, 2)
-	gang := newStep(2)
-	gang.Gang, gang.CPU = true, 3000
-	f.submit("j", gang)
+	f.submit("j", newWideGang())
 	starts := f.decide()
 	f.p.ReportStart(starts[0], Accepted, f.now)
 	f.p.ReportStart(starts[1], Refused, f.now)
