platform, conductor: A failed call tells a closed connection from silence, in one line

Cause: 'heartbeat missed' did not tell a crashed executor, whose machine refuses connections, from a cut path; errors joined by errors.Join took five lines a record, and a missed heartbeat without an error was logged as error=<nil>.

--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -12,6 +12,7 @@
 	startsAccepted, startsRefused, startsUnknown metrics.Counter // outcomes of start orders
 	runsEnded                                    metrics.Counter // ended runs that workers reported
 	heartbeats, missedHeartbeats                 metrics.Counter // heartbeats sent, and those that failed
+	closedConnections                            metrics.Counter // missed heartbeats whose worker's machine refused or closed the connection
 	adviceRequests, adviceFailures               metrics.Counter
 	adviceTime                                   metrics.Timer // of requests that succeeded
 	acceptTime                                   metrics.Timer // from a job's arrival until the journal holds it
@@ -19,25 +20,26 @@
 
 func newOwnerMetrics(r metrics.Registry) ownerMetrics {
 	return ownerMetrics{
-		accepted:         metrics.GetOrRegisterCounter("jobs.accepted", r),
-		refused:          metrics.GetOrRegisterCounter("jobs.refused", r),
-		unavailable:      metrics.GetOrRegisterCounter("jobs.unavailable", r),
-		completed:        metrics.GetOrRegisterCounter("jobs.completed", r),
-		failed:           metrics.GetOrRegisterCounter("jobs.failed", r),
-		cancelled:        metrics.GetOrRegisterCounter("jobs.cancelled", r),
-		pending:          metrics.GetOrRegisterGauge("jobs.pending", r),
-		pendingOrdered:   metrics.GetOrRegisterGauge("jobs.pending.ordered", r),
-		starts:           metrics.GetOrRegisterCounter("orders.starts", r),
-		stops:            metrics.GetOrRegisterCounter("orders.stops", r),
-		startsAccepted:   metrics.GetOrRegisterCounter("starts.begun", r),
-		startsRefused:    metrics.GetOrRegisterCounter("starts.refused", r),
-		startsUnknown:    metrics.GetOrRegisterCounter("starts.unsure", r),
-		runsEnded:        metrics.GetOrRegisterCounter("runs.ended", r),
-		heartbeats:       metrics.GetOrRegisterCounter("holds.sent", r),
-		missedHeartbeats: metrics.GetOrRegisterCounter("holds.unanswered", r),
-		adviceRequests:   metrics.GetOrRegisterCounter("advice.asked", r),
-		adviceFailures:   metrics.GetOrRegisterCounter("advice.failed", r),
-		adviceTime:       metrics.GetOrRegisterTimer("advice.time", r),
-		acceptTime:       metrics.GetOrRegisterTimer("jobs.accept.time", r),
+		accepted:          metrics.GetOrRegisterCounter("jobs.accepted", r),
+		refused:           metrics.GetOrRegisterCounter("jobs.refused", r),
+		unavailable:       metrics.GetOrRegisterCounter("jobs.unavailable", r),
+		completed:         metrics.GetOrRegisterCounter("jobs.completed", r),
+		failed:            metrics.GetOrRegisterCounter("jobs.failed", r),
+		cancelled:         metrics.GetOrRegisterCounter("jobs.cancelled", r),
+		pending:           metrics.GetOrRegisterGauge("jobs.pending", r),
+		pendingOrdered:    metrics.GetOrRegisterGauge("jobs.pending.ordered", r),
+		starts:            metrics.GetOrRegisterCounter("orders.starts", r),
+		stops:             metrics.GetOrRegisterCounter("orders.stops", r),
+		startsAccepted:    metrics.GetOrRegisterCounter("starts.begun", r),
+		startsRefused:     metrics.GetOrRegisterCounter("starts.refused", r),
+		startsUnknown:     metrics.GetOrRegisterCounter("starts.unsure", r),
+		runsEnded:         metrics.GetOrRegisterCounter("runs.ended", r),
+		heartbeats:        metrics.GetOrRegisterCounter("holds.sent", r),
+		missedHeartbeats:  metrics.GetOrRegisterCounter("holds.unanswered", r),
+		closedConnections: metrics.GetOrRegisterCounter("holds.closed", r),
+		adviceRequests:    metrics.GetOrRegisterCounter("advice.asked", r),
+		adviceFailures:    metrics.GetOrRegisterCounter("advice.failed", r),
+		adviceTime:        metrics.GetOrRegisterTimer("advice.time", r),
+		acceptTime:        metrics.GetOrRegisterTimer("jobs.accept.time", r),
 	}
 }
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"errors"
 	"time"
 
 	"filberthaven.example/keeper"
@@ -199,7 +200,17 @@
 		c.resign()
 		return
 	}
-	c.log.Info("heartbeat missed", "worker", s.id, "error", err)
+	closed := errors.Is(err, platform.ErrClosed)
+	if closed {
+		c.metrics.closedConnections.Inc(1)
+	}
+	fields := []any{"worker", s.id, "closed", closed}
+	if err != nil {
+		fields = append(fields, "error", err)
+	} else {
+		fields = append(fields, "outcome", result.Outcome.String())
+	}
+	c.log.Info("heartbeat missed", fields...)
 	c.mu.Lock()
 	c.planner.HeartbeatMissed(s.id)
 	c.mu.Unlock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -233,7 +233,7 @@
 		// Without a connection the request was not sent, and a VM that responds that it
 		// is not the owner has not run it. After any other error it may have run.
 		if !connected || connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
-			err = errors.Join(errNotRun, err)
+			err = fmt.Errorf("%w: %w", errNotRun, err)
 		}
 		return conductor.Response{}, err
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -238,9 +239,9 @@
 	resp, err := messenger.Call[request, response](ctx, r.messenger, peer.Address(), procedure, &req)
 	switch {
 	case err != nil && (req.Operation == put || req.Operation == remove || req.Operation == grant):
-		return response{}, errors.Join(keeper.ErrOutcomeUnknown, err)
+		return response{}, fmt.Errorf("%w: %w", keeper.ErrOutcomeUnknown, err)
 	case err != nil:
-		return response{}, errors.Join(keeper.ErrUnavailable, err)
+		return response{}, fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
 	case resp.Failure > 0 && resp.Failure <= len(wireErrors()):
 		failure := wireErrors()[resp.Failure-1]
 		if errors.Is(failure, keeper.ErrUnavailable) {
