--- /dev/null
+++ b/planner/crash_test.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"filberthaven.example/placer"
+	"github.com/frankban/quicktest"
+)
+
+// crashFixture is a fleet in which the tasks of the job "deadly" crash each worker that
+// starts them, and those of other jobs are done after a second.
+type crashFixture struct {
+	*fixture
+	incarnation map[string]int64
+	serials     map[string]uint64
+	running     map[string][]Action // by worker
+	crashed     map[string]int      // by task: workers that crashed under it
+	late        map[string]int      // by task: starts after three such crashes
+	crash       func(worker string) // how a worker crashes and comes back
+	deadly      func(Action) bool
+	gang        bool // the job "deadly" is a gang
+}
+
+// newCrashFixture returns a fleet of that many workers, which restart under their ids.
+func newCrashFixture(t *testing.T, workers int) *crashFixture {
+	f := &crashFixture{
+		fixture:     newFixture(t, workers, Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: 100 * second}),
+		incarnation: map[string]int64{}, serials: map[string]uint64{},
+		running: map[string][]Action{}, crashed: map[string]int{}, late: map[string]int{},
+	}
+	f.deadly = func(a Action) bool { id, _, _, _, _ := parseTask(a.Task); return id == "deadly" }
+	f.crash = f.restart
+	for _, w := range f.p.fleet {
+		f.incarnation[w.reg.ID] = 1
+		f.answer(w.reg.ID)
+	}
+	return f
+}
+
+// answer makes a worker list its runs, and end those that are older than a second.
+func (f *crashFixture) answer(id string) {
+	status := WorkerStatus{Worker: id, Incarnation: f.incarnation[id], SentAt: f.now}
+	for _, a := range f.running[id] {
+		status.Running = append(status.Running, RunningEntry{Task: a.Task, Number: a.Number, Progress: 50})
+	}
+	f.apply(status)
+}
+
+func (f *crashFixture) apply(status WorkerStatus) {
+	ends := f.p.HandleStatus(status, f.now)
+	ended := f.p.TakeEnded()
+	f.record(Record{Ends: ends, Failed: f.p.Failed(ended)})
+	for _, id := range ended {
+		f.p.MarkEndStored(id)
+	}
+}
+
+// finish makes a worker list its runs as done, and those of gangs as broken if a member
+// of them crashed its worker.
+func (f *crashFixture) finish(id string) {
+	status := WorkerStatus{Worker: id, Incarnation: f.incarnation[id], SentAt: f.now}
+	for _, a := range f.running[id] {
+		f.serials[id]++
+		result := Done
+		if f.gang && strings.HasPrefix(a.Task, "deadly.") {
+			result = GangBroken
+		}
+		status.Ended = append(status.Ended, EndEntry{f.serials[id], End{Task: a.Task, Number: a.Number, Result: result}})
+	}
+	f.running[id] = nil
+	f.apply(status)
+}
+
+// restart makes a worker come back under its id.
+func (f *crashFixture) restart(id string) {
+	f.incarnation[id]++
+	f.serials[id] = 0
+	f.p.Register(Registration{ID: id, Centre: "c", Service: "s", Incarnation: f.incarnation[id], Capacity: placer.NewResources(4000, 4096, 0), Labels: []string{"a", "r1"}}, f.now)
+	f.answer(id)
+}
+
+// step makes one decision and carries it out. Crashed workers come back at once, and those
+// that have not crashed end their runs.
+func (f *crashFixture) step() {
+	for _, a := range f.decide() {
+		if a.Kind == Stop {
+			f.p.ReportStop(a, true, f.now)
+		}
+		if a.Kind != Start {
+			continue
+		}
+		f.running[a.Worker] = append(f.running[a.Worker], a)
+		f.p.ReportStart(a, Accepted, f.now)
+		if f.deadly(a) && f.crashed[a.Task] >= 3 {
+			f.late[a.Task]++
+		}
+	}
+	f.now += 10 * second / 1000
+	for id := range f.incarnation {
+		killed := false
+		for _, a := range f.running[id] {
+			if f.deadly(a) {
+				killed = true
+				f.crashed[a.Task]++
+			}
+		}
+		if killed {
+			f.running[id] = nil
+			f.crash(id)
+		}
+	}
+	f.now += second
+	for id := range f.incarnation {
+		f.finish(id)
+	}
+}
+
+// assertGivenUp checks that the job "deadly" fails before a task of it has been started
+// three times more after three crashes.
+func (f *crashFixture) assertGivenUp() {
+	f.Helper()
+	for range 30 {
+		f.step()
+		for task, n := range f.late {
+			f.Assert(n < 3, quicktest.IsTrue, quicktest.Commentf("%s was started %d times after three workers had crashed", task, n))
+		}
+	}
+	f.assertState("deadly", Failed)
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp checks that a task under which workers crash again and
+// again is found out and its job given up, and that no job beside it fails.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	t.Run("alone", func(t *testing.T) {
+		f := newCrashFixture(t, 3)
+		f.submit("deadly", newStep(1))
+		f.assertGivenUp()
+	})
+	t.Run("beside others", func(t *testing.T) {
+		f := newCrashFixture(t, 3)
+		f.submit("deadly", newStep(2))
+		for n := range 20 {
+			f.submit("j"+strconv.Itoa(n), newStep(2))
+		}
+		f.assertGivenUp()
+		for n := range 20 {
+			f.assertState("j"+strconv.Itoa(n), Completed)
+		}
+	})
+	t.Run("gang", func(t *testing.T) {
+		f := newCrashFixture(t, 4)
+		gang := newWideGang()
+		f.deadly = func(a Action) bool { return a.Task == "deadly.0.0.1" }
+		f.gang = true
+		f.submit("deadly", gang)
+		f.submit("j", newStep(3))
+		f.assertGivenUp()
+		f.assertState("j", Completed)
+	})
+	t.Run("owner changes at each crash", func(t *testing.T) {
+		f := newCrashFixture(t, 3)
+		f.crash = func(id string) {
+			f.takeOver(f.now)
+			for other := range f.incarnation {
+				if other != id {
+					f.p.Register(Registration{ID: other, Centre: "c", Service: "s", Incarnation: f.incarnation[other], Capacity: placer.NewResources(4000, 4096, 0)}, f.now)
+					f.answer(other)
+				}
+			}
+			f.restart(id)
+		}
+		f.submit("deadly", newStep(1))
+		f.submit("j", newStep(4))
+		f.assertGivenUp()
+		f.assertState("j", Completed)
+	})
+}
+
+// TestBystandersOfCrashesComplete checks that no job fails because workers crash again and
+// again under its tasks for another reason.
+func TestBystandersOfCrashesComplete(t *testing.T) {
+	f := newCrashFixture(t, 4)
+	for n := range 8 {
+		f.submit("j"+strconv.Itoa(n), newStep(3))
+	}
+	for n := range 12 {
+		for _, a := range f.decide() {
+			if a.Kind == Start {
+				f.running[a.Worker] = append(f.running[a.Worker], a)
+				f.p.ReportStart(a, Accepted, f.now)
+			}
+		}
+		f.now += second
+		// Two of the four workers crash a second after their tasks have begun.
+		for _, id := range []string{"w" + strconv.Itoa(n%4), "w" + strconv.Itoa((n+1)%4)} {
+			f.running[id] = nil
+			f.restart(id)
+		}
+		f.now += second
+		for id := range f.incarnation {
+			f.finish(id)
+		}
+	}
+	for range 20 {
+		f.step()
+	}
+	for n := range 8 {
+		f.assertState("j"+strconv.Itoa(n), Completed)
+	}
+}
