--- a/conductor/begun_test.go
+++ b/conductor/begun_test.go
@@ -33,9 +33,10 @@
 	owner.mu.Lock()
 	owner.persist(planner.Record{Job: &planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 1000, Memory: 1}}}}, nil)
 	owner.begun = []string{"j"}
-	begun := owner.takeBegun()
+	var record planner.Record
+	owner.takeFacts(&record)
 	owner.mu.Unlock()
-	owner.withdrawStarts(nil, begun, errors.New("refused"))
+	owner.withdrawStarts(nil, record, errors.New("refused"))
 	owner.sweep(0)
 	stored := make(chan struct{})
 	empty, err := planner.Record{}.Encode()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -83,6 +83,7 @@
 	quietLatency   latencyWindow // of orders sent while few were in flight
 	runQueue       runQueue
 	begun          []string        // ids of jobs that have begun, for the next record in the journal
+	crashes        []planner.Crash // for the next record in the journal
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
 	ready          bool            // the journal has been read and the configuration is known
@@ -298,6 +299,9 @@
 	now := c.now()
 	partitioned, saturated := c.planner.Partitioned(), c.runQueue.saturated()
 	actions := c.planner.Decide(now, wallClock())
+	if c.planner.HasEnded() {
+		c.flush() // jobs that have failed, so that callers see it at once
+	}
 	c.decisionTime = c.now() - now
 	if partitioned && saturated {
 		if repeats, due := c.partitionLog.Next(now); due {
@@ -357,19 +361,38 @@
 	}
 }
 
-// flush persists begun and ended jobs that no record holds yet. The caller holds c.mu.
+// flush persists begun and ended jobs and crashes that no record holds yet. The caller
+// holds c.mu.
 func (c *Conductor) flush() {
-	if len(c.begun) > 0 || c.planner.HasEnded() {
+	c.collectCrashes()
+	if len(c.begun) > 0 || len(c.crashes) > 0 || c.planner.HasEnded() {
 		c.persist(planner.Record{}, nil)
 	}
 }
 
-// takeBegun returns the begun jobs that no record holds yet, for the caller's record. The
-// caller holds c.mu.
-func (c *Conductor) takeBegun() []string {
-	begun := c.begun
-	c.begun = nil
-	return begun
+// collectCrashes logs the crashes that the planner has noted, and keeps them for the next
+// record. The caller holds c.mu.
+func (c *Conductor) collectCrashes() {
+	for _, crash := range c.planner.TakeCrashes() {
+		c.metrics.crashes.Inc(1)
+		c.log.Info("worker crashed", "task", crash.Task, "run", crash.Number, "suspect", crash.Suspect, "proven", crash.Proven)
+		c.crashes = append(c.crashes, crash)
+	}
+}
+
+// takeFacts moves the begun jobs and the crashes that no record holds yet into the caller's
+// record. The caller holds c.mu.
+func (c *Conductor) takeFacts(r *planner.Record) {
+	c.collectCrashes()
+	r.Begun, r.Crashes = c.begun, c.crashes
+	c.begun, c.crashes = nil, nil
+}
+
+// returnFacts leaves what takeFacts has moved into a record that was not stored to the next
+// one. The caller holds c.mu.
+func (c *Conductor) returnFacts(r planner.Record) {
+	c.begun = append(r.Begun, c.begun...)
+	c.crashes = append(r.Crashes, c.crashes...)
 }
 
 // persist queues a record of an event that has already happened, and with it the jobs that
@@ -379,7 +402,8 @@
 // events in the order in which the planner applied them.
 func (c *Conductor) persist(r planner.Record, stored func()) {
 	ended := c.planner.TakeEnded()
-	r.At, r.Begun, r.Failed = wallClock(), c.takeBegun(), c.planner.Failed(ended)
+	r.At, r.Failed = wallClock(), c.planner.Failed(ended)
+	c.takeFacts(&r)
 	data, err := r.Encode()
 	if err != nil {
 		c.log.Error("failed to encode record", "error", err)
--- /dev/null
+++ b/conductor/crash_test.go
@@ -0,0 +1,29 @@
+package conductor
+
+import (
+	"errors"
+	"testing"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/planner"
+	"github.com/frankban/quicktest"
+)
+
+// TestCrashesPersisted checks that the next owner knows which task crashed its workers
+// although the record that first took that along failed and no other start followed.
+func TestCrashesPersisted(t *testing.T) {
+	store := emulator.NewStore().KV()
+	owner := openOwner(t, store, 1)
+	starts := submitAndStart(t, owner, 1)
+	owner.mu.Lock()
+	owner.crashes = []planner.Crash{{Task: starts[0].Task, Number: starts[0].Number, Suspect: true, Proven: true}}
+	var record planner.Record
+	owner.takeFacts(&record)
+	owner.mu.Unlock()
+	owner.withdrawStarts(nil, record, errors.New("refused"))
+	owner.sweep(owner.now())
+	flush(t, owner)
+	owner.journal.Abort()
+	next := openOwner(t, store, 2)
+	quicktest.Assert(t, next.planner.FinalState("j"), quicktest.Equals, planner.Failed)
+}
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -12,6 +12,7 @@
 	startsAccepted, startsRefused, startsUnknown metrics.Counter // outcomes of start orders
 	runsEnded                                    metrics.Counter // ended runs that workers reported
 	heartbeats, missedHeartbeats                 metrics.Counter // heartbeats sent, and those that failed
+	crashes                                      metrics.Counter // runs whose worker crashed
 	closedConnections                            metrics.Counter // missed heartbeats whose worker's machine refused or closed the connection
 	adviceRequests, adviceFailures               metrics.Counter
 	adviceTime                                   metrics.Timer // of requests that succeeded
@@ -36,6 +37,7 @@
 		runsEnded:         metrics.GetOrRegisterCounter("runs.ended", r),
 		heartbeats:        metrics.GetOrRegisterCounter("holds.sent", r),
 		missedHeartbeats:  metrics.GetOrRegisterCounter("holds.unanswered", r),
+		crashes:           metrics.GetOrRegisterCounter("runs.crashed", r),
 		closedConnections: metrics.GetOrRegisterCounter("holds.closed", r),
 		adviceRequests:    metrics.GetOrRegisterCounter("advice.asked", r),
 		adviceFailures:    metrics.GetOrRegisterCounter("advice.failed", r),
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -25,10 +25,11 @@
 // are withdrawn.
 func (c *Conductor) orderStarts(starts []planner.Action) {
 	c.mu.Lock()
-	record := planner.Record{At: wallClock(), Begun: c.takeBegun()}
+	record := planner.Record{At: wallClock()}
+	c.takeFacts(&record)
 	c.mu.Unlock()
 	for _, a := range starts {
-		record.Begins = append(record.Begins, planner.Begin{Task: a.Task, Number: a.Number, Worker: a.Worker})
+		record.Begins = append(record.Begins, a.Begin())
 	}
 	data, err := record.Encode()
 	if err == nil {
@@ -37,7 +38,7 @@
 				err = c.ctx.Err()
 			}
 			if err != nil {
-				c.withdrawStarts(starts, record.Begun, err)
+				c.withdrawStarts(starts, record, err)
 				return
 			}
 			for _, a := range starts {
@@ -46,17 +47,17 @@
 		})
 	}
 	if err != nil {
-		c.withdrawStarts(starts, record.Begun, err)
+		c.withdrawStarts(starts, record, err)
 	}
 }
 
 // withdrawStarts reports to the planner that starts were not ordered because of err, and
-// leaves the begun jobs of their record to the next one.
-func (c *Conductor) withdrawStarts(starts []planner.Action, begun []string, err error) {
+// leaves the other contents of their record to the next one.
+func (c *Conductor) withdrawStarts(starts []planner.Action, record planner.Record, err error) {
 	c.log.Info("starts taken back", "starts", len(starts), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun = append(c.begun, begun...)
+	c.returnFacts(record)
 	for _, a := range starts {
 		c.planner.ReportStart(a, planner.Withdrawn, c.now())
 		c.log.Info("start withdrawn", "task", a.Task, "run", a.Number, "worker", a.Worker, "error", err)
@@ -92,6 +93,7 @@
 		return
 	}
 	c.planner.ExtendLease(a.Worker, c.leaseExpiry(sentAt))
+	c.planner.MarkOrdered(a, sentAt)
 	address := s.address
 	c.mu.Unlock()
 	result, err := c.executors.Start(c.orderCtx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
@@ -105,6 +107,7 @@
 		// An order without an answer tells of its worker, not of this VM.
 		c.observeLatency(c.now()-sentAt, inFlight)
 	}
+	c.observeClosed(a.Worker, err)
 	c.planner.ReportStart(a, result.Outcome, c.now())
 	c.reportBegun(a.Worker)
 	if result.Outcome == planner.Accepted || result.Outcome == planner.Unknown {
@@ -157,6 +160,7 @@
 		c.sleep(stopBackoff)
 	}
 	c.mu.Lock()
+	c.observeClosed(a.Worker, err)
 	c.planner.ReportStop(a, confirmed, c.now())
 	c.startHeartbeats(s)
 	c.mu.Unlock()
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -212,10 +212,19 @@
 	}
 	c.log.Info("heartbeat missed", fields...)
 	c.mu.Lock()
+	c.observeClosed(s.id, err)
 	c.planner.HeartbeatMissed(s.id)
 	c.mu.Unlock()
 }
 
+// observeClosed tells the planner if a call failed because the worker's machine refused or
+// closed the connection. The caller holds c.mu.
+func (c *Conductor) observeClosed(worker string, err error) {
+	if errors.Is(err, platform.ErrClosed) {
+		c.planner.ObserveClosed(worker, c.now())
+	}
+}
+
 // startHeartbeats starts runHeartbeats for a worker unless it is running. The caller
 // holds c.mu.
 func (c *Conductor) startHeartbeats(s *session) {
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -185,7 +185,7 @@
 	for n := range 8 {
 		f.submit("j"+strconv.Itoa(n), newStep(3))
 	}
-	for n := range 12 {
+	for n := range 24 {
 		for _, a := range f.decide() {
 			if a.Kind == Start {
 				f.running[a.Worker] = append(f.running[a.Worker], a)
@@ -193,11 +193,13 @@
 			}
 		}
 		f.now += second
-		// Two of the four workers crash a second after their tasks have begun.
-		for _, id := range []string{"w" + strconv.Itoa(n%4), "w" + strconv.Itoa((n+1)%4)} {
-			f.running[id] = nil
-			f.restart(id)
+		for id := range f.incarnation {
+			f.answer(id)
 		}
+		f.now += 100 * second / 1000
+		id := "w" + strconv.Itoa(n%4)
+		f.running[id] = nil
+		f.restart(id)
 		f.now += second
 		for id := range f.incarnation {
 			f.finish(id)
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -19,19 +19,21 @@
 
 // Action is one decision for the caller to carry out.
 type Action struct {
-	Kind       Kind
-	Worker     string
-	Task       string
-	Number     int // run number
-	Payload    string
-	Checkpoint string
-	Ticket     string
-	Step       string   // of an advice request; repeated in its AdviceResult
-	Workers    []string // of an advice request: ids of the workers it names
-	Queue      string
-	Urgent     bool          // of an advice request
-	Cost       time.Duration // of an advice request: its expected time at the service
-	Reason     string        // for logs
+	Kind        Kind
+	Worker      string
+	Task        string
+	Number      int // run number
+	Payload     string
+	Checkpoint  string
+	Ticket      string
+	Step        string   // of an advice request; repeated in its AdviceResult
+	Workers     []string // of an advice request: ids of the workers it names
+	Queue       string
+	Urgent      bool          // of an advice request
+	Cost        time.Duration // of an advice request: its expected time at the service
+	Reason      string        // for logs
+	Incarnation int64         // of a start: of the worker, as known now
+	Separate    bool          // of a start: nothing else may start on the worker beside it
 }
 
 // candidate is an occurrence with waiting tasks and its place in the order.
@@ -68,12 +70,24 @@
 	p.adviceBudget[true], p.adviceBudget[false] = maxAdviceRequests, maxAdviceRequests
 	for _, w := range p.fleet {
 		w.reservedFor = nil
-		w.open = w.acceptsTasks(now) && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
+		w.open = w.acceptsTasks(now) && w.separateRuns == 0 && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
 		if w.listed {
 			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU())
 		}
 	}
-	for _, c := range p.candidates(now) {
+	p.keepSeparate()
+	candidates := p.candidates(now)
+	for _, c := range candidates {
+		for _, s := range c.occurrence.steps {
+			if s.hasWaitingSuspect() {
+				p.placeSuspects(s, c, now)
+			}
+		}
+	}
+	for _, c := range candidates {
+		if c.occurrence.job.holdsBack() {
+			continue
+		}
 		for _, s := range c.occurrence.steps {
 			if s.ready && s.waitingTasks > 0 {
 				p.place(s, c, now)
@@ -103,11 +117,16 @@
 			continue // after a slow takeover: the worker's first answer may list ends of these runs
 		}
 		w.earlierOwnersFenced = true
+		var expired []*run
 		for _, r := range w.runs {
 			if r.phase != phaseDecided && (r.workerRestartedAt == 0 || now-r.workerRestartedAt > maxOrderDelay) {
-				p.endRun(r, LeaseExpired, r.checkpoint, now)
+				expired = append(expired, r)
 			}
 		}
+		if closed := w.closedAt != 0; closed || !w.listed && !w.reg.Draining {
+			w.markCrash(expired, closed)
+		}
+		p.loseRuns(expired, LeaseExpired, now)
 	}
 }
 
@@ -195,12 +214,14 @@
 // requests advice and, for a long-running step, reserves workers.
 func (p *Planner) place(s *step, c candidate, now time.Duration) {
 	if s.spec.Gang {
-		p.placeGang(s, c, now)
+		if !s.hasWaitingSuspect() {
+			p.placeGang(s, c, now)
+		}
 		return
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.runs) > 0 {
+		if t.done || len(t.runs) > 0 || t.crashes.suspect {
 			continue
 		}
 		if !s.occurrence.job.team.allows(s.spec.Size, 1) {
@@ -214,7 +235,7 @@
 			}
 			return
 		}
-		p.start(s, i, t.lastRun+1, w, now)
+		p.start(s, i, t.lastRun+1, w, false, now)
 	}
 }
 
@@ -264,12 +285,13 @@
 
 // mayUse reports whether tasks of the step may start on the worker in the current
 // decision, whatever its free capacity and the advice. A worker reserved for another
-// step takes only urgent steps, and none if the other step is long-running.
+// step takes only urgent steps, and none if the other step is long-running or the worker is
+// kept for a suspect.
 func (s *step) mayUse(w *worker) bool {
 	if !w.open || w.reg.Service != s.occurrence.job.queue.Service {
 		return false
 	}
-	if w.reservedFor != nil && w.reservedFor != s && (s.occurrence.job.queue.Priority > 0 || w.reservedFor.spec.LongRunning) {
+	if w.reservedFor != nil && w.reservedFor != s && (s.occurrence.job.queue.Priority > 0 || w.reservedFor.spec.LongRunning || w.keptFor != nil) {
 		return false
 	}
 	return s.spec.Label == "" || w.hasLabel(s.spec.Label)
@@ -290,20 +312,31 @@
 	return n < s.spec.MaxPerWorker
 }
 
-// start allocates a run and adds its Start to the actions.
-func (p *Planner) start(s *step, index, number int, w *worker, now time.Duration) {
+// start allocates a run and adds its Start to the actions. Beside a separate run no others
+// start.
+func (p *Planner) start(s *step, index, number int, w *worker, separate bool, now time.Duration) {
 	t := &s.tasks[index]
 	j := s.occurrence.job
-	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now}
+	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now, startedAt: now, incarnation: w.reg.Incarnation}
 	t.lastRun = number
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
 	j.ordered = true
 	p.allocate(r)
+	reason := "room"
+	if separate {
+		if w.separateRuns == 0 && w.keptFor == nil {
+			p.separateWorkers++
+		}
+		r.makeSeparate()
+		w.open, w.keptFor = false, nil
+		reason = "suspect of a crash, alone"
+	}
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
-		Checkpoint: t.checkpoint, Ticket: s.advice.ticketText(w), Queue: j.spec.Queue, Reason: "room",
+		Checkpoint: t.checkpoint, Ticket: s.advice.ticketText(w), Queue: j.spec.Queue, Reason: reason,
+		Incarnation: w.reg.Incarnation, Separate: separate,
 	})
 }
 
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -76,10 +76,16 @@
 // workerRestarted ends the runs of the worker's earlier incarnation. A start without an
 // answer may still reach the new incarnation, so its run stays allocated until it is
 // stopped there or maxOrderDelay and the lease are over. An inherited run stays until the
-// new incarnation has answered, since it then refuses orders of earlier owners.
+// new incarnation has answered, since it then refuses orders of earlier owners. A worker
+// that was draining has not crashed.
 func (p *Planner) workerRestarted(w *worker, now time.Duration) {
 	w.lastSerial = 0
 	w.earlierOwnersFenced = true
+	if !w.reg.Draining {
+		w.markCrash(w.orderedRuns(), true)
+	}
+	w.lastAnswerAt, w.closedAt = 0, 0
+	var lost []*run
 	for _, r := range w.runs {
 		switch r.phase {
 		case phaseUnanswered, phaseDecided:
@@ -92,8 +98,9 @@
 			r.workerRestartedAt = now
 			continue
 		}
-		p.endRun(r, Lost, r.checkpoint, now)
+		lost = append(lost, r)
 	}
+	p.loseRuns(lost, Lost, now)
 }
 
 // ObserveIncarnation applies the incarnation that the answer to a start names. The worker
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -26,7 +26,7 @@
 	if s.waitingTasks < len(s.tasks) || !s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
 		return // members of an earlier run have not ended, or the gang is over the team's limit
 	}
-	placements := p.findPlacements(s, now)
+	placements := p.findPlacements(s, len(s.tasks), nil, now)
 	if placements == nil {
 		p.requestAdvice(s, c, now)
 		if c.rank != expiredRank {
@@ -34,52 +34,66 @@
 		}
 		return
 	}
-	number, checkpoint := 0, ""
+	number, checkpoint := s.nextGangRun()
+	members := make([]int, len(s.tasks))
+	for i := range members {
+		members[i] = i
+	}
+	p.startMembers(s, members, placements, number, checkpoint, false, now)
+}
+
+// nextGangRun returns the number of the next run of a gang, and the checkpoint from which
+// it resumes.
+func (s *step) nextGangRun() (number int, checkpoint string) {
+	number = s.lastRun
 	for i := range s.tasks {
 		number = max(number, s.tasks[i].lastRun)
-		if s.tasks[i].checkpoint > checkpoint {
-			checkpoint = s.tasks[i].checkpoint
-		}
+		checkpoint = max(checkpoint, s.tasks[i].checkpoint)
 	}
-	number = max(number, s.lastRun) + 1
-	index := 0
+	return number + 1, checkpoint
+}
+
+// startMembers starts members of a gang, which are indexes of tasks, in the order of the
+// placements.
+func (p *Planner) startMembers(s *step, members []int, placements []placement, number int, checkpoint string, separate bool, now time.Duration) {
 	for _, pl := range placements {
-		for range pl.tasks {
+		for _, index := range members[:pl.tasks] {
 			s.tasks[index].checkpoint = checkpoint
-			p.start(s, index, number, pl.worker, now)
-			index++
+			p.start(s, index, number, pl.worker, separate, now)
 		}
+		members = members[pl.tasks:]
 	}
 }
 
-// findPlacements returns placements for all tasks of a gang, nil if they don't all
-// fit. If the gang prefers one rack, it uses one that takes all of them, if any does.
-func (p *Planner) findPlacements(s *step, now time.Duration) []placement {
-	if s.spec.Size.CPU() > p.maxFreeCPU {
+// findPlacements returns placements for that many tasks of a gang on workers that are not
+// excluded, nil if they don't all fit. If the gang prefers one rack, it uses one that takes
+// all of them, if any does.
+func (p *Planner) findPlacements(s *step, tasks int, excluded map[*worker]bool, now time.Duration) []placement {
+	if tasks == 0 || s.spec.Size.CPU() > p.maxFreeCPU {
 		return nil
 	}
 	var placements []placement
 	total := 0
 	for w := range p.usableWorkers(s, now) {
-		if n := s.fitCount(w); n > 0 {
+		if n := s.fitCount(w); n > 0 && !excluded[w] {
 			placements = append(placements, placement{w, n})
 			total += n
 		}
 	}
-	if total < len(s.tasks) {
+	if total < tasks {
 		return nil
 	}
 	slices.SortFunc(placements, func(a, b placement) int {
 		return cmp.Or(cmp.Compare(a.tasks, b.tasks), cmp.Compare(a.worker.reg.ID, b.worker.reg.ID))
 	})
 	if s.spec.OneRack {
-		if sameRack := oneRack(placements, len(s.tasks)); sameRack != nil {
+		if sameRack := oneRack(placements, tasks); sameRack != nil {
 			placements = sameRack
 		}
 	}
 	// The largest first, so that the gang takes few workers.
 	slices.Reverse(placements)
-	return trimPlacements(placements, len(s.tasks))
+	return trimPlacements(placements, tasks)
 }
 
 // trimPlacements returns the first of the placements, cut down to n tasks in all. It
--- a/planner/helper_test.go
+++ b/planner/helper_test.go
@@ -46,7 +46,7 @@
 
 func (f *fixture) record(r Record) {
 	r.At = wall + f.now.Milliseconds()
-	r.Begun = f.p.TakeBegun()
+	r.Begun, r.Crashes = f.p.TakeBegun(), f.p.TakeCrashes()
 	data, err := r.Encode()
 	f.Assert(err, quicktest.IsNil)
 	f.records = append(f.records, data)
@@ -67,7 +67,7 @@
 	var begins []Begin
 	for _, a := range f.actions {
 		if a.Kind == Start {
-			begins = append(begins, Begin{a.Task, a.Number, a.Worker})
+			begins = append(begins, a.Begin())
 		}
 	}
 	if len(begins) > 0 {
--- a/planner/job.go
+++ b/planner/job.go
@@ -37,6 +37,9 @@
 	next         int           // index of the next occurrence to begin
 	unfinished   int           // number of occurrences not finished, including future ones
 	criticalPath time.Duration // estimate for one whole occurrence; 0 until computed
+	suspects     int           // tasks that may have crashed a worker
+	separateRuns int           // runs that have workers of their own
+	cleared      bool          // a suspect has turned out not to crash its worker
 }
 
 // isOver reports whether the job has ended and the journal holds its end, so that callers
@@ -87,6 +90,7 @@
 	lastFailedRun int // newest run number that failures counts
 	done          bool
 	checkpoint    string
+	crashes       crashHistory
 	runs          []*run // those that may not have ended yet
 }
 
@@ -119,6 +123,10 @@
 	checkpoint        string        // as last listed by the worker
 	team              *team         // team to which its size is allocated; nil if none or once released
 	workerRestartedAt time.Duration // when its worker restarted without having answered the start; else 0
+	startedAt         time.Duration // when its start was ordered, or written to the journal if inherited
+	incarnation       int64         // of the worker, as known when the start was decided; 0 if unknown
+	separate          bool          // no run but those of its gang may be on its worker
+	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
 }
 
 func (r *run) key() runKey { return runKey{r.step.taskName(r.taskIndex), r.number} }
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -48,6 +48,7 @@
 	case Accepted:
 		r.phase = phaseRunning
 		r.confirmedAt = now
+		w.observeAnswer(r.startedAt)
 		p.observeStart(r.step, r.number)
 		w.unansweredCalls = 0
 		p.stopIfObsolete(r)
@@ -59,6 +60,9 @@
 		p.stopIfObsolete(r)
 		p.abandonGang(r)
 	default:
+		if outcome != Withdrawn {
+			w.observeAnswer(r.startedAt)
+		}
 		if outcome == NoTicket {
 			r.step.advice.dropTicket(w)
 		}
@@ -147,6 +151,7 @@
 	p.observeIncarnation(w, status.Incarnation, now)
 	w.unansweredCalls, w.heartbeatTried = 0, true
 	w.earlierOwnersFenced = true
+	w.observeAnswer(status.SentAt)
 	var ends []End
 	for _, e := range status.Ended {
 		if e.Serial <= w.lastSerial {
@@ -161,6 +166,7 @@
 		present[runKey{e.Task, e.Number}] = true
 		p.applyRunning(w, e, now)
 	}
+	var lost, inherited []*run
 	for key, r := range w.runs {
 		if present[key] || r.confirmedAt >= status.SentAt || r.phase == phaseDecided || r.phase == phaseUnanswered {
 			continue
@@ -168,8 +174,13 @@
 		// Either the run was confirmed before the heartbeat and the worker no longer has
 		// it, or it is inherited and the order never arrived. The worker now refuses that
 		// order, since it has the fence of this owner.
-		p.endRun(r, Lost, r.checkpoint, now)
+		lost = append(lost, r)
+		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation < w.reg.Incarnation {
+			inherited = append(inherited, r)
+		}
 	}
+	w.markCrash(inherited, true)
+	p.loseRuns(lost, Lost, now)
 	return ends
 }
 
@@ -183,6 +194,8 @@
 		case RunFailed:
 			w.health.recordFailure(now)
 		}
+		r.crash = nil
+		p.observeSurvival(r, e.Result == Done || e.Result == RunFailed, now)
 		p.endRun(r, e.Result, e.Checkpoint, now)
 		return
 	}
@@ -214,6 +227,8 @@
 func (p *Planner) applyRunning(w *worker, e RunningEntry, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
+		r.crash = nil
+		p.observeSurvival(r, false, now)
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
 			if !r.obsolete {
@@ -367,6 +382,7 @@
 	}
 	t.done = true
 	s.doneTasks++
+	s.setSuspect(index, false)
 }
 
 // finishStep finishes a step whose tasks are all done. The last step finishes its
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -9,26 +9,28 @@
 type Planner struct {
 	settings settings
 
-	config         Config
-	queues         map[string]Queue
-	teams          map[string]*team
-	cordoned       map[string]bool // data centres taken out of service
-	workers        map[string]*worker
-	fleet          []*worker       // the values of workers, in order of addition; Decide visits these
-	persisted      map[string]bool // workers that the journal names; tasks start only on these
-	jobs           map[string]*job // including ended jobs until PruneJobs removes them
-	live           []*job          // stored jobs, oldest first; Decide removes those that are over
-	stats          map[string]*queueStats
-	load           load
-	maxFreeCPU     int64 // most free thousandths of a processor on a worker when the current decision began
-	byFreeCPU      freeIndex
-	decisions      uint64                 // number of the current decision, from 1
-	noAdviceBefore map[bool]time.Duration // earliest time of the next advice request, for urgent steps (true) and others
-	adviceBudget   map[bool]int           // advice requests left in the current decision, for urgent steps (true) and others
-	actions        []Action               // to be returned by the next Decide
-	waiters        map[waiterKey][]func(error)
-	newlyEnded     []string // jobs that ended since the last TakeEnded
-	newlyBegun     []string // jobs that have begun since the last TakeBegun
+	config          Config
+	queues          map[string]Queue
+	teams           map[string]*team
+	cordoned        map[string]bool // data centres taken out of service
+	workers         map[string]*worker
+	fleet           []*worker       // the values of workers, in order of addition; Decide visits these
+	persisted       map[string]bool // workers that the journal names; tasks start only on these
+	jobs            map[string]*job // including ended jobs until PruneJobs removes them
+	live            []*job          // stored jobs, oldest first; Decide removes those that are over
+	stats           map[string]*queueStats
+	load            load
+	maxFreeCPU      int64 // most free thousandths of a processor on a worker when the current decision began
+	byFreeCPU       freeIndex
+	decisions       uint64                 // number of the current decision, from 1
+	noAdviceBefore  map[bool]time.Duration // earliest time of the next advice request, for urgent steps (true) and others
+	adviceBudget    map[bool]int           // advice requests left in the current decision, for urgent steps (true) and others
+	actions         []Action               // to be returned by the next Decide
+	waiters         map[waiterKey][]func(error)
+	newlyEnded      []string // jobs that ended since the last TakeEnded
+	newlyBegun      []string // jobs that have begun since the last TakeBegun
+	newCrashes      []Crash  // since the last TakeCrashes
+	separateWorkers int      // workers that are kept for suspects, or have separate runs, in the current decision
 }
 
 // settings holds what options set.
--- a/planner/record.go
+++ b/planner/record.go
@@ -32,6 +32,14 @@
 	Task   string `cbor:"1,keyasint"`
 	Number int    `cbor:"2,keyasint"`
 	Worker string `cbor:"3,keyasint"`
+
+	Incarnation int64 `cbor:"4,keyasint,omitempty"` // of the worker, as known to the owner
+	Separate    bool  `cbor:"5,keyasint,omitempty"` // nothing else may start on the worker beside it
+}
+
+// Begin returns the journal's entry for a start.
+func (a Action) Begin() Begin {
+	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate}
 }
 
 // Record is one change in the journal. Replaying it twice, or onto a state that
@@ -44,8 +52,9 @@
 	RemovedWorker string   `cbor:"5,keyasint,omitempty"` // id of a worker that runs none any more
 	At            int64    `cbor:"6,keyasint,omitempty"` // Unix ms
 	Begins        []Begin  `cbor:"7,keyasint,omitempty"`
-	Begun         []string `cbor:"8,keyasint,omitempty"` // ids of jobs that have begun, as TakeBegun returned them
-	Failed        []string `cbor:"9,keyasint,omitempty"` // ids of jobs that have failed, of those that TakeEnded returned
+	Begun         []string `cbor:"8,keyasint,omitempty"`  // ids of jobs that have begun, as TakeBegun returned them
+	Failed        []string `cbor:"9,keyasint,omitempty"`  // ids of jobs that have failed, of those that TakeEnded returned
+	Crashes       []Crash  `cbor:"10,keyasint,omitempty"` // as TakeCrashes returned them
 }
 
 // Encode returns the record in CBOR.
@@ -90,6 +99,11 @@
 	GangFailures      int    `cbor:"8,keyasint,omitempty"`  // failed runs of its gang that were counted
 	Worker            string `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
 	LastFailedGangRun int    `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
+	Crashes           int    `cbor:"12,keyasint,omitempty"` // workers that crashed under the task
+	LastCrashRun      int    `cbor:"13,keyasint,omitempty"` // newest run number that Crashes counts
+	Suspect           bool   `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
+	Incarnation       int64  `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
+	Separate          bool   `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -125,8 +139,9 @@
 					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
 					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
 				}
+				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.count, t.crashes.lastRun, t.crashes.suspect
 				for _, r := range t.runs {
-					entry.Number, entry.Worker = r.number, r.worker.reg.ID
+					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 				}
 				stored.Tasks = append(stored.Tasks, entry)
 			}
@@ -196,8 +211,10 @@
 	st.lastRun = max(st.lastRun, t.Number)
 	st.gangFailures = max(st.gangFailures, t.GangFailures)
 	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
+	task.crashes.count, task.crashes.lastRun = t.Crashes, t.LastCrashRun
+	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
-		p.addInheritedRun(st, t.Index, t.Number, t.Worker)
+		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, 0)
 	}
 	if t.Done {
 		p.markDone(st, t.Index)
@@ -205,21 +222,28 @@
 }
 
 // addInheritedRun allocates a run that an earlier owner may have ordered. Whether it
-// runs is unknown until its worker answers or all leases of the worker have expired.
-func (p *Planner) addInheritedRun(s *step, index, number int, worker string) {
+// runs is unknown until its worker answers or all leases of the worker have expired. It was
+// written to the journal at startedAt, 0 if that is not known.
+func (p *Planner) addInheritedRun(s *step, index int, b Begin, startedAt time.Duration) {
 	t := &s.tasks[index]
 	for _, r := range slices.Clone(t.runs) {
 		p.release(r) // an earlier run; it has ended, since the task was started again
 	}
-	r := &run{step: s, taskIndex: index, number: number, worker: p.worker(worker), size: s.spec.Size, phase: phaseInherited}
+	r := &run{
+		step: s, taskIndex: index, number: b.Number, worker: p.worker(b.Worker), size: s.spec.Size, phase: phaseInherited,
+		startedAt: startedAt, incarnation: b.Incarnation,
+	}
 	if len(t.runs) == 0 && !t.done {
 		s.waitingTasks--
 	}
 	t.runs = append(t.runs, r)
-	t.lastRun = max(t.lastRun, number)
-	s.lastRun = max(s.lastRun, number)
+	t.lastRun = max(t.lastRun, b.Number)
+	s.lastRun = max(s.lastRun, b.Number)
 	s.occurrence.job.ordered = true
 	p.allocate(r)
+	if b.Separate {
+		r.makeSeparate()
+	}
 }
 
 // step returns the step with that index of occurrence k. It is nil if there is no such
@@ -252,9 +276,15 @@
 	if r.Job != nil {
 		p.restoreJob(*r.Job, now, wall)
 	}
+	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
+	for _, c := range r.Crashes {
+		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && st.applyCrash(index, c) {
+			p.failIfProven(st, index, at)
+		}
+	}
 	for _, b := range r.Begins {
 		if st, index := p.stepForReplay(b.Task, now, wall); st != nil && b.Number > st.tasks[index].lastRun && !st.tasks[index].done {
-			p.addInheritedRun(st, index, b.Number, b.Worker)
+			p.addInheritedRun(st, index, b, at)
 		}
 	}
 	for _, id := range r.Begun {
@@ -263,9 +293,8 @@
 		}
 	}
 	for _, e := range r.Ends {
-		p.replayEnd(e, now-time.Duration(max(0, wall-r.At))*time.Millisecond, now, wall)
+		p.replayEnd(e, at, now, wall)
 	}
-	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
 	for _, id := range r.Failed {
 		p.replayFinal(id, Failed, at)
 	}
@@ -350,5 +379,5 @@
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
-	p.newlyBegun, p.newlyEnded = nil, nil
+	p.newlyBegun, p.newlyEnded, p.newCrashes = nil, nil, nil
 }
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -36,9 +36,13 @@
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
 	health              health
-	pruned              bool  // it was removed from the planner
-	reservedFor         *step // step for which the current decision has reserved this worker, else nil
-	open                bool  // tasks may start on it; set at the beginning of each decision
+	pruned              bool          // it was removed from the planner
+	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
+	keptFor             *step         // step for whose suspects nothing else starts on this worker, else nil
+	separateRuns        int           // runs beside which no others may start
+	lastAnswerAt        time.Duration // when the newest call was sent that this incarnation has answered
+	closedAt            time.Duration // when its machine first refused or closed a connection since its last answer; else 0
+	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
 }
 
@@ -62,6 +66,18 @@
 
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.reg.Labels, label) }
 
+// orderedRuns returns the runs that may be on the worker, sorted by task and number.
+func (w *worker) orderedRuns() []*run {
+	var runs []*run
+	for _, r := range w.runs {
+		if r.phase != phaseDecided {
+			runs = append(runs, r)
+		}
+	}
+	sortRuns(runs)
+	return runs
+}
+
 // allocate adds a run and takes its capacity.
 func (w *worker) allocate(r *run) {
 	w.runs[r.key()] = r
@@ -73,6 +89,7 @@
 	if _, known := w.runs[r.key()]; !known {
 		return
 	}
+	r.endSeparation()
 	delete(w.runs, r.key())
 	w.allocated = w.allocated.Sub(r.size)
 }
