--- a/planner/advice.go
+++ b/planner/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,6 +38,24 @@
 	return known
 }
 
+// forgetAdvice drops what steps know of workers that are gone, or have restarted and may be
+// of another kind now. Requests for advice go to workers of which nothing is known.
+func (p *Planner) forgetAdvice(isGone func(*worker) bool) {
+	for _, j := range p.live {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				s.advice.forget(isGone)
+			}
+		}
+	}
+}
+
+func (a *advice) forget(isGone func(*worker) bool) {
+	maps.DeleteFunc(a.known, func(w *worker, _ *eligibleWorker) bool { return isGone(w) })
+	maps.DeleteFunc(a.queried, func(w *worker, _ bool) bool { return isGone(w) })
+	a.eligible = slices.DeleteFunc(a.eligible, func(e *eligibleWorker) bool { return isGone(e.worker) })
+}
+
 // ticketMargin is how long before its end a ticket counts as expired, since the order
 // takes time to reach the worker.
 const ticketMargin = 150 * time.Millisecond
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -69,6 +69,7 @@
 		isPruned := func(w *worker) bool { return w.pruned }
 		p.fleet = slices.DeleteFunc(p.fleet, isPruned)
 		p.byFreeCPU.remove(isPruned)
+		p.forgetAdvice(isPruned)
 	}
 	return ids
 }
@@ -85,6 +86,7 @@
 		w.markCrash(w.orderedRuns(), true)
 	}
 	w.lastAnswerAt, w.closedAt = 0, 0
+	p.forgetAdvice(func(other *worker) bool { return other == w })
 	var lost []*run
 	for _, r := range w.runs {
 		switch r.phase {
