planner: Workers that have crashed are no partition

Cause: any call without an answer counted as a sign that the owner is cut off. A machine that refuses connections is reached. Change: workers whose machines refuse or close connections do not count as unresponsive for 5 s, within which the platform's list shows a crash. A cut that refuses connections for longer counts as before. Test: TestCrashedWorkersAreNoPartition failed (by construction: there was no such sign) and passes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -297,7 +297,7 @@
 func (c *Conductor) decide(ctx context.Context) {
 	c.mu.Lock()
 	now := c.now()
-	partitioned, saturated := c.planner.Partitioned(), c.runQueue.saturated()
+	partitioned, saturated := c.planner.Partitioned(now), c.runQueue.saturated()
 	actions := c.planner.Decide(now, wallClock())
 	if c.planner.HasEnded() {
 		c.flush() // jobs that have failed, so that callers see it at once
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -145,21 +145,27 @@
 // minUnresponsive, are unresponsive, as when the owner's data centre is disconnected.
 // The owner then has to resign, so that a VM that reaches more workers can claim.
 // Workers that have not been called lately, because they run nothing or a new owner
-// has not called them yet, count as reachable.
-func (p *Planner) Partitioned() bool {
+// has not called them yet, count as reachable. So do those whose machines refuse
+// connections: they have crashed.
+func (p *Planner) Partitioned(now time.Duration) bool {
 	unresponsive, listed := 0, 0
 	for _, w := range p.fleet {
 		if !w.listed {
 			continue
 		}
 		listed++
-		if w.unansweredCalls > 0 {
+		crashed := w.closedAt != 0 && now-w.closedAt < closedTimeout
+		if w.unansweredCalls > 0 && !crashed {
 			unresponsive++
 		}
 	}
 	return 2*unresponsive > listed && unresponsive >= minUnresponsive
 }
 
+// closedTimeout is how long a listed worker whose machine refuses connections counts as
+// crashed. The platform's list shows a crash sooner; a cut may refuse connections for longer.
+const closedTimeout = 5 * time.Second
+
 // minUnresponsive is the least number of unresponsive workers at which the owner may
 // count as partitioned.
 const minUnresponsive = 4
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -115,10 +115,25 @@
 			}
 			f.p.HandleStatus(WorkerStatus{Worker: id, Incarnation: 1, SentAt: f.now}, f.now)
 		}
-		f.Assert(f.p.Partitioned(), quicktest.Equals, test.want)
+		f.Assert(f.p.Partitioned(f.now), quicktest.Equals, test.want)
 	}
 }
 
+// TestCrashedWorkersAreNoPartition checks that an owner does not count as partitioned because
+// the machines of most workers refuse connections: it reaches them, and they come back. It
+// does if they refuse for so long that the platform's list would show a crash.
+func TestCrashedWorkersAreNoPartition(t *testing.T) {
+	f := newFixture(t, 8)
+	f.now = second
+	for i := range 7 {
+		f.p.ObserveClosed("w"+strconv.Itoa(i), f.now)
+		f.p.HeartbeatMissed("w" + strconv.Itoa(i))
+	}
+	f.Assert(f.p.Partitioned(f.now), quicktest.IsFalse)
+	f.now += closedTimeout
+	f.Assert(f.p.Partitioned(f.now), quicktest.IsTrue)
+}
+
 // TestCancelReportedWhenStored checks that a cancellation is not reported as stored
 // before the journal holds it. If it were acknowledged earlier, the next owner might
 // still run the job.
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -192,14 +192,14 @@
 	for n := range 6 {
 		f.p.HeartbeatMissed("w" + strconv.Itoa(n))
 	}
-	f.Assert(f.p.Partitioned(), quicktest.IsFalse)
+	f.Assert(f.p.Partitioned(f.now), quicktest.IsFalse)
 	for n := 6; n < 9; n++ {
 		f.p.HandleStatus(WorkerStatus{Worker: "w" + strconv.Itoa(n), Incarnation: 1, SentAt: f.now}, f.now)
 	}
 	f.now += 10 * second
-	f.Assert(f.p.Partitioned(), quicktest.IsFalse)
+	f.Assert(f.p.Partitioned(f.now), quicktest.IsFalse)
 	f.p.HeartbeatMissed("w9")
-	f.Assert(f.p.Partitioned(), quicktest.IsTrue)
+	f.Assert(f.p.Partitioned(f.now), quicktest.IsTrue)
 }
 
 // TestMalformedTaskNames checks that runs that a worker lists under names that no task has
