--- a/conductor/session.go
+++ b/conductor/session.go
@@ -108,6 +108,9 @@
 		lease.Until = s.leaseUntil(sentAt, c.leaseDuration)
 		c.planner.ExtendLease(s.id, c.leaseExpiry(sentAt))
 		wait = heartbeatWait
+		if c.planner.OnProbation(s.id) {
+			wait = planner.Probation
+		}
 	}
 	address, persistedSerial, incarnation := s.address, s.persistedSerial, s.incarnation
 	c.mu.Unlock()
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -15,18 +15,24 @@
 	// crashWindow is the time before a worker's last sign of life within which a run has to
 	// have begun for its task to be a suspect of the worker's first crash.
 	crashWindow = 250 * time.Millisecond
-	// probation is how long a suspect of a first crash runs alone until it is cleared.
+	// Probation is how long a suspect of a first crash runs alone until it is cleared.
 	// Suspects of more than one crash are cleared by their end.
-	probation = time.Second
-	// minCrashes is the number of crashes after which a run that crashed a worker of its own
-	// shortly after it began proves its task to be the cause. With minLateCrashes, a run on
-	// a worker of its own proves it however late the crash came, since the platform allows
-	// two starts after three crashes.
-	minCrashes     = 2
-	minLateCrashes = 4
+	Probation = 2 * crashWindow
+	// minCrashes is the number of crashes under runs that are known to have started after
+	// which a run that crashed a worker of its own shortly after it began proves its task to
+	// be the cause. With minAllCrashes, whether or not the runs are known to have started, a
+	// run on a worker of its own proves it however late the crash came, since the platform
+	// allows two starts after three crashes.
+	minCrashes    = 2
+	minAllCrashes = 4
+	// minExposures is the number of crashes from which a task is a suspect although it had
+	// never begun shortly before.
+	minExposures = 3
 	// maxSeparateFraction is the fraction of the workers, one at least, that may be kept for
-	// suspects at a time.
-	maxSeparateFraction = 0.125
+	// suspects at a time. maxEmptyFraction is the fraction of the empty workers that suspects
+	// may use besides, since on an idle fleet nothing waits for these.
+	maxSeparateFraction = 0.25
+	maxEmptyFraction    = 0.5
 )
 
 // Crash is the crash of a worker under a run. The caller writes it to the journal.
@@ -35,11 +41,13 @@
 	Number  int    `cbor:"2,keyasint"`
 	Suspect bool   `cbor:"3,keyasint,omitempty"` // the task may have caused it
 	Proven  bool   `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
+	Started bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run
 }
 
 // crashHistory is what is known of the crashes of workers under a task.
 type crashHistory struct {
-	count   int  // workers that crashed while they ran the task
+	count   int  // workers that crashed while they may have run the task
+	started int  // of these, those that are known to have started it
 	lastRun int  // newest run number that count includes
 	suspect bool // the task starts only on a worker of its own
 	proven  bool // the task is the cause, so its job fails
@@ -71,12 +79,13 @@
 		if r.crash != nil || s.unknown || s.occurrence.job.finalState != "" || s.tasks[r.taskIndex].done {
 			continue
 		}
-		count := s.tasks[r.taskIndex].crashes.count + 1
+		h := s.tasks[r.taskIndex].crashes
+		count, proof := h.count+1, r.started && h.started+1 >= minCrashes
 		recent := r.startedAt >= lastSign-crashWindow
 		r.crash = &Crash{
-			Task: s.taskName(r.taskIndex), Number: r.number,
-			Suspect: certain && recent || r.separate || count >= minCrashes,
-			Proven:  r.separate && (recent && count >= minCrashes || count >= minLateCrashes),
+			Task: s.taskName(r.taskIndex), Number: r.number, Started: r.started,
+			Suspect: certain && recent || r.separate || count >= minExposures,
+			Proven:  r.separate && (recent && proof || count >= minAllCrashes),
 		}
 	}
 }
@@ -107,6 +116,9 @@
 		return false
 	}
 	h.count++
+	if c.Started {
+		h.started++
+	}
 	h.lastRun = c.Number
 	h.proven = h.proven || c.Proven
 	if c.Suspect {
@@ -173,6 +185,12 @@
 	r.step.occurrence.job.separateRuns++
 }
 
+// OnProbation reports whether the worker runs a suspect.
+func (p *Planner) OnProbation(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.separateRuns > 0
+}
+
 // endSeparation opens the worker of a run to other tasks.
 func (r *run) endSeparation() {
 	if r.separate {
@@ -189,7 +207,7 @@
 		return
 	}
 	h := &r.step.tasks[r.taskIndex].crashes
-	if !ended && (h.count >= minCrashes || now-r.startedAt < probation) {
+	if !ended && (h.count >= minCrashes || now-r.startedAt < Probation) {
 		return
 	}
 	r.endSeparation()
@@ -214,22 +232,23 @@
 // suspects of their steps wait.
 func (p *Planner) keepSeparate() {
 	p.separateWorkers = 0
+	empty := 0
 	for _, w := range p.fleet {
+		if w.open && len(w.runs) == 0 {
+			empty++
+		}
 		if w.keptFor != nil && (!w.open || !w.keptFor.hasWaitingSuspect()) {
 			w.keptFor = nil
 		}
 		if w.keptFor != nil {
 			w.reservedFor = w.keptFor
 		}
-		if w.keptFor != nil || w.separateRuns > 0 {
+		if w.keptFor != nil || w.separateRuns > 0 && w.closedAt == 0 {
 			p.separateWorkers++
 		}
 	}
-}
-
-// maxSeparateWorkers returns how many workers may be kept for suspects at a time.
-func (p *Planner) maxSeparateWorkers() int {
-	return max(1, int(maxSeparateFraction*float64(len(p.fleet))))
+	p.maxKept = max(1, int(maxSeparateFraction*float64(len(p.fleet))))
+	p.maxSeparate = max(p.maxKept, p.separateWorkers+int(maxEmptyFraction*float64(empty)))
 }
 
 // placeSuspects starts waiting suspects of a step on workers of their own: of each job one
@@ -275,7 +294,7 @@
 	var separate []placement
 	room, taken := 0, map[*worker]bool{}
 	for _, w := range p.emptyWorkers(s, now) {
-		if room >= len(suspects) || len(separate) >= p.maxSeparateWorkers() {
+		if room >= len(suspects) || len(separate) >= p.maxSeparate {
 			break
 		}
 		n := min(s.fitCount(w), len(suspects)-room)
@@ -283,7 +302,7 @@
 		taken[w] = true
 		room += n
 	}
-	if room < len(suspects) && len(separate) < p.maxSeparateWorkers() {
+	if room < len(suspects) && len(separate) < p.maxKept {
 		p.requestAdvice(s, c, now)
 		p.keepWorker(s, now)
 		return
@@ -307,7 +326,7 @@
 func (p *Planner) emptyWorkers(s *step, now time.Duration) []*worker {
 	var empty []*worker
 	for w := range p.usableWorkers(s, now) {
-		if len(w.runs) == 0 && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparateWorkers()) {
+		if len(w.runs) == 0 && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
 			empty = append(empty, w)
 		}
 	}
@@ -330,7 +349,7 @@
 // keepWorker keeps one more worker for the waiting suspects of a step, unless one is being
 // emptied for it: the one whose runs should end first. Nothing else starts on it.
 func (p *Planner) keepWorker(s *step, now time.Duration) {
-	if p.separateWorkers >= p.maxSeparateWorkers() {
+	if p.separateWorkers >= p.maxKept {
 		return
 	}
 	var best *worker
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -212,3 +212,42 @@
 		f.assertState("j"+strconv.Itoa(n), Completed)
 	}
 }
+
+// TestSuspectsOnIdleFleet checks that suspects start at once if many workers are empty. On a
+// fleet with room they would otherwise wait one after the other (LOST).
+func TestSuspectsOnIdleFleet(t *testing.T) {
+	f := newCrashFixture(t, 16)
+	for n := range 8 {
+		f.submit("j"+strconv.Itoa(n), newStep(1))
+		s, _ := f.p.stepOf("j" + strconv.Itoa(n) + ".0.0.0")
+		s.setSuspect(0, true)
+	}
+	f.Assert(f.starts(), quicktest.HasLen, 8)
+	used := map[string]bool{}
+	for _, a := range f.actions {
+		used[a.Worker] = true
+	}
+	f.Assert(used, quicktest.HasLen, 8)
+}
+
+// TestUnansweredStartsAreNoProof checks that a job does not fail by crashes of workers that
+// may not have started its task: only one of the two is known to have.
+func TestUnansweredStartsAreNoProof(t *testing.T) {
+	f := newCrashFixture(t, 3)
+	f.submit("j", newStep(1))
+	first := f.decide()[0]
+	f.p.ReportStart(first, Unknown, f.now)
+	for _, a := range f.decide() {
+		f.p.ReportStop(a, true, f.now)
+	}
+	f.restart(first.Worker)
+	f.now += second
+	f.restart(first.Worker)
+	second := f.starts()
+	f.Assert(second, quicktest.HasLen, 1)
+	f.restart(second[0].Worker)
+	f.decide()
+	f.assertState("j", Running)
+	f.Assert(f.actions, quicktest.HasLen, 1)
+	f.Assert(f.actions[0].Separate, quicktest.IsTrue)
+}
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -46,7 +46,7 @@
 	}
 	switch outcome {
 	case Accepted:
-		r.phase = phaseRunning
+		r.phase, r.started = phaseRunning, true
 		r.confirmedAt = now
 		w.observeAnswer(r.startedAt)
 		p.observeStart(r.step, r.number)
@@ -227,7 +227,7 @@
 func (p *Planner) applyRunning(w *worker, e RunningEntry, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
-		r.crash = nil
+		r.crash, r.started = nil, true
 		p.observeSurvival(r, false, now)
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -31,6 +31,8 @@
 	newlyBegun      []string // jobs that have begun since the last TakeBegun
 	newCrashes      []Crash  // since the last TakeCrashes
 	separateWorkers int      // workers that are kept for suspects, or have separate runs, in the current decision
+	maxKept         int      // limit of separateWorkers for keeping one more worker that is not empty
+	maxSeparate     int      // limit of separateWorkers for using one more worker that is empty
 }
 
 // settings holds what options set.
--- a/planner/record.go
+++ b/planner/record.go
@@ -101,9 +101,11 @@
 	LastFailedGangRun int    `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
 	Crashes           int    `cbor:"12,keyasint,omitempty"` // workers that crashed under the task
 	LastCrashRun      int    `cbor:"13,keyasint,omitempty"` // newest run number that Crashes counts
+	StartedCrashes    int    `cbor:"18,keyasint,omitempty"` // of Crashes, those under runs that are known to have started
 	Suspect           bool   `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
 	Incarnation       int64  `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
 	Separate          bool   `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
+	StartedAt         int64  `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -120,12 +122,12 @@
 			s.Ended = append(s.Ended, storedEnd{j.spec.ID, j.spec.Queue, j.spec.Team, j.finalState, wall - (now - j.endedAt).Milliseconds()})
 			continue
 		}
-		s.Jobs = append(s.Jobs, storeJob(j))
+		s.Jobs = append(s.Jobs, storeJob(j, now, wall))
 	}
 	return cbor.Marshal(s)
 }
 
-func storeJob(j *job) storedJob {
+func storeJob(j *job, now time.Duration, wall int64) storedJob {
 	stored := storedJob{Spec: j.spec, Next: j.next, UnfinishedOccurrences: j.unfinished, Begun: j.begun}
 	for _, o := range j.occurrences {
 		stored.BegunOccurrences = append(stored.BegunOccurrences, o.index)
@@ -139,9 +141,10 @@
 					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
 					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
 				}
-				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.count, t.crashes.lastRun, t.crashes.suspect
+				entry.Crashes, entry.StartedCrashes, entry.LastCrashRun, entry.Suspect = t.crashes.count, t.crashes.started, t.crashes.lastRun, t.crashes.suspect
 				for _, r := range t.runs {
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
+					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
 				}
 				stored.Tasks = append(stored.Tasks, entry)
 			}
@@ -189,7 +192,7 @@
 			j.occurrences = append(j.occurrences, newOccurrence(j, k, j.dueTime(k, now, wall)))
 		}
 		for _, t := range stored.Tasks {
-			p.restoreTask(j, t)
+			p.restoreTask(j, t, now-time.Duration(wall-t.StartedAt)*time.Millisecond)
 		}
 		for _, o := range slices.Clone(j.occurrences) {
 			for _, st := range o.steps {
@@ -201,7 +204,8 @@
 	}
 }
 
-func (p *Planner) restoreTask(j *job, t storedTask) {
+// restoreTask restores a task whose run, if it has one, was ordered at startedAt.
+func (p *Planner) restoreTask(j *job, t storedTask, startedAt time.Duration) {
 	st := j.step(t.Occurrence, t.Step)
 	if st == nil || t.Index >= len(st.tasks) {
 		return
@@ -211,10 +215,10 @@
 	st.lastRun = max(st.lastRun, t.Number)
 	st.gangFailures = max(st.gangFailures, t.GangFailures)
 	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
-	task.crashes.count, task.crashes.lastRun = t.Crashes, t.LastCrashRun
+	task.crashes.count, task.crashes.started, task.crashes.lastRun = t.Crashes, t.StartedCrashes, t.LastCrashRun
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
-		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, 0)
+		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, startedAt)
 	}
 	if t.Done {
 		p.markDone(st, t.Index)
@@ -223,7 +227,7 @@
 
 // addInheritedRun allocates a run that an earlier owner may have ordered. Whether it
 // runs is unknown until its worker answers or all leases of the worker have expired. It was
-// written to the journal at startedAt, 0 if that is not known.
+// ordered, or its start written to the journal, at startedAt.
 func (p *Planner) addInheritedRun(s *step, index int, b Begin, startedAt time.Duration) {
 	t := &s.tasks[index]
 	for _, r := range slices.Clone(t.runs) {
