planner, platform: A worker at whose address another one answers has ended

Callers saw: work of crashed executors stood still for 6.3 s, though the machine was back after 3.2 s under another id. Cause: the machine answers calls for the earlier executor with 421, which counted as any refusal, so its runs were held until their leases had expired; and a new owner took such a crash for a worker that is out of reach, so nobody was suspected. Change: the outcome Replaced. The runs of the worker are lost at once, as after a restart: its process has ended, and the one at its address refuses all its orders, also late ones. Test: TestReplacedWorkerHasEnded failed (by construction) and passes.

--- a/conductor/order.go
+++ b/conductor/order.go
@@ -107,8 +107,8 @@
 		// An order without an answer tells of its worker, not of this VM.
 		c.observeLatency(c.now()-sentAt, inFlight)
 	}
-	c.observeClosed(a.Worker, err)
 	c.planner.ReportStart(a, result.Outcome, c.now())
+	c.observeFailure(a.Worker, result.Outcome, err)
 	c.reportBegun(a.Worker)
 	if result.Outcome == planner.Accepted || result.Outcome == planner.Unknown {
 		c.startHeartbeats(s)
@@ -134,7 +134,7 @@
 	default:
 		c.metrics.startsRefused.Inc(1)
 	}
-	c.log.Info("start not confirmed", "task", a.Task, "run", a.Number, "worker", a.Worker, "outcome", outcome.String(), "error", err)
+	c.log.Info("start not confirmed", failureFields(outcome, err, "task", a.Task, "run", a.Number, "worker", a.Worker)...)
 }
 
 // stop orders the end of a run and reports to the planner whether the worker
@@ -156,12 +156,12 @@
 	}
 	confirmed := err == nil && result.Outcome == planner.Accepted
 	if !confirmed {
-		c.log.Info("stop not confirmed", "task", a.Task, "run", a.Number, "worker", a.Worker, "outcome", result.Outcome.String(), "error", err)
+		c.log.Info("stop not confirmed", failureFields(result.Outcome, err, "task", a.Task, "run", a.Number, "worker", a.Worker)...)
 		c.sleep(stopBackoff)
 	}
 	c.mu.Lock()
-	c.observeClosed(a.Worker, err)
 	c.planner.ReportStop(a, confirmed, c.now())
+	c.observeFailure(a.Worker, result.Outcome, err)
 	c.startHeartbeats(s)
 	c.mu.Unlock()
 	c.wake()
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -207,25 +207,33 @@
 	if closed {
 		c.metrics.closedConnections.Inc(1)
 	}
-	fields := []any{"worker", s.id, "closed", closed}
-	if err != nil {
-		fields = append(fields, "error", err)
-	} else {
-		fields = append(fields, "outcome", result.Outcome.String())
-	}
-	c.log.Info("heartbeat missed", fields...)
+	c.log.Info("heartbeat missed", failureFields(result.Outcome, err, "worker", s.id, "closed", closed)...)
 	c.mu.Lock()
-	c.observeClosed(s.id, err)
 	c.planner.HeartbeatMissed(s.id)
+	c.observeFailure(s.id, result.Outcome, err)
 	c.mu.Unlock()
 }
 
-// observeClosed tells the planner if a call failed because the worker's machine refused or
-// closed the connection. The caller holds c.mu.
-func (c *Conductor) observeClosed(worker string, err error) {
+// failureFields returns the fields of a log line about a call that failed.
+func failureFields(outcome planner.Outcome, err error, fields ...any) []any {
+	fields = append(fields, "outcome", outcome.String())
+	if err != nil {
+		fields = append(fields, "error", err)
+	}
+	return fields
+}
+
+// observeFailure tells the planner what a failed call shows of the worker: its machine has
+// refused or closed the connection, or runs another worker now. The caller holds c.mu.
+func (c *Conductor) observeFailure(worker string, outcome planner.Outcome, err error) {
 	if errors.Is(err, platform.ErrClosed) {
 		c.planner.ObserveClosed(worker, c.now())
 	}
+	if outcome == planner.Replaced {
+		c.log.Info("worker has been replaced", "worker", worker)
+		c.planner.ObserveReplaced(worker, c.now())
+		c.wake()
+	}
 }
 
 // startHeartbeats starts runHeartbeats for a worker unless it is running. The caller
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -251,3 +251,21 @@
 	f.Assert(f.actions, quicktest.HasLen, 1)
 	f.Assert(f.actions[0].Separate, quicktest.IsTrue)
 }
+
+// TestReplacedWorkerHasEnded checks that the runs of a worker at whose address another one
+// answers start elsewhere at once, rather than when its leases have expired.
+func TestReplacedWorkerHasEnded(t *testing.T) {
+	f := newCrashFixture(t, 1)
+	f.submit("j", newStep(2))
+	first := f.decide()
+	f.Assert(first, quicktest.HasLen, 2)
+	f.p.ExtendLease("w0", 6*second)
+	f.p.ReportStart(first[0], Accepted, f.now)
+	f.p.ReportStart(first[1], Replaced, f.now)
+	f.p.ObserveReplaced("w0", f.now)
+	f.addWorker("w1")
+	f.now = second
+	f.Assert(f.starts(), quicktest.HasLen, 1) // the suspect; the other task of its job waits
+	f.Assert(f.actions[0].Worker, quicktest.Equals, "w1")
+	f.Assert(f.p.Accepts("w0"), quicktest.IsFalse)
+}
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -105,6 +105,22 @@
 	p.loseRuns(lost, Lost, now)
 }
 
+// ObserveReplaced notes that another worker answers at the worker's address, and refuses all
+// orders for this one. So its process has ended, and all its runs with it. Nothing starts
+// on it, since the call that showed it counts as unanswered.
+func (p *Planner) ObserveReplaced(id string, now time.Duration) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	w.earlierOwnersFenced = true
+	runs := w.orderedRuns()
+	if !w.reg.Draining {
+		w.markCrash(runs, true)
+	}
+	p.loseRuns(runs, Lost, now)
+}
+
 // ObserveIncarnation applies the incarnation that the answer to a start names. The worker
 // may have restarted since the order was sent, before the platform's list shows it.
 func (p *Planner) ObserveIncarnation(id string, incarnation int64, now time.Duration) {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -14,12 +14,13 @@
 	NoCapacity                // refused because the worker lacks the capacity
 	StaleTerm                 // refused because the worker knows a newer owner's fence
 	Withdrawn                 // the start was decided but never ordered
+	Replaced                  // another worker answers at the address, so this one has ended
 )
 
 // String returns the outcome for logs. Operators know the texts, so they stay although
 // the constants have other names.
 func (o Outcome) String() string {
-	return [...]string{"began", "refused", "no answer", "no ticket", "no room", "newer owner", "withdrawn"}[o]
+	return [...]string{"began", "refused", "no answer", "no ticket", "no room", "newer owner", "withdrawn", "replaced"}[o]
 }
 
 // Wanted reports whether a decided start should still be ordered. It is false once its
@@ -60,7 +61,7 @@
 		p.stopIfObsolete(r)
 		p.abandonGang(r)
 	default:
-		if outcome != Withdrawn {
+		if outcome != Withdrawn && outcome != Replaced {
 			w.observeAnswer(r.startedAt)
 		}
 		if outcome == NoTicket {
@@ -70,7 +71,11 @@
 			w.health.noStartsBefore = max(w.health.noStartsBefore, now+time.Second/2)
 		}
 		p.endRun(r, Stopped, "", now)
-		if outcome != Withdrawn {
+		switch outcome {
+		case Withdrawn:
+		case Replaced:
+			w.unansweredCalls++
+		default:
 			w.unansweredCalls = 0
 		}
 		p.abandonGang(r)
