planner: A run that was not listed stays over a restart of its worker (TWICE)

A worker had restarted under its id 91 ms before it started run 2; 98 ms later the same owner started run 3 elsewhere. Cause: the answers to starts and stops name no incarnation, and were taken for answers of the incarnation that the owner knew. When the entry in the store showed the restart, run 2 counted as lost with the earlier one. The class: a fact is attributed to the incarnation that was known, not to the one that it is of. Change: a run that no list of the known incarnation has named stays allocated over a restart, until a list of the new incarnation has it or not. Ruled out: two owners (one process ordered all three runs).

--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -237,14 +237,15 @@
 	f.submit("j", newStep(1))
 	first := f.decide()[0]
 	f.p.ReportStart(first, Unknown, f.now)
+	f.restart(first.Worker)
 	for _, a := range f.decide() {
 		f.p.ReportStop(a, true, f.now)
 	}
-	f.restart(first.Worker)
-	f.now += second
-	f.restart(first.Worker)
+	f.now += 1
+	f.answer(first.Worker)
 	second := f.starts()
 	f.Assert(second, quicktest.HasLen, 1)
+	f.now += 1
 	f.restart(second[0].Worker)
 	f.decide()
 	f.assertState("j", Running)
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -77,7 +77,8 @@
 // workerRestarted ends the runs of the worker's earlier incarnation. A start without an
 // answer may still reach the new incarnation, so its run stays allocated until it is
 // stopped there or maxOrderDelay and the lease are over. An inherited run stays until the
-// new incarnation has answered, since it then refuses orders of earlier owners. A worker
+// new incarnation has answered, since it then refuses orders of earlier owners. So does a
+// run that the earlier incarnation has not listed: the new one may have started it. A worker
 // that was draining has not crashed.
 func (p *Planner) workerRestarted(w *worker, now time.Duration) {
 	w.lastSerial = 0
@@ -89,18 +90,22 @@
 	p.forgetAdvice(func(other *worker) bool { return other == w })
 	var lost []*run
 	for _, r := range w.runs {
-		switch r.phase {
-		case phaseUnanswered, phaseDecided:
+		switch {
+		case r.phase == phaseUnanswered, r.phase == phaseDecided, r.phase == phaseStopAnswered && !r.started:
+			if r.phase == phaseStopAnswered {
+				r.phase = phaseUnanswered // the new incarnation may not know of the stop
+			}
 			r.workerRestartedAt = now
 			r.stopOrdered = false
 			r.obsolete = true
 			p.stopIfObsolete(r)
-			continue
-		case phaseInherited:
+		case r.phase == phaseInherited:
 			r.workerRestartedAt = now
-			continue
+		case r.listed:
+			lost = append(lost, r)
 		}
-		lost = append(lost, r)
+		// The answer to a start or a stop names no incarnation, so a run that was not listed
+		// stays until the new incarnation does not list it.
 	}
 	p.loseRuns(lost, Lost, now)
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -125,6 +125,7 @@
 	workerRestartedAt time.Duration // when its worker restarted without having answered the start; else 0
 	startedAt         time.Duration // when its start was ordered, or written to the journal if inherited
 	incarnation       int64         // of the worker, as known when the start was decided; 0 if unknown
+	listed            bool          // the known incarnation of the worker has listed it
 	started           bool          // the worker has answered the start or listed the run to this owner
 	separate          bool          // no run but those of its gang may be on its worker
 	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -169,7 +169,7 @@
 	present := map[runKey]bool{}
 	for _, e := range status.Running {
 		present[runKey{e.Task, e.Number}] = true
-		p.applyRunning(w, e, now)
+		p.applyRunning(w, e, status.Incarnation != 0, now)
 	}
 	var lost, inherited []*run
 	for key, r := range w.runs {
@@ -227,12 +227,13 @@
 	}
 }
 
-// applyRunning applies a run that the worker lists as running. This confirms the start
-// of a run allocated on the worker. Any other run is allocated now and stopped.
-func (p *Planner) applyRunning(w *worker, e RunningEntry, now time.Duration) {
+// applyRunning applies a run that the worker lists as running, in a list that names its
+// incarnation or not. This confirms the start of a run allocated on the worker. Any other
+// run is allocated now and stopped.
+func (p *Planner) applyRunning(w *worker, e RunningEntry, named bool, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
-		r.crash, r.started = nil, true
+		r.crash, r.started, r.listed = nil, true, named
 		p.observeSurvival(r, false, now)
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
@@ -252,7 +253,7 @@
 		p.stopUnknownRun(w, e)
 		return
 	}
-	r := &run{step: s, taskIndex: index, number: e.Number, worker: w, size: s.spec.Size, phase: phaseRunning, decidedAt: now, confirmedAt: now, progress: e.Progress, checkpoint: e.Checkpoint}
+	r := &run{step: s, taskIndex: index, number: e.Number, worker: w, size: s.spec.Size, phase: phaseRunning, listed: named, decidedAt: now, confirmedAt: now, progress: e.Progress, checkpoint: e.Checkpoint}
 	p.allocate(r)
 	t := &s.tasks[index]
 	if len(t.runs) == 0 && !t.done {
@@ -273,7 +274,7 @@
 func (p *Planner) stopUnknownRun(w *worker, e RunningEntry) {
 	o := &occurrence{job: &job{finalState: Cancelled, spec: JobSpec{ID: e.Task}}}
 	s := &step{occurrence: o, name: e.Task, unknown: true, spec: &StepSpec{}, tasks: make([]task, 1)}
-	r := &run{step: s, number: e.Number, worker: w, size: w.reg.Capacity, phase: phaseRunning, obsolete: true}
+	r := &run{step: s, number: e.Number, worker: w, size: w.reg.Capacity, phase: phaseRunning, listed: true, obsolete: true}
 	p.allocate(r)
 	p.stop(r)
 }
