conductor: No acknowledgement of ends to a worker that may have restarted

Cause: the numbers of ends start anew with an incarnation. A heartbeat to a worker that had restarted unnoticed, for instance while it was idle, acknowledged ends up to a number of the earlier incarnation. Ends of the new one that nobody had read were forgotten, and their runs counted as lost. Change: a heartbeat acknowledges ends only within 1.25 s of the worker's last list. One more heartbeat comes first after a longer time, which costs nothing for idle workers, whose ends are acknowledged already. Test: TestNoAckToRestartedWorker failed (57 acknowledged) and passes.

--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -102,7 +102,7 @@
 	}
 	s.address = registration.Address
 	if registration.Incarnation > s.incarnation {
-		s.incarnation, s.clock, s.persistedSerial, s.acknowledgedSerial = registration.Incarnation, 0, 0, 0
+		s.restart(registration.Incarnation)
 	}
 	isNew, changed := c.planner.Register(registration, c.now())
 	if reconnect {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -27,6 +27,10 @@
 	// that acknowledges them, so that one heartbeat acknowledges several. It is well
 	// within the time in which they must be acknowledged.
 	finalAckDelay = time.Second
+	// maxAckGap is the time since the worker's last list within which a heartbeat
+	// acknowledges ends. A worker that was not heard from for longer may have restarted, and
+	// would forget ends of its new incarnation that nobody has read.
+	maxAckGap = finalAckDelay + 250*time.Millisecond
 )
 
 // session is the state of the calls to one worker. Conductor.mu guards it.
@@ -38,6 +42,7 @@
 	incarnation        int64         // of the worker; the clock and the serials belong to it
 	persistedSerial    uint64        // serial of the newest end that the journal holds
 	acknowledgedSerial uint64        // serial of the newest end that the worker may forget
+	listedAt           time.Duration // when the newest list of the incarnation was received; 0 before the first
 	heartbeating       bool          // runHeartbeats is running
 }
 
@@ -50,6 +55,19 @@
 	return s.clock + (now - s.clockReadAt + lease).Milliseconds()
 }
 
+// restart begins a new incarnation, whose counts start anew.
+func (s *session) restart(incarnation int64) {
+	s.incarnation, s.clock, s.persistedSerial, s.acknowledgedSerial, s.listedAt = incarnation, 0, 0, 0, 0
+}
+
+// acknowledgeable returns the serial up to which the worker may forget ends, as of now.
+func (s *session) acknowledgeable(now time.Duration) uint64 {
+	if now-s.listedAt > maxAckGap {
+		return 0
+	}
+	return s.persistedSerial
+}
+
 // observe records the worker's clock and incarnation from the answer to a call sent at
 // sentAt. The worker reads its clock after sentAt, so the estimate of its clock may be
 // ahead by as much as the call took. The worker limits the lease itself.
@@ -58,7 +76,7 @@
 		if r.Incarnation < s.incarnation {
 			return
 		}
-		s.incarnation, s.clock, s.persistedSerial, s.acknowledgedSerial = r.Incarnation, 0, 0, 0
+		s.restart(r.Incarnation)
 	}
 	if r.Clock != 0 && sentAt >= s.clockReadAt {
 		s.clock, s.clockReadAt = r.Clock, sentAt
@@ -112,7 +130,7 @@
 			wait = planner.Probation
 		}
 	}
-	address, persistedSerial, incarnation := s.address, s.persistedSerial, s.incarnation
+	address, acknowledged, incarnation := s.address, s.acknowledgeable(sentAt), s.incarnation
 	c.mu.Unlock()
 	if wait == 0 {
 		select {
@@ -123,7 +141,7 @@
 		}
 	}
 	c.metrics.heartbeats.Inc(1)
-	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, persistedSerial, wait)
+	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, acknowledged, wait)
 	if c.ctx.Err() != nil {
 		return false
 	}
@@ -134,8 +152,9 @@
 	c.mu.Lock()
 	s.observe(result, sentAt)
 	if s.incarnation == incarnation {
-		s.acknowledgedSerial = max(s.acknowledgedSerial, persistedSerial)
+		s.acknowledgedSerial = max(s.acknowledgedSerial, acknowledged)
 	}
+	s.listedAt = c.now()
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended,
 	}, c.now())
--- /dev/null
+++ b/conductor/session_test.go
@@ -0,0 +1,36 @@
+package conductor
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestNoAckToRestartedWorker checks that a heartbeat to a worker that was not heard from for
+// a while acknowledges no ends: the worker may have restarted under its id, and would
+// forget ends of its new incarnation that nobody has read.
+func TestNoAckToRestartedWorker(t *testing.T) {
+	var acknowledged uint64
+	c, _ := newOrderer(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		var request struct {
+			Acknowledged uint64 `json:"last-seen"`
+		}
+		quicktest.Check(t, json.NewDecoder(r.Body).Decode(&request), quicktest.IsNil)
+		acknowledged = request.Acknowledged
+		fmt.Fprint(w, `{"clock-ms":1,"born":1}`)
+	})
+	now := time.Second
+	c.now = func() time.Duration { return now }
+	s := c.sessions["w0"]
+	s.persistedSerial, s.listedAt = 57, now
+	now += maxAckGap + 1
+	for _, want := range []uint64{0, 57} {
+		quicktest.Assert(t, c.heartbeat(s, false), quicktest.IsTrue)
+		quicktest.Assert(t, acknowledged, quicktest.Equals, want)
+		quicktest.Assert(t, s.acknowledgedSerial, quicktest.Equals, want)
+	}
+}
