conductor: Heartbeats to a removed worker end

Cause: heartbeats end when the worker is idle and its ends are acknowledged, and a worker that is gone acknowledges none. Change: they end when the worker is removed. Test: TestHeartbeatsOfRemovedWorkerEnd failed and passes.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -84,7 +84,7 @@
 }
 
 // runHeartbeats sends heartbeats to a worker until it runs nothing and all its ends
-// are acknowledged.
+// are acknowledged, or it is removed.
 func (c *Conductor) runHeartbeats(s *session) {
 	first := true // no heartbeat has succeeded yet
 	for c.ctx.Err() == nil {
@@ -94,7 +94,8 @@
 		}
 		c.mu.Lock()
 		busy := c.planner.Busy(s.id)
-		if !busy && !first && s.acknowledgedSerial == s.persistedSerial {
+		removed := c.sessions[s.id] != s
+		if removed || !busy && !first && s.acknowledgedSerial == s.persistedSerial {
 			s.heartbeating = false
 			c.mu.Unlock()
 			return
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -34,3 +34,24 @@
 		quicktest.Assert(t, s.acknowledgedSerial, quicktest.Equals, want)
 	}
 }
+
+// TestHeartbeatsOfRemovedWorkerEnd checks that heartbeats to a worker that is gone end once it
+// is removed, although ends of it are not acknowledged.
+func TestHeartbeatsOfRemovedWorkerEnd(t *testing.T) {
+	c, _ := newOrderer(t, 1, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+	s := c.sessions["w0"]
+	s.persistedSerial = 1
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.runHeartbeats(s)
+	}()
+	c.mu.Lock()
+	delete(c.sessions, s.id)
+	c.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(time.Minute):
+		t.Fatal("heartbeats go on")
+	}
+}
