planner: No start is ordered on a worker that has shrunk below what is allocated (LIMIT)

Cause: a start was decided on the capacity of that moment. Change: Accepts, which is checked right before an order, is false while what is allocated does not fit. Test: TestStartsOnResizedWorker: one of three subtests failed; the others (a stopped run counts until it has ended, a takeover) passed before.

--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -33,12 +33,13 @@
 }
 
 // Accepts reports whether the platform's list and the operators still let tasks
-// start on the worker, and it has answered the last call. The caller checks this right
-// before it orders a start, since the worker may have begun to drain, or have become
-// unresponsive, while the start was written to the journal.
+// start on the worker, it has answered the last call, and all that is allocated on it fits.
+// The caller checks this right before it orders a start, since the worker may have begun to
+// drain, have become unresponsive or have lost capacity while the start was written to the
+// journal.
 func (p *Planner) Accepts(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.listed && !w.reg.Draining && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls
+	return w != nil && w.listed && !w.reg.Draining && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls && w.free().IsValid()
 }
 
 // MarkWorkerStored lets tasks start on a worker. The caller calls it once the journal
