--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -167,6 +167,45 @@
 	cl.Assert(strings.Count(cl.logs.text(), "ownership claimed") >= 2, quicktest.IsTrue)
 }
 
+// TestFleetWithCrashes submits jobs while executors crash and start again under their ids,
+// shrink and grow, some jobs crash each executor that starts them, and the owner resigns.
+// Each of these jobs must fail, every other one must complete, without an invariant violation.
+func TestFleetWithCrashes(t *testing.T) {
+	cl := newCluster(t, 3)
+	for n := 4; n < 8; n++ {
+		cl.Assert(cl.platform.AddExecutor(fmt.Sprintf("w%d", n), "s", "a", 4000), quicktest.IsNil)
+	}
+	states := map[string]string{} // as expected at the end, by job
+	for n := range 30 {
+		id, body := fmt.Sprintf("%016x", n), imitator.JobBody
+		states[id] = "completed"
+		if n%10 == 3 {
+			states[id], body = "failed", imitator.DeadlyJob
+		}
+		cl.waitFor(waitTimeout, "job "+id+" accepted", func() bool {
+			status, _ := cl.call(n, "POST", imitator.QueuePrefix+id, imitator.APIKey, body)
+			return status == 200
+		})
+		switch executor := fmt.Sprintf("w%d", 1+n%7); n % 6 {
+		case 1:
+			cl.platform.CrashExecutor(executor, 50*time.Millisecond, 200*time.Millisecond)
+		case 2:
+			cl.platform.ResizeExecutor(executor, 1000)
+		case 4:
+			cl.platform.ResizeExecutor(fmt.Sprintf("w%d", 1+(n-2)%7), 4000)
+		case 5:
+			cl.owner().runner.claimer.Resign()
+		}
+	}
+	for id, want := range states {
+		cl.waitFor(waitTimeout, id+" "+want, func() bool {
+			_, body := cl.call(0, "GET", imitator.QueuePrefix+id, imitator.APIKey, "")
+			return imitator.JobState([]byte(body)) == want
+		})
+	}
+	cl.Assert(cl.platform.Violations(), quicktest.HasLen, 0)
+}
+
 // TestBadInput checks the HTTP status of each request that must be refused.
 func TestBadInput(t *testing.T) {
 	cl := newCluster(t, 2)
