planner: A suspect of a crash starts beside services if every worker has some

Cause: a suspect waited for a worker without any run, and the worker kept for it could be one that is never empty. Change: long-running runs do not count, workers with few of them go first. What places suspects is in suspect.go. Forgetting advice costs what has changed. explain tells a crash from used-up attempts. Test: TestSuspectBesideServices, TestCrashIsExplained (both failed).

--- a/narrator/decided_test.go
+++ b/narrator/decided_test.go
@@ -25,3 +25,14 @@
 		})
 	}
 }
+
+// TestCrashIsExplained checks that a job that failed since a task of it crashes its executors
+// is not explained as one that used up its attempts.
+func TestCrashIsExplained(t *testing.T) {
+	timeline := New(id)
+	log := "2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: worker crashed: task=" + id + ".0.0.0 run=2 suspect=true proven=true\n" +
+		"2026-01-20T01:58:41.200Z [INFO]  filberthaven.conductor: job ended: job=" + id + " state=failed\n"
+	quicktest.Assert(t, timeline.Read(strings.NewReader(log)), quicktest.IsNil)
+	quicktest.Assert(t, timeline.Cause(), quicktest.Contains, "crashed the executors")
+	quicktest.Assert(t, timeline.Cause(), quicktest.Not(quicktest.Contains), "attempts")
+}
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -105,6 +105,7 @@
 // endRules returns the rules for how a job ended. The first rule that matches counts.
 func endRules() []rule {
 	return []rule{
+		{"proven=true", "a task crashed the executors that started it, so it failed"},
 		{"state=failed", "a task used up its attempts"},
 		{"state=cancelled", "its caller cancelled it"},
 		{"state=completed", "it completed"},
@@ -119,6 +120,8 @@
 		{"can't be done in time", "the work ahead of it could not be done in time, so it was refused"},
 		{"job not stored", "the store could not take it, so it was refused"},
 		{"request not passed on", "the entry VM reached no owner of the fleet"},
+		{"suspect=true", "a task may have crashed its executor, so it waited for one of its own"},
+		{"worker crashed", "an executor crashed under a run"},
 		{"how=lost", "a run was lost with its executor"},
 		{"how=lapsed", "the lease of a run expired because it was not renewed"},
 		{"how=broken", "a run ended because another member of its gang did"},
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -40,20 +39,26 @@
 
 // forgetAdvice drops what steps know of workers that are gone, or have restarted and may be
 // of another kind now. Requests for advice go to workers of which nothing is known.
-func (p *Planner) forgetAdvice(isGone func(*worker) bool) {
+func (p *Planner) forgetAdvice(gone ...*worker) {
 	for _, j := range p.live {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				s.advice.forget(isGone)
+				s.advice.forget(gone)
 			}
 		}
 	}
 }
 
-func (a *advice) forget(isGone func(*worker) bool) {
-	maps.DeleteFunc(a.known, func(w *worker, _ *eligibleWorker) bool { return isGone(w) })
-	maps.DeleteFunc(a.queried, func(w *worker, _ bool) bool { return isGone(w) })
-	a.eligible = slices.DeleteFunc(a.eligible, func(e *eligibleWorker) bool { return isGone(e.worker) })
+func (a *advice) forget(gone []*worker) {
+	wasEligible := false
+	for _, w := range gone {
+		wasEligible = wasEligible || a.known[w] != nil
+		delete(a.known, w)
+		delete(a.queried, w)
+	}
+	if wasEligible {
+		a.eligible = slices.DeleteFunc(a.eligible, func(e *eligibleWorker) bool { return slices.Contains(gone, e.worker) })
+	}
 }
 
 // ticketMargin is how long before its end a ticket counts as expired, since the order
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -286,3 +286,18 @@
 	f.Assert(second, quicktest.HasLen, 1)
 	f.Assert(second[0].Separate, quicktest.IsFalse)
 }
+
+// TestSuspectBesideServices checks that a suspect starts although every worker runs a
+// long-running task. It would otherwise wait for ever.
+func TestSuspectBesideServices(t *testing.T) {
+	f := newCrashFixture(t, 2)
+	service := newStep(2)
+	service.LongRunning, service.MaxPerWorker = true, 1
+	f.submit("service", service)
+	f.Assert(f.starts(), quicktest.HasLen, 2)
+	f.submit("j", newStep(1))
+	s, _ := f.p.stepOf("j.0.0.0")
+	s.setSuspect(0, true)
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.Assert(f.actions[0].Separate, quicktest.IsTrue)
+}
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -58,19 +58,20 @@
 // lease. It returns their ids. The caller may then drop these from the journal.
 func (p *Planner) PruneWorkers(now time.Duration) []string {
 	var ids []string
+	var pruned []*worker
 	for _, w := range p.fleet {
 		if !w.listed && len(w.runs) == 0 && w.earlierOwnersFenced && now >= w.leaseExpiry {
 			delete(p.workers, w.reg.ID)
 			delete(p.persisted, w.reg.ID)
 			w.pruned = true
-			ids = append(ids, w.reg.ID)
+			ids, pruned = append(ids, w.reg.ID), append(pruned, w)
 		}
 	}
 	if len(ids) > 0 {
 		isPruned := func(w *worker) bool { return w.pruned }
 		p.fleet = slices.DeleteFunc(p.fleet, isPruned)
 		p.byFreeCPU.remove(isPruned)
-		p.forgetAdvice(isPruned)
+		p.forgetAdvice(pruned...)
 	}
 	return ids
 }
@@ -88,7 +89,7 @@
 		w.markCrash(w.orderedRuns(), true)
 	}
 	w.lastAnswerAt, w.closedAt = 0, 0
-	p.forgetAdvice(func(other *worker) bool { return other == w })
+	p.forgetAdvice(w)
 	var lost []*run
 	for _, r := range w.runs {
 		switch {
--- /dev/null
+++ b/planner/suspect.go
@@ -0,0 +1,200 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSeparateFraction is the fraction of the workers, one at least, that may be kept for
+	// suspects at a time. maxEmptyFraction is the fraction of the empty workers that suspects
+	// may use besides, since on an idle fleet nothing waits for these.
+	maxSeparateFraction = 0.25
+	maxEmptyFraction    = 0.5
+)
+
+// holdsBack reports whether the job's tasks that are no suspects wait: it has suspects, and
+// none of them has been cleared. Tasks of a job have the same payload, so what one of them
+// does to its worker others may do too.
+func (j *job) holdsBack() bool { return j.suspects > 0 && !j.cleared }
+
+// hasWaitingSuspect reports whether a suspect of the step waits for a worker.
+func (s *step) hasWaitingSuspect() bool {
+	if s.occurrence.job.suspects == 0 || s.occurrence.job.finalState != "" || !s.ready {
+		return false
+	}
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect && !t.done && len(t.runs) == 0 })
+}
+
+// keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
+// suspects of their steps wait.
+func (p *Planner) keepSeparate() {
+	p.separateWorkers = 0
+	empty := 0
+	for _, w := range p.fleet {
+		if w.open && w.runsOnlyServices() {
+			empty++
+		}
+		if w.keptFor != nil && (!w.open || !w.keptFor.hasWaitingSuspect()) {
+			w.keptFor = nil
+		}
+		if w.keptFor != nil {
+			w.reservedFor = w.keptFor
+		}
+		if w.keptFor != nil || w.separateRuns > 0 && w.closedAt == 0 {
+			p.separateWorkers++
+		}
+	}
+	p.maxKept = max(1, int(maxSeparateFraction*float64(len(p.fleet))))
+	p.maxSeparate = max(p.maxKept, p.separateWorkers+int(maxEmptyFraction*float64(empty)))
+}
+
+// placeSuspects starts waiting suspects of a step on workers of their own: of each job one
+// after the other, until one has been cleared.
+func (p *Planner) placeSuspects(s *step, c candidate, now time.Duration) {
+	if s.spec.Gang {
+		p.placeSuspectGang(s, c, now)
+		return
+	}
+	j := s.occurrence.job
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done || len(t.runs) > 0 || !t.crashes.suspect {
+			continue
+		}
+		if j.separateRuns > 0 && !j.cleared || !j.team.allows(s.spec.Size, 1) {
+			return
+		}
+		empty := p.emptyWorkers(s, now)
+		if len(empty) == 0 {
+			p.requestAdvice(s, c, now)
+			p.keepWorker(s, now)
+			return
+		}
+		p.start(s, i, t.lastRun+1, empty[0], true, now)
+	}
+}
+
+// placeSuspectGang starts a gang with suspects, or none of its members. The suspects get
+// workers of their own, as far as the limit for these allows.
+func (p *Planner) placeSuspectGang(s *step, c candidate, now time.Duration) {
+	if s.waitingTasks < len(s.tasks) || !s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
+		return
+	}
+	var suspects, others []int
+	for i := range s.tasks {
+		if s.tasks[i].crashes.suspect {
+			suspects = append(suspects, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	var separate []placement
+	room, taken := 0, map[*worker]bool{}
+	for _, w := range p.emptyWorkers(s, now) {
+		if room >= len(suspects) || len(separate) >= p.maxSeparate {
+			break
+		}
+		n := min(s.fitCount(w), len(suspects)-room)
+		separate = append(separate, placement{w, n})
+		taken[w] = true
+		room += n
+	}
+	if room < len(suspects) && len(separate) < p.maxKept {
+		p.requestAdvice(s, c, now)
+		p.keepWorker(s, now)
+		return
+	}
+	others = append(others, suspects[room:]...)
+	shared := p.findPlacements(s, len(others), taken, now)
+	if shared == nil && len(others) > 0 {
+		p.requestAdvice(s, c, now)
+		if c.rank != expiredRank {
+			p.reserve(s, now)
+		}
+		return
+	}
+	number, checkpoint := s.nextGangRun()
+	p.startMembers(s, suspects[:room], separate, number, checkpoint, true, now)
+	p.startMembers(s, others, shared, number, checkpoint, false, now)
+}
+
+// runsOnlyServices reports whether the worker has no runs but of long-running tasks, which
+// it would never be rid of.
+func (w *worker) runsOnlyServices() bool {
+	for _, r := range w.runs {
+		if !r.step.spec.LongRunning {
+			return false
+		}
+	}
+	return true
+}
+
+// emptyWorkers returns the usable workers that run only services on which a task of the step
+// fits: those that are kept for it first, then those with the fewest services, then those
+// in its preferred rack, then the smallest.
+func (p *Planner) emptyWorkers(s *step, now time.Duration) []*worker {
+	var empty []*worker
+	for w := range p.usableWorkers(s, now) {
+		if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+			empty = append(empty, w)
+		}
+	}
+	inRack := func(w *worker) bool { return s.spec.Rack != "" && w.hasLabel(s.spec.Rack) }
+	slices.SortFunc(empty, func(a, b *worker) int {
+		return cmp.Or(
+			compareBool(b.keptFor == s, a.keptFor == s),
+			cmp.Compare(len(a.runs), len(b.runs)),
+			compareBool(inRack(b), inRack(a)),
+			cmp.Compare(a.free().CPU(), b.free().CPU()),
+			cmp.Compare(a.reg.ID, b.reg.ID),
+		)
+	})
+	return empty
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// keepWorker keeps one more worker for the waiting suspects of a step, unless one is being
+// emptied for it: the one whose runs should end first. Nothing else starts on it.
+func (p *Planner) keepWorker(s *step, now time.Duration) {
+	if p.separateWorkers >= p.maxKept {
+		return
+	}
+	var best *worker
+	var bestLeft time.Duration
+	for _, w := range p.fleet {
+		if w.keptFor == s && !w.runsOnlyServices() {
+			return
+		}
+	}
+	for w := range p.reservableWorkers(s) {
+		if w.separateRuns > 0 || !s.spec.Size.Fits(w.reg.Capacity) {
+			continue
+		}
+		left := time.Duration(0)
+		for _, r := range w.runs {
+			if !r.step.spec.LongRunning {
+				left = max(left, p.remainingTime(r, now))
+			}
+		}
+		if best == nil || left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID {
+			best, bestLeft = w, left
+		}
+	}
+	if best != nil {
+		best.keptFor, best.reservedFor = s, s
+		p.separateWorkers++
+	}
+}
