planner: A drained worker has not crashed

Callers would see: tasks that ran on executors that were emptied and taken away wait for a worker of their own; found in review. Cause: only a restart looked at whether the worker was draining; the expiry of its leases did not, once its machine refused connections. Change: it does. Test: TestDrainedWorkerHasNotCrashed failed and passes. Conclusion: fixed.

--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -301,3 +301,22 @@
 	f.Assert(f.starts(), quicktest.HasLen, 1)
 	f.Assert(f.actions[0].Separate, quicktest.IsTrue)
 }
+
+// TestDrainedWorkerHasNotCrashed checks that the end of a worker that was draining counts
+// under none of its tasks, although its machine refuses connections then.
+func TestDrainedWorkerHasNotCrashed(t *testing.T) {
+	f := newCrashFixture(t, 1)
+	f.submit("j", newStep(1))
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.p.ExtendLease("w0", f.now+6*second)
+	draining := f.p.workers["w0"].reg
+	draining.Draining = true
+	f.p.Register(draining, f.now)
+	f.p.ObserveClosed("w0", f.now)
+	f.p.Deregister("w0")
+	f.addWorker("w1")
+	f.now += 7 * second
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.Assert(f.p.TakeCrashes(), quicktest.HasLen, 0)
+	f.Assert(f.actions[0].Separate, quicktest.IsFalse)
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -123,7 +123,7 @@
 				expired = append(expired, r)
 			}
 		}
-		if closed := w.closedAt != 0; closed || !w.listed && !w.reg.Draining {
+		if closed := w.closedAt != 0; !w.reg.Draining && (closed || !w.listed) {
 			w.markCrash(expired, closed)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
