planner: Services are cleared of crashes

Callers would see: a long-running task on whose workers three crashes had come over time has a worker to itself for ever, and a fourth one fails its job; found in review. Cause: a suspect of more than one crash was cleared by its end only, and crashes were never forgotten. Change: probations of 0.5, 2, 8 and 32 s after one to four crashes; after a run of ten minutes earlier crashes don't count. Test: TestServiceIsClearedOfCrashes (cannot be built on the code before). Conclusion: fixed by test.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -15,9 +15,13 @@
 	// crashWindow is the time before a worker's last sign of life within which a run has to
 	// have begun for its task to be a suspect of the worker's first crash.
 	crashWindow = 250 * time.Millisecond
-	// Probation is how long a suspect of a first crash runs alone until it is cleared.
-	// Suspects of more than one crash are cleared by their end.
-	Probation = 2 * crashWindow
+	// Probation is how long a suspect of a first crash runs alone until it is cleared. Each
+	// further crash multiplies that by probationFactor.
+	Probation       = 2 * crashWindow
+	probationFactor = 4
+	// crashMemory is how long a run has to go on until earlier crashes of its task don't
+	// count any more. A service would otherwise collect those of years.
+	crashMemory = 10 * time.Minute
 	// minCrashes is the number of crashes under runs that are known to have started after
 	// which a run that crashed a worker of its own shortly after it began proves its task to
 	// be the cause. With minAllCrashes, whether or not the runs are known to have started, a
@@ -195,14 +199,26 @@
 	}
 }
 
+// probationAfter returns how long a suspect runs alone after that many crashes.
+func probationAfter(crashes int) time.Duration {
+	d := Probation
+	for range min(crashes, minAllCrashes) - 1 {
+		d *= probationFactor
+	}
+	return d
+}
+
 // observeSurvival clears the task of a separate run that has gone on, or has ended by
 // itself, without a crash.
 func (p *Planner) observeSurvival(r *run, ended bool, now time.Duration) {
-	if !r.separate || r.step.occurrence.job.finalState != "" {
+	if r.step.unknown || r.step.occurrence.job.finalState != "" {
 		return
 	}
-	h := &r.step.tasks[r.taskIndex].crashes
-	if !ended && (h.count >= minCrashes || now-r.startedAt < Probation) {
+	h, age := &r.step.tasks[r.taskIndex].crashes, now-r.startedAt
+	if h.count > 0 && age >= crashMemory {
+		h.count, h.started = 0, 0
+	}
+	if !r.separate || !ended && age < probationAfter(h.count) {
 		return
 	}
 	r.endSeparation()
