conductor: Another worker at an earlier address does not end a worker

Callers would see: a task in two places, if an executor starts again under its id at another address while a call to the earlier address is on its way; found in review. Change: a failed call shows nothing of a worker that has another address by now. Test: TestReplacedAtEarlierAddress (cannot be built on the code before). Conclusion: fixed by test.

--- a/conductor/order.go
+++ b/conductor/order.go
@@ -108,7 +108,7 @@
 		c.observeLatency(c.now()-sentAt, inFlight)
 	}
 	c.planner.ReportStart(a, result.Outcome, c.now())
-	c.observeFailure(a.Worker, result.Outcome, err)
+	c.observeFailure(s, address, result.Outcome, err)
 	c.reportBegun(a.Worker)
 	switch result.Outcome {
 	case planner.Accepted, planner.Unknown, planner.NotSent:
@@ -163,7 +163,7 @@
 	}
 	c.mu.Lock()
 	c.planner.ReportStop(a, confirmed, c.now())
-	c.observeFailure(a.Worker, result.Outcome, err)
+	c.observeFailure(s, address, result.Outcome, err)
 	c.startHeartbeats(s)
 	c.mu.Unlock()
 	c.wake()
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -147,7 +147,7 @@
 		return false
 	}
 	if err != nil || result.Outcome != planner.Accepted {
-		c.heartbeatFailed(s, result, err)
+		c.heartbeatFailed(s, address, result, err)
 		return false
 	}
 	c.mu.Lock()
@@ -216,7 +216,7 @@
 
 // heartbeatFailed reports a failed heartbeat to the planner, or resigns if the worker
 // knows a newer owner.
-func (c *Conductor) heartbeatFailed(s *session, result platform.ExecutorResult, err error) {
+func (c *Conductor) heartbeatFailed(s *session, address string, result platform.ExecutorResult, err error) {
 	c.metrics.missedHeartbeats.Inc(1)
 	if result.Outcome == planner.StaleTerm {
 		c.log.Warn("worker has a newer owner; giving up the ownership", "worker", s.id, "term", c.term)
@@ -230,7 +230,7 @@
 	c.log.Info("heartbeat missed", failureFields(result.Outcome, err, "worker", s.id, "closed", closed)...)
 	c.mu.Lock()
 	c.planner.HeartbeatMissed(s.id)
-	c.observeFailure(s.id, result.Outcome, err)
+	c.observeFailure(s, address, result.Outcome, err)
 	c.mu.Unlock()
 }
 
@@ -244,14 +244,18 @@
 }
 
 // observeFailure tells the planner what a failed call shows of the worker: its machine has
-// refused or closed the connection, or runs another worker now. The caller holds c.mu.
-func (c *Conductor) observeFailure(worker string, outcome planner.Outcome, err error) {
+// refused or closed the connection, or runs another worker now. It shows nothing if the
+// worker has another address by now. The caller holds c.mu.
+func (c *Conductor) observeFailure(s *session, address string, outcome planner.Outcome, err error) {
+	if s.address != address {
+		return
+	}
 	if errors.Is(err, platform.ErrClosed) {
-		c.planner.ObserveClosed(worker, c.now())
+		c.planner.ObserveClosed(s.id, c.now())
 	}
 	if outcome == planner.Replaced {
-		c.log.Info("worker has been replaced", "worker", worker)
-		c.planner.ObserveReplaced(worker, c.now())
+		c.log.Info("worker has been replaced", "worker", s.id)
+		c.planner.ObserveReplaced(s.id, c.now())
 		c.wake()
 	}
 }
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"filberthaven.example/planner"
 	"github.com/frankban/quicktest"
 )
 
@@ -55,3 +56,17 @@
 		t.Fatal("heartbeats go on")
 	}
 }
+
+// TestReplacedAtEarlierAddress checks that a worker that has started again at another address
+// keeps its runs although another one answers at the earlier address.
+func TestReplacedAtEarlierAddress(t *testing.T) {
+	c, starts := newOrderer(t, 1, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"clock-ms":1}`) })
+	c.start(starts[0])
+	s := c.sessions["w0"]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeFailure(s, "earlier:1", planner.Replaced, nil)
+	quicktest.Assert(t, c.planner.Busy("w0"), quicktest.IsTrue)
+	c.observeFailure(s, s.address, planner.Replaced, nil)
+	quicktest.Assert(t, c.planner.Busy("w0"), quicktest.IsFalse)
+}
