--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -241,11 +241,11 @@
 	for _, a := range f.decide() {
 		f.p.ReportStop(a, true, f.now)
 	}
-	f.now += 1
+	f.now++
 	f.answer(first.Worker)
 	second := f.starts()
 	f.Assert(second, quicktest.HasLen, 1)
-	f.now += 1
+	f.now++
 	f.restart(second[0].Worker)
 	f.decide()
 	f.assertState("j", Running)
