planner: Workers that were replaced are no partition

Change: such a worker counts like one whose machine refuses connections. Test: TestCrashedWorkersAreNoPartition, extended, failed and passes.

--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -121,6 +121,9 @@
 		return
 	}
 	w.earlierOwnersFenced = true
+	if w.closedAt == 0 {
+		w.closedAt = now
+	}
 	runs := w.orderedRuns()
 	if !w.reg.Draining {
 		w.markCrash(runs, true)
@@ -168,8 +171,8 @@
 // minUnresponsive, are unresponsive, as when the owner's data centre is disconnected.
 // The owner then has to resign, so that a VM that reaches more workers can claim.
 // Workers that have not been called lately, because they run nothing or a new owner
-// has not called them yet, count as reachable. So do those whose machines refuse
-// connections: they have crashed.
+// has not called them yet, count as reachable. So do those whose machines refuse connections
+// or answer for another worker: they have crashed.
 func (p *Planner) Partitioned(now time.Duration) bool {
 	unresponsive, listed := 0, 0
 	for _, w := range p.fleet {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -120,14 +120,18 @@
 }
 
 // TestCrashedWorkersAreNoPartition checks that an owner does not count as partitioned because
-// the machines of most workers refuse connections: it reaches them, and they come back. It
+// the machines of most workers refuse connections or answer for other workers: it reaches them, and they come back. It
 // does if they refuse for so long that the platform's list would show a crash.
 func TestCrashedWorkersAreNoPartition(t *testing.T) {
 	f := newFixture(t, 8)
 	f.now = second
 	for i := range 7 {
-		f.p.ObserveClosed("w"+strconv.Itoa(i), f.now)
 		f.p.HeartbeatMissed("w" + strconv.Itoa(i))
+		if i < 3 {
+			f.p.ObserveReplaced("w"+strconv.Itoa(i), f.now)
+		} else {
+			f.p.ObserveClosed("w"+strconv.Itoa(i), f.now)
+		}
 	}
 	f.Assert(f.p.Partitioned(f.now), quicktest.IsFalse)
 	f.now += closedTimeout
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -41,7 +41,7 @@
 	keptFor             *step         // step for whose suspects nothing else starts on this worker, else nil
 	separateRuns        int           // runs beside which no others may start
 	lastAnswerAt        time.Duration // when the newest call was sent that this incarnation has answered
-	closedAt            time.Duration // when its machine first refused or closed a connection since its last answer; else 0
+	closedAt            time.Duration // when its machine first refused or closed a connection, or answered for another worker, since its last answer; else 0
 	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
 }
