--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -127,7 +127,7 @@
 	f.now = second
 	for i := range 7 {
 		f.p.HeartbeatMissed("w" + strconv.Itoa(i))
-		if i < 3 {
+		if i < 5 {
 			f.p.ObserveReplaced("w"+strconv.Itoa(i), f.now)
 		} else {
 			f.p.ObserveClosed("w"+strconv.Itoa(i), f.now)
