--- a/planner/doc.go
+++ b/planner/doc.go
@@ -17,6 +17,10 @@
 //     has expired. This also holds for starts that got no answer.
 //   - After a takeover, runs that an earlier owner may have started stay allocated
 //     until their worker answers or all older leases have expired.
+//   - What a call shows of a worker holds for the incarnation that has answered it. Only
+//     lists of runs name theirs, so a run that was not listed stays over a restart.
+//   - A task that may have crashed its worker starts next on a worker of its own, and the
+//     journal holds the crash before that.
 //
 // Times are durations on a monotonic clock that also counts while the VM is
 // suspended; its origin doesn't matter. Arguments named wall are Unix milliseconds.
