planner: Tests of crashes look at the count, which they could not fail on before

TestStartThatWasNotSent asked TakeCrashes after the fixture had taken the crashes for its record, so that check could not fail; took the same check out of TestDrainedWorkerHasNotCrashed without saying why. Both look at the count of the task now. Seen to fail: the second on the count without its guard, the first on its stop where NotSent counts as unknown.

--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -117,6 +117,13 @@
 	}
 }
 
+// assertCrashes checks how many crashes of workers count under a task.
+func (f *crashFixture) assertCrashes(task string, want int) {
+	f.Helper()
+	s, index := f.p.stepOf(task)
+	f.Assert(s.tasks[index].crashes.count, quicktest.Equals, want)
+}
+
 // assertGivenUp checks that the job "deadly" fails before a task of it has been started
 // three times more after three crashes.
 func (f *crashFixture) assertGivenUp() {
@@ -281,7 +288,7 @@
 	f.p.ReportStart(first, NotSent, f.now)
 	f.addWorker("w1")
 	f.restart("w0")
-	f.Assert(f.p.TakeCrashes(), quicktest.HasLen, 0)
+	f.assertCrashes(first.Task, 0)
 	second := f.starts()
 	f.Assert(second, quicktest.HasLen, 1)
 	f.Assert(second[0].Separate, quicktest.IsFalse)
@@ -318,6 +325,7 @@
 	f.addWorker("w1")
 	f.now += 7 * second
 	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.assertCrashes(f.actions[0].Task, 0)
 	f.Assert(f.actions[0].Separate, quicktest.IsFalse)
 }
 
