relayer: Avoid peers that have failed to relay a call

Cause: a VM that the store refuses asks a random peer, each time anew: also those without power, which cost 0.7 s, and those that the store refuses too. A write that reached no peer, or none that is served, failed although another peer was served. Renewals, which may be repeated, got through from time to time, so the lease of the ownership was kept. Change: a peer that has failed is avoided for 3 s while there are others; a call that was certainly not carried out goes to a second peer; a peer to which no connection was made has not carried it out.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,6 +7,7 @@
 //
 //   - A put, a deletion or a grant whose outcome is unknown is never made again.
 //   - A call for a peer goes to the store directly, never through a third VM.
+//   - A peer that has failed is avoided for some time while there are others.
 //   - A watch that fails directly is not relayed and starts no back-off, since it may be
 //     interrupted at any time.
 package relayer
@@ -14,8 +15,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -32,8 +31,8 @@
 	// directBackoff is how long calls try a peer before the store itself, after a direct
 	// call to the store has failed.
 	directBackoff = 3 * time.Second
-	// peerBackoff is how long no call goes to a peer after a peer has found the store
-	// unavailable too, since then the store is likely to be down for all VMs.
+	// peerBackoff is how long no call goes to a peer after all peers that a call was sent to
+	// have failed too, since then the store is likely to be down for all VMs.
 	peerBackoff = 500 * time.Millisecond
 	// callTimeout bounds a relayed call other than a watch or a list.
 	callTimeout = 700 * time.Millisecond
@@ -103,6 +102,7 @@
 	now                func() time.Duration
 	relayed            metrics.Counter
 	outages            outageDetector
+	failures           peerFailures
 	directBackoffUntil atomic.Int64 // ns of the steady clock; until then calls go to a peer first
 	peerBackoffUntil   atomic.Int64 // ns of the steady clock; until then no call goes to a peer
 }
@@ -114,6 +114,7 @@
 	return &Relayer{
 		direct: direct, peerStore: peerStore, members: members, self: self, messenger: m, log: log.Named("relayer"), now: claimer.Now,
 		relayed: metrics.GetOrRegisterCounter("store.relayed", registry), outages: newOutageDetector(),
+		failures: peerFailures{failedAt: map[string]time.Duration{}},
 	}
 }
 
@@ -173,7 +174,7 @@
 // not repeat a write whose outcome is unknown, which the caller has to determine.
 func (r *Relayer) route(ctx context.Context, direct keeper.Store, req request) (response, error) {
 	if r.now() < time.Duration(r.directBackoffUntil.Load()) {
-		if resp, err := r.callPeer(ctx, req); !errors.Is(err, keeper.ErrUnavailable) {
+		if resp, err := r.callPeers(ctx, req); !errors.Is(err, keeper.ErrUnavailable) {
 			return resp, err
 		}
 	}
@@ -187,7 +188,7 @@
 		return resp, err
 	}
 	r.directBackoffUntil.Store(int64(r.now() + directBackoff))
-	relayed, relayErr := r.callPeer(ctx, req)
+	relayed, relayErr := r.callPeers(ctx, req)
 	if errors.Is(relayErr, keeper.ErrUnavailable) {
 		return resp, err
 	}
@@ -215,56 +216,6 @@
 	return resp, err
 }
 
-// callPeer makes a call through a random peer. It returns ErrUnavailable if the call was
-// not carried out. It does so too if the outcome of a read, a renewal or a revocation is
-// unknown, since these may be repeated.
-func (r *Relayer) callPeer(ctx context.Context, req request) (response, error) {
-	if r.now() < time.Duration(r.peerBackoffUntil.Load()) {
-		return response{}, keeper.ErrUnavailable
-	}
-	peer, found := r.randomPeer()
-	if !found {
-		return response{}, keeper.ErrUnavailable
-	}
-	timeout := callTimeout
-	switch req.Operation {
-	case watch:
-		timeout = watchTimeout
-	case list:
-		timeout = listTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	r.relayed.Inc(1)
-	resp, err := messenger.Call[request, response](ctx, r.messenger, peer.Address(), procedure, &req)
-	switch {
-	case err != nil && (req.Operation == put || req.Operation == remove || req.Operation == grant):
-		return response{}, fmt.Errorf("%w: %w", keeper.ErrOutcomeUnknown, err)
-	case err != nil:
-		return response{}, fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
-	case resp.Failure > 0 && resp.Failure <= len(wireErrors()):
-		failure := wireErrors()[resp.Failure-1]
-		if errors.Is(failure, keeper.ErrUnavailable) {
-			r.peerBackoffUntil.Store(int64(r.now() + peerBackoff))
-		}
-		return response{}, failure
-	}
-	return *resp, nil
-}
-
-func (r *Relayer) randomPeer() (claimer.Member, bool) {
-	var others []claimer.Member
-	for _, m := range r.members() {
-		if m.ID() != r.self {
-			others = append(others, m)
-		}
-	}
-	if len(others) == 0 {
-		return claimer.Member{}, false
-	}
-	return others[rand.IntN(len(others))], true
-}
-
 // Register registers the handler for calls that peers relay through this VM. The handler
 // calls the store directly, never through a third VM.
 func (r *Relayer) Register(mux messenger.Mux) {
