--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -42,7 +42,7 @@
 	begun       bool         // running, as its worker has confirmed or, after a takeover, the journal lets assume
 	stage       startStage   // progress of the start
 	finalResult result       // 0 while the task may still run
-	losses      uint8        // consecutive runs lost with their workers under this owner
+	losses      uint8        // consecutive runs lost with their workers; persisted with the end of each run
 }
 
 // job is an accepted job.
@@ -99,9 +99,9 @@
 	return true
 }
 
-// applyEnd stores the result of a run, and reports false if its end or a later run
-// is known already or the task has a final result.
-func (j *job) applyEnd(index int, attempt uint32, r result) bool {
+// applyEnd stores the result of a run and the task's consecutive losses up to it, and
+// reports false if its end or a later run is known already or the task has a final result.
+func (j *job) applyEnd(index int, attempt uint32, r result, losses uint8) bool {
 	t := j.task(index)
 	if t == nil || t.finalResult != 0 || attempt < t.attempt || attempt == t.attempt && !t.running {
 		return false
@@ -112,7 +112,7 @@
 	if t.begun {
 		j.begun--
 	}
-	*t = task{attempt: attempt, losses: t.losses}
+	*t = task{attempt: attempt, losses: losses}
 	j.hasBegun = j.hasBegun && j.running > 0
 	if r != resultRequeued {
 		t.finalResult = r
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -56,6 +56,11 @@
 	Expired     bool         `cbor:"18,keyasint,omitempty"`
 	Term        uint64       `cbor:"19,keyasint,omitempty"`
 	Begun       bool         `cbor:"20,keyasint,omitempty"` // job.hasBegun, of an accept record
+
+	// Losses is the number of consecutive runs of the task that were lost with their workers,
+	// as of an end record. TaskLosses holds those above 0 by index, of an accept record.
+	Losses     uint8         `cbor:"21,keyasint,omitempty"`
+	TaskLosses map[int]uint8 `cbor:"22,keyasint,omitempty"`
 }
 
 // taskRecord is the state of a task in an accept record. It is encoded as an array.
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -57,3 +57,26 @@
 		c.Assert(state, qt.Equals, scheduler.Unknown)
 	}, placer.WithNonIdempotent())
 }
+
+// TestLossesSurviveTakeover checks that a task that crashes its workers is given up although
+// each loss is followed by a new owner.
+func TestLossesSurviveTakeover(t *testing.T) {
+	c := qt.New(t)
+	restarts := 0
+	withCluster(t, func(cl *cluster, s *clusterShard) {
+		cl.submitFullSize(s, "job", 1, time.Minute)
+		id := cl.accepted()[0]
+		for range 20 * 60 {
+			if status, err := cl.jobStatus(id); err == nil && status.State() == scheduler.Failed {
+				return
+			}
+			if n := restartBusyWorkers(s, time.Second); n > 0 {
+				restarts += n
+				time.Sleep(2 * time.Second) // the loss is noticed and written
+				s.newest().kill()
+				cl.takeOver(s)
+			}
+		}
+	})
+	c.Assert(restarts, qt.Equals, 8)
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -328,7 +328,7 @@
 	t := &j.tasks[index]
 	attempt, begun := t.attempt, t.begun
 	delete(l.tasks, placer.NewTaskID(j.spec.ID(), index))
-	if !j.applyEnd(index, attempt, r) {
+	if !j.applyEnd(index, attempt, r, t.losses) {
 		return
 	}
 	if begun {
@@ -340,7 +340,7 @@
 	if begun {
 		j.begunEnds++
 	}
-	s.write(record{Kind: recordEnd, Job: j.spec.ID(), Index: index, Attempt: attempt, Result: r, At: millis(now)}, true, func(err error) {
+	s.write(record{Kind: recordEnd, Job: j.spec.ID(), Index: index, Attempt: attempt, Result: r, Losses: t.losses, At: millis(now)}, true, func(err error) {
 		if err == nil {
 			if begun {
 				j.begunEnds--
--- a/scheduler/shard_state.go
+++ b/scheduler/shard_state.go
@@ -67,7 +67,7 @@
 	case recordBegun:
 		j.applyBegun(r.Index, r.Attempt)
 	case recordEnd:
-		j.applyEnd(r.Index, r.Attempt, r.Result)
+		j.applyEnd(r.Index, r.Attempt, r.Result, r.Losses)
 	case recordCancel:
 		j.cancelled = true
 	case recordExpire:
@@ -101,7 +101,12 @@
 			j.applyStart(t.Index, t.Attempt, s.incarnation(t.Worker, t.Incarnation))
 			continue
 		}
-		j.applyEnd(t.Index, t.Attempt, t.Result)
+		j.applyEnd(t.Index, t.Attempt, t.Result, 0)
+	}
+	for index, losses := range r.TaskLosses {
+		if t := j.task(index); t != nil {
+			t.losses = losses
+		}
 	}
 	j.hasBegun = r.Begun && j.running > 0
 	s.jobs[r.Spec.ID] = j
@@ -156,6 +161,12 @@
 			state.Worker, state.Incarnation = t.incarnation.worker, t.incarnation.id
 		}
 		r.Tasks = append(r.Tasks, state)
+		if t.losses > 0 {
+			if r.TaskLosses == nil {
+				r.TaskLosses = map[int]uint8{}
+			}
+			r.TaskLosses[i] = t.losses
+		}
 	}
 	return r
 }
