conductor: Tests of orders print the log when they fail

Cause: TestGangOrderedAfterResignation failed once, and its output could not tell whether a member was withdrawn (out of date, not wanted, worker not accepting) or not sent. Change: newOrderer collects the conductor's log, and a failed test prints it.

--- a/conductor/order_test.go
+++ b/conductor/order_test.go
@@ -45,6 +45,31 @@
 	}
 }
 
+// lockedBuffer is a buffer for several goroutines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(data)
+}
+
+// newFailureLogger returns a logger whose lines are shown if the test fails.
+func newFailureLogger(t *testing.T) hclog.Logger {
+	lines := &lockedBuffer{}
+	t.Cleanup(func() {
+		lines.mu.Lock()
+		defer lines.mu.Unlock()
+		if t.Failed() {
+			t.Log(lines.b.String())
+		}
+	})
+	return hclog.New(&hclog.LoggerOptions{Output: lines, Level: hclog.Debug})
+}
+
 // newOrderer returns a conductor whose workers all have the given handler, and the starts of
 // a gang of n tasks, one on each worker.
 func newOrderer(t *testing.T, n int, handler http.HandlerFunc) (*Conductor, []planner.Action) {
@@ -55,7 +80,7 @@
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
-	c, err := New(keeper.Store{}, platform.NewExecutorClient(platform.DefaultIdle), "vm", 1, WithClock(func() time.Duration { return time.Second }))
+	c, err := New(keeper.Store{}, platform.NewExecutorClient(platform.DefaultIdle), "vm", 1, WithClock(func() time.Duration { return time.Second }), WithLogger(newFailureLogger(t)))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	c.ctx, c.orderCtx = t.Context(), t.Context()
 	c.operatorMirror, c.workerMirror = newConnectedMirror(t), newConnectedMirror(t)
