conductor, planner: The starts that wait for their orders are bounded

Cause: starts are decided faster than they can be ordered. They wait for one of 256 orders in flight, are withdrawn after 1 s, are decided again, and their tickets run out meanwhile; all that takes processor time from the orders. A metastable failure. Change: Decide starts no more than SetStartLimit says, in the order in which work is served, gangs as a whole. The owner sets it so that 512 starts, or as many as were ordered in the last half second, are decided and without an outcome.

--- /dev/null
+++ b/conductor/backlog.go
@@ -0,0 +1,50 @@
+package conductor
+
+import "time"
+
+const (
+	// maxOrderBacklog is the number of starts up to which more are decided whatever the rate
+	// of orders: as many as are in flight wait for their turn.
+	maxOrderBacklog = 2 * maxOrders
+	// backlogTime bounds how long a start waits for its turn while orders are fast. It is well
+	// below maxOrderWait, since the rate of orders changes.
+	backlogTime = maxOrderWait / 2
+)
+
+// startBacklog counts the starts that are decided and neither ordered nor withdrawn. It
+// limits them to what is ordered within backlogTime, so that an owner does not decide starts
+// that it has to withdraw.
+type startBacklog struct {
+	starts     int           // decided, and without an outcome
+	ordered    [2]int        // orders with an outcome, in the current interval of backlogTime and the one before
+	intervalAt time.Duration // when the current interval began
+}
+
+// advance begins a new interval if the current one is over.
+func (b *startBacklog) advance(now time.Duration) {
+	switch age := now - b.intervalAt; {
+	case age >= 2*backlogTime:
+		b.ordered, b.intervalAt = [2]int{}, now
+	case age >= backlogTime:
+		b.ordered, b.intervalAt = [2]int{0, b.ordered[0]}, b.intervalAt+backlogTime
+	}
+}
+
+// room returns how many starts may be decided now.
+func (b *startBacklog) room(now time.Duration) int {
+	b.advance(now)
+	return max(maxOrderBacklog, b.ordered[0], b.ordered[1]) - b.starts
+}
+
+// add counts starts that have been decided.
+func (b *startBacklog) add(starts int) { b.starts += starts }
+
+// withdraw counts a start that is not ordered.
+func (b *startBacklog) withdraw() { b.starts-- }
+
+// finish counts an order that has got its outcome.
+func (b *startBacklog) finish(now time.Duration) {
+	b.advance(now)
+	b.starts--
+	b.ordered[0]++
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -84,6 +84,7 @@
 	runQueue       runQueue
 	begun          []string        // ids of jobs that have begun, for the next record in the journal
 	crashes        []planner.Crash // for the next record in the journal
+	backlog        startBacklog
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
 	ready          bool            // the journal has been read and the configuration is known
@@ -298,6 +299,7 @@
 	c.mu.Lock()
 	now := c.now()
 	partitioned, saturated := c.planner.Partitioned(now), c.runQueue.saturated()
+	c.planner.SetStartLimit(c.backlog.room(now))
 	actions := c.planner.Decide(now, wallClock())
 	if c.planner.HasEnded() {
 		c.flush() // jobs that have failed, so that callers see it at once
@@ -333,6 +335,14 @@
 	}
 }
 
+// wakeForBacklog makes runDecisions decide the starts that the limit has deferred. The caller
+// holds c.mu.
+func (c *Conductor) wakeForBacklog() {
+	if c.planner.StartsDeferred() {
+		c.wake()
+	}
+}
+
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -25,6 +25,7 @@
 // are withdrawn.
 func (c *Conductor) orderStarts(starts []planner.Action) {
 	c.mu.Lock()
+	c.backlog.add(len(starts))
 	record := planner.Record{At: wallClock()}
 	c.takeFacts(&record)
 	c.mu.Unlock()
@@ -59,6 +60,7 @@
 	defer c.mu.Unlock()
 	c.returnFacts(record)
 	for _, a := range starts {
+		c.backlog.withdraw()
 		c.planner.ReportStart(a, planner.Withdrawn, c.now())
 		c.log.Info("start withdrawn", "task", a.Task, "run", a.Number, "worker", a.Worker, "error", err)
 	}
@@ -86,6 +88,7 @@
 	}
 	wanted := c.planner.Wanted(a)
 	if s == nil || leaseUntil == 0 || late || !wanted || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
+		c.backlog.withdraw()
 		c.planner.ReportStart(a, planner.Withdrawn, sentAt)
 		c.mu.Unlock()
 		c.log.Info("start withdrawn", "task", a.Task, "run", a.Number, "worker", a.Worker, "fresh", upToDate, "late", late, "wanted", wanted)
@@ -101,6 +104,8 @@
 		return
 	}
 	c.mu.Lock()
+	c.backlog.finish(c.now())
+	c.wakeForBacklog()
 	s.observe(result, sentAt)
 	c.planner.ObserveIncarnation(a.Worker, result.Incarnation, c.now())
 	if result.Outcome != planner.Unknown {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -75,6 +75,7 @@
 			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU())
 		}
 	}
+	p.startsLeft, p.startsDeferred = p.startLimit, false
 	p.keepSeparate()
 	candidates := p.candidates(now)
 	for _, c := range candidates {
@@ -89,6 +90,10 @@
 			continue
 		}
 		for _, s := range c.occurrence.steps {
+			if p.startsLeft <= 0 {
+				p.startsDeferred = true
+				break
+			}
 			if s.ready && s.waitingTasks > 0 {
 				p.place(s, c, now)
 			}
@@ -99,6 +104,14 @@
 	return actions
 }
 
+// SetStartLimit limits the starts of each decision from now on. Suspects of crashes, and the
+// members of a gang that has begun to start, do not wait for the next decision.
+func (p *Planner) SetStartLimit(n int) { p.startLimit = n }
+
+// StartsDeferred reports whether the limit has left tasks to the next decision that might
+// have started.
+func (p *Planner) StartsDeferred() bool { return p.startsDeferred }
+
 // maxOrderDelay is how long an unanswered start may still reach a worker after the
 // worker has restarted. The platform may take 12 s to carry out an order. The new
 // incarnation doesn't notice that the order's lease has expired, since the lease ends
@@ -224,6 +237,10 @@
 		if t.done || len(t.runs) > 0 || t.crashes.suspect {
 			continue
 		}
+		if p.startsLeft <= 0 {
+			p.startsDeferred = true
+			return
+		}
 		if !s.occurrence.job.team.allows(s.spec.Size, 1) {
 			return
 		}
@@ -322,6 +339,7 @@
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
+	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
 	reason := "room"
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -188,3 +188,26 @@
 		p.Decide(0, wall)
 	}
 }
+
+// TestStartLimit checks that a decision with a limit starts the tasks that are served first,
+// and a gang as a whole.
+func TestStartLimit(t *testing.T) {
+	f := newFixture(t, 4)
+	f.submit("first", newStep(3))
+	f.now += second / 10
+	gang := newStep(3)
+	gang.Gang = true
+	f.submit("second", gang)
+	f.now += second / 10
+	f.submit("third", newStep(1))
+	f.p.SetStartLimit(2)
+	f.Assert(f.starts(), quicktest.HasLen, 2)
+	f.Assert(f.p.StartsDeferred(), quicktest.IsTrue)
+	f.Assert(f.starts(), quicktest.HasLen, 4) // the third task of the first job, and the gang
+	f.Assert(f.p.StartsDeferred(), quicktest.IsTrue)
+	f.p.SetStartLimit(0)
+	f.Assert(f.starts(), quicktest.HasLen, 0)
+	f.p.SetStartLimit(2)
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.Assert(f.p.StartsDeferred(), quicktest.IsFalse)
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"time"
 )
 
@@ -33,6 +34,9 @@
 	separateWorkers int      // workers that are kept for suspects, or have separate runs, in the current decision
 	maxKept         int      // limit of separateWorkers for keeping one more worker that is not empty
 	maxSeparate     int      // limit of separateWorkers for using one more worker that is empty
+	startLimit      int      // most starts in a decision
+	startsLeft      int      // of startLimit, in the current decision; below 0 after a gang
+	startsDeferred  bool     // whether the current decision has left starts to the next one
 }
 
 // settings holds what options set.
@@ -67,6 +71,7 @@
 		noAdviceBefore: map[bool]time.Duration{},
 		adviceBudget:   map[bool]int{},
 		waiters:        map[waiterKey][]func(error){},
+		startLimit:     math.MaxInt,
 	}
 }
 
