relayer: callPeers in one loop, and one peer is asked once

The loop had two places that avoid a peer, and with one registered peer a call was sent to it twice. Change: one condition for each case; a call ends when the next peer is the one that has just failed.

--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -85,29 +85,26 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := keeper.ErrUnavailable
+	failure, previous := keeper.ErrUnavailable, ""
 	for range maxPeers {
 		peer, found := r.choosePeer()
-		if !found {
-			return response{}, err
+		if !found || peer.ID() == previous {
+			break
 		}
-		var resp response
-		if resp, err = r.callPeer(limited, peer, req); !errors.Is(err, keeper.ErrUnavailable) {
-			if errors.Is(err, keeper.ErrOutcomeUnknown) && !errors.Is(ctx.Err(), context.Canceled) {
-				r.avoidPeer(peer.ID())
-			}
+		previous = peer.ID()
+		resp, err := r.callPeer(limited, peer, req)
+		mayHaveRun := errors.Is(err, keeper.ErrOutcomeUnknown)
+		if !mayHaveRun && !errors.Is(err, keeper.ErrUnavailable) || errors.Is(ctx.Err(), context.Canceled) {
 			return resp, err
 		}
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return response{}, err
-		}
 		r.avoidPeer(peer.ID())
-		if limited.Err() != nil {
+		if mayHaveRun || limited.Err() != nil {
 			return response{}, err
 		}
+		failure = err
 	}
 	r.peerBackoffUntil.Store(int64(r.now() + peerBackoff))
-	return response{}, err
+	return response{}, failure
 }
 
 // callPeer makes a call through the given peer. Its errors are those of callPeers.
