relayer: Calls of a VM that the store does not serve go through peers until a read is answered

Cause, from the logs: every 3 s all calls tried the store directly again. And a peer that is cut off itself keeps a relayed call for 0.7 s, a watch for 1.5 s. Change: once a direct call has failed, all calls go through peers; every 3 s one read or renewal is made directly, for at most 0.3 s, and an answer to it ends this. Once a peer is served, watches in flight end and go on through it. A VM that is not served refuses relayed calls at once, and up to three peers are asked. Tests: TestPeerWithoutTheStoreRefuses and TestSilentWatchEndsOncePeersAreServed failed before. TestReadsFindOutWhetherTheStoreServes is new.

--- a/relayer/outage.go
+++ b/relayer/outage.go
@@ -44,6 +44,18 @@
 	}
 }
 
+// cancelWatches cancels all watches in flight and returns their number.
+func (d *outageDetector) cancelWatches() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := len(d.watches)
+	for w := range d.watches {
+		w.cancel()
+	}
+	clear(d.watches)
+	return n
+}
+
 // recordFailure records that a call failed without an answer of the store.
 func (d *outageDetector) recordFailure() {
 	d.mu.Lock()
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -21,7 +21,7 @@
 	peerAvoidance = 3 * time.Second
 	// maxPeers is the number of peers that a call is sent to, one after the other, until one
 	// of them may have carried it out.
-	maxPeers = 2
+	maxPeers = 3
 )
 
 // peerFailures holds which peers have failed lately.
@@ -94,7 +94,11 @@
 		previous = peer.ID()
 		resp, err := r.callPeer(limited, peer, req)
 		mayHaveRun := errors.Is(err, keeper.ErrOutcomeUnknown)
-		if !mayHaveRun && !errors.Is(err, keeper.ErrUnavailable) || errors.Is(ctx.Err(), context.Canceled) {
+		served := !mayHaveRun && !errors.Is(err, keeper.ErrUnavailable)
+		if served {
+			r.endDirectWatches()
+		}
+		if served || errors.Is(ctx.Err(), context.Canceled) {
 			return resp, err
 		}
 		r.avoidPeer(peer.ID())
@@ -107,6 +111,14 @@
 	return response{}, failure
 }
 
+// endDirectWatches ends the watches that were sent directly. The store serves a peer and not
+// this VM, so they may get no answer.
+func (r *Relayer) endDirectWatches() {
+	if n := r.outages.cancelWatches(); n > 0 {
+		r.log.Info("store serves a peer; watches begin anew", "watches", n)
+	}
+}
+
 // callPeer makes a call through the given peer. Its errors are those of callPeers.
 func (r *Relayer) callPeer(ctx context.Context, peer claimer.Member, req request) (response, error) {
 	r.relayed.Inc(1)
--- a/relayer/peers_test.go
+++ b/relayer/peers_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,14 +17,25 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// newPeer starts a peer that relays calls to store.
-func newPeer(t *testing.T, id string, store keeper.Store) claimer.Member {
-	c := quicktest.New(t)
+// peer is another entry VM.
+type peer struct {
+	relayer *Relayer
+	member  claimer.Member
+}
+
+// newPeerRelayer starts a peer that calls store for itself and for others, and has no peers.
+func newPeerRelayer(t *testing.T, id string, store keeper.Store) peer {
 	m, err := messenger.New()
-	c.Assert(err, quicktest.IsNil)
+	quicktest.New(t).Assert(err, quicktest.IsNil)
 	mux := http.NewServeMux()
-	New(store, store, id, m, nil, hclog.NewNullLogger(), metrics.NewRegistry()).Register(mux)
-	return serve(t, id, mux)
+	none := func() []claimer.Member { return nil }
+	r := New(store, store, id, m, none, hclog.NewNullLogger(), metrics.NewRegistry())
+	r.Register(mux)
+	return peer{r, serve(t, id, mux)}
+}
+
+func newPeer(t *testing.T, id string, store keeper.Store) claimer.Member {
+	return newPeerRelayer(t, id, store).member
 }
 
 // newSilentPeer starts a peer that answers no call.
@@ -115,3 +127,101 @@
 	}
 	c.Assert(chosen, quicktest.HasLen, 2)
 }
+
+// TestPeerWithoutTheStoreRefuses checks that a peer whose own calls to the store fail refuses
+// relayed calls at once, so that another peer is asked in time.
+func TestPeerWithoutTheStoreRefuses(t *testing.T) {
+	c := quicktest.New(t)
+	var silent keeper.Store
+	silent.Get = func(context.Context, string) (keeper.Entry, error) { return keeper.Entry{}, keeper.ErrUnavailable }
+	silent.Put = func(ctx context.Context, _ string, _ []byte, _ uint64, _ keeper.LeaseID) (uint64, error) {
+		<-ctx.Done()
+		return 0, keeper.ErrOutcomeUnknown
+	}
+	bad := newPeerRelayer(t, "bad", silent)
+	_, err := bad.relayer.Store().Get(t.Context(), "k")
+	c.Assert(err, quicktest.ErrorIs, keeper.ErrUnavailable)
+	r := newWithPeers(t, bad.member, newPeer(t, "good", emulator.NewStore().KV()))
+	c.Assert(countFailures(t, r, 20), quicktest.Equals, 0)
+}
+
+// TestSilentWatchEndsOncePeersAreServed checks that a watch whose answer is overdue ends once
+// a call has shown that the store serves a peer but not this VM. The owner of the fleet must
+// not act on state that is 1.7 s old.
+func TestSilentWatchEndsOncePeersAreServed(t *testing.T) {
+	c := quicktest.New(t)
+	store := emulator.NewStore().KV()
+	refused := failingStore(keeper.ErrUnavailable)
+	watching := make(chan struct{})
+	refused.Watch = func(ctx context.Context, _ string, _ uint64) ([]keeper.Entry, uint64, error) {
+		close(watching)
+		<-ctx.Done()
+		return nil, 0, keeper.ErrUnavailable
+	}
+	s := newWithPeer(t, refused, store).Store()
+	version, err := store.Put(t.Context(), "k", []byte("v"), 0, 0)
+	c.Assert(err, quicktest.IsNil)
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := s.Watch(t.Context(), "k", 0)
+		ended <- err
+	}()
+	<-watching
+	_, err = s.Get(t.Context(), "k")
+	c.Assert(err, quicktest.IsNil)
+	select {
+	case err := <-ended:
+		c.Assert(err, quicktest.ErrorIs, keeper.ErrUnavailable)
+	case <-time.After(5 * time.Second):
+		c.Fatal("the watch goes on")
+	}
+	_, next, err := s.Watch(t.Context(), "k", 0)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(next >= version, quicktest.IsTrue)
+}
+
+// TestReadsFindOutWhetherTheStoreServes checks that, after the store has failed, writes go
+// through a peer until a read or renewal that was made directly has been answered. A direct
+// write whose answer is lost holds up the journal.
+func TestReadsFindOutWhetherTheStoreServes(t *testing.T) {
+	c := quicktest.New(t)
+	r := newWithPeers(t, newPeer(t, "good", emulator.NewStore().KV()))
+	now := time.Second
+	r.now = func() time.Duration { return now }
+	serves, gets, puts := false, 0, 0
+	var direct keeper.Store
+	direct.Get = func(context.Context, string) (keeper.Entry, error) {
+		gets++
+		if serves {
+			return keeper.Entry{}, nil
+		}
+		return keeper.Entry{}, keeper.ErrUnavailable
+	}
+	direct.Put = func(context.Context, string, []byte, uint64, keeper.LeaseID) (uint64, error) {
+		puts++
+		return 1, nil
+	}
+	s := r.Wrap(direct)
+	for _, test := range []struct {
+		serves             bool
+		elapsed            time.Duration
+		wantGets, wantPuts int // in all, after a write, a read and a write
+	}{
+		{false, 0, 1, 1},
+		{false, directBackoff - 1, 1, 1},
+		{false, directBackoff, 2, 1},
+		{true, directBackoff, 3, 2},
+	} {
+		serves = test.serves
+		now += test.elapsed
+		for i := range 2 {
+			_, err := s.Put(t.Context(), now.String()+string(rune('a'+i)), nil, 0, 0)
+			c.Assert(err, quicktest.IsNil)
+			if i == 0 {
+				_, _ = s.Get(t.Context(), "k")
+			}
+		}
+		c.Check(gets, quicktest.Equals, test.wantGets)
+		c.Check(puts, quicktest.Equals, test.wantPuts)
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,8 @@
 //   - A put, a deletion or a grant whose outcome is unknown is never made again.
 //   - A call for a peer goes to the store directly, never through a third VM.
 //   - A peer that has failed is avoided for some time while there are others.
+//   - Watches that the store has not answered end once it serves a peer and not this VM, so
+//     that they go on through a peer.
 //   - A watch that fails directly is not relayed and starts no back-off, since it may be
 //     interrupted at any time.
 package relayer
@@ -28,16 +30,20 @@
 const (
 	// procedure is the RPC that relays a call through a peer.
 	procedure = "/store/relay"
-	// directBackoff is how long calls try a peer before the store itself, after a direct
-	// call to the store has failed.
+	// directBackoff is how long all calls go through peers after a direct call to the store
+	// has failed. From then on one call is made directly, and the others still go through
+	// peers until the store has answered.
 	directBackoff = 3 * time.Second
+	// probeTimeout bounds the direct call that finds out whether the store serves this VM
+	// again, so that it can still be made through a peer.
+	probeTimeout = 300 * time.Millisecond
 	// peerBackoff is how long no call goes to a peer after all peers that a call was sent to
 	// have failed too, since then the store is likely to be down for all VMs.
 	peerBackoff = 500 * time.Millisecond
 	// callTimeout bounds a relayed call other than a watch or a list.
 	callTimeout = 700 * time.Millisecond
-	// watchTimeout bounds a relayed watch, in which a peer waits 0.8 s for a change.
-	watchTimeout = 1500 * time.Millisecond
+	// watchTimeout bounds a relayed watch. peerStore waits for a change for less than that.
+	watchTimeout = 700 * time.Millisecond
 	// listTimeout bounds a relayed list, which may read many keys.
 	listTimeout = 3 * time.Second
 )
@@ -93,18 +99,18 @@
 
 // Relayer calls the store directly or through a peer, and makes calls for peers.
 type Relayer struct {
-	direct             keeper.Store
-	peerStore          keeper.Store // for calls of peers; its watches wait for less than watchTimeout
-	members            func() []claimer.Member
-	self               string
-	messenger          *messenger.Messenger
-	log                hclog.Logger
-	now                func() time.Duration
-	relayed            metrics.Counter
-	outages            outageDetector
-	failures           peerFailures
-	directBackoffUntil atomic.Int64 // ns of the steady clock; until then calls go to a peer first
-	peerBackoffUntil   atomic.Int64 // ns of the steady clock; until then no call goes to a peer
+	direct           keeper.Store
+	peerStore        keeper.Store // for calls of peers; its watches wait for less than watchTimeout
+	members          func() []claimer.Member
+	self             string
+	messenger        *messenger.Messenger
+	log              hclog.Logger
+	now              func() time.Duration
+	relayed          metrics.Counter
+	outages          outageDetector
+	failures         peerFailures
+	nextProbe        atomic.Int64 // ns of the steady clock at which a call tries the store directly again; 0 while the store serves this VM
+	peerBackoffUntil atomic.Int64 // ns of the steady clock; until then no call goes to a peer
 }
 
 // New returns a Relayer on the VM called self. It calls the store through direct, and for
@@ -173,12 +179,13 @@
 // route makes a call directly, or through a peer if the store is unavailable. It does
 // not repeat a write whose outcome is unknown, which the caller has to determine.
 func (r *Relayer) route(ctx context.Context, direct keeper.Store, req request) (response, error) {
-	if r.now() < time.Duration(r.directBackoffUntil.Load()) {
+	probes := r.beginProbe(req)
+	if r.isRefused() && !probes {
 		if resp, err := r.callPeers(ctx, req); !errors.Is(err, keeper.ErrUnavailable) {
 			return resp, err
 		}
 	}
-	resp, err := r.callDirect(ctx, direct, req)
+	resp, err := r.callDirect(ctx, direct, req, probes)
 	if err == nil || ctx.Err() != nil || !errors.Is(err, keeper.ErrUnavailable) {
 		return resp, err
 	}
@@ -187,7 +194,7 @@
 		// means that the store is unreachable.
 		return resp, err
 	}
-	r.directBackoffUntil.Store(int64(r.now() + directBackoff))
+	r.nextProbe.Store(int64(r.now() + directBackoff))
 	relayed, relayErr := r.callPeers(ctx, req)
 	if errors.Is(relayErr, keeper.ErrUnavailable) {
 		return resp, err
@@ -195,8 +202,27 @@
 	return relayed, relayErr
 }
 
-// callDirect calls the store from this VM and records the result in outages.
-func (r *Relayer) callDirect(ctx context.Context, direct keeper.Store, req request) (response, error) {
+// isRefused reports whether the store has not answered this VM since a direct call has failed.
+func (r *Relayer) isRefused() bool { return r.nextProbe.Load() != 0 }
+
+// beginProbe reports whether a call has to find out whether the store serves this VM again.
+// That is a short call which may be made again through a peer.
+func (r *Relayer) beginProbe(req request) bool {
+	next, now := r.nextProbe.Load(), int64(r.now())
+	if next == 0 || now < next || req.Operation != get && req.Operation != renew {
+		return false
+	}
+	return r.nextProbe.CompareAndSwap(next, now+int64(directBackoff))
+}
+
+// callDirect calls the store from this VM and records the result in outages. A probe has
+// little time.
+func (r *Relayer) callDirect(ctx context.Context, direct keeper.Store, req request, probes bool) (response, error) {
+	if probes {
+		limited, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		ctx = limited
+	}
 	if req.Operation == watch {
 		watchCtx, end := r.outages.addWatch(ctx, r.now())
 		defer end()
@@ -210,6 +236,7 @@
 		r.outages.recordFailure()
 		return resp, err
 	}
+	r.nextProbe.Store(0)
 	if n := r.outages.recordAnswer(r.now()); n > 0 {
 		r.log.Info("store answers again; watches begin anew", "watches", n)
 	}
@@ -217,10 +244,14 @@
 }
 
 // Register registers the handler for calls that peers relay through this VM. The handler
-// calls the store directly, never through a third VM.
+// calls the store directly, never through a third VM, and refuses calls while the store does
+// not serve this VM.
 func (r *Relayer) Register(mux messenger.Mux) {
 	messenger.Handle(r.messenger, mux, procedure, func(ctx context.Context, req *request) (*response, error) {
-		resp, err := execute(ctx, r.peerStore, *req)
+		resp, err := response{}, keeper.ErrUnavailable
+		if !r.isRefused() {
+			resp, err = execute(ctx, r.peerStore, *req)
+		}
 		if err == nil {
 			return &resp, nil
 		}
