--- a/review/stand/scenarios.go
+++ b/review/stand/scenarios.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 )
 
@@ -95,28 +96,42 @@
 	return nil
 }
 
-// playRoute removes the route of an accepted job and then kills the owner.
+// playRoute hands in a job, and then replaces its route by one with another name and the same
+// host, prefix and service.
 func playRoute(w *world, trouble bool) error {
-	q, other := queue("q", "/q/", 1, 3), queue("other", "/other/", 1, 3)
-	if err := w.begin(48, 0, 3, other, q); err != nil {
+	if err := w.begin(48, 0, 3, queue("slot-book", "/q/", 1, 3)); err != nil {
 		return err
 	}
-	j := &job{id: w.newID(), prefix: "/q/", steps: []step{{Tasks: 4, CPU: 1000, Memory: 1000, Est: 3000}, {Tasks: 4, CPU: 1000, Memory: 1000, Est: 3000, After: []int{0}}}, work: fixed(5 * time.Second)}
+	j := &job{id: w.newID(), prefix: "/q/", steps: []step{{Tasks: 4, CPU: 1000, Memory: 1000, Est: 8000}}, work: fixed(12 * time.Second)}
 	if !w.submit(j) {
 		return fmt.Errorf("%w: the job was not accepted", errCannotRun)
 	}
 	time.Sleep(time.Second)
-	w.configure(5, other)
-	time.Sleep(time.Second)
+	name := "slot-book"
 	if trouble {
-		if err := w.kill(w.owner(), time.Second); err != nil {
-			return err
+		name = "slot-book-2"
+	}
+	w.configure(5, queue(name, "/q/", 1, 3))
+	time.Sleep(configTime + visibleTime)
+	for range 3 {
+		status, state := w.state(j)
+		w.note("GET %s: %d %s, %d of its tasks run", j.id, status, state, w.running(j.id))
+		if status == http.StatusGone {
+			w.violation("LOST: the accepted job %s, of which %d tasks run, got the answer 410", j.id, w.running(j.id))
 		}
+		time.Sleep(time.Second)
 	}
-	w.judge(1)
+	w.judge(0)
 	return nil
 }
 
+const (
+	// configTime is how long a configuration takes until it is in force (config-ms), and
+	// visibleTime how long a job may be unknown after it was accepted (visible_ms).
+	configTime  = 2 * time.Second
+	visibleTime = 3 * time.Second
+)
+
 // playGang hands in a gang for the two executors of a kind, one of which crashes for good.
 func playGang(w *world, trouble bool) error {
 	if err := w.begin(48, 2, 3, queue("q", "/q/", 1, 3)); err != nil {
