--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -19,6 +19,9 @@
 	beat = 1500 * time.Millisecond
 	// gangTimeout is how long a member waits for the others (gang-timeout-ms).
 	gangTimeout = 3 * time.Second
+	// lateTime is the time until an order that is held up is carried out. The users' pages
+	// allow 2 to 12 s.
+	lateTime = 6 * time.Second
 	// endsPerAnswer is the number of ends in one answer.
 	endsPerAnswer = 500
 )
@@ -71,12 +74,14 @@
 	fence    uint64
 	leaseEnd time.Time
 	lapsedAt time.Time       // when its lease last ended with runs or without
-	runs     map[string]*run // by task
+	runs     map[string]*run // by task and number
 	floor    map[string]int  // highest run that was stopped or has ended, by task
 	ends     []end
 	serial   uint64
 	changed  chan struct{}
 	seq      int
+	ahead    time.Duration // of the time of day of its machine to the true time
+	bornMs   int64         // Unix ms of its start, by that time of day
 	lives    int
 	calls    int // in this life
 	conns    map[net.Conn]bool
@@ -155,6 +160,7 @@
 	listener := e.listen()
 	e.mu.Lock()
 	e.born, e.clock = time.Now(), 1000
+	e.bornMs = e.born.Add(e.ahead).UnixMilli()
 	e.fence, e.leaseEnd, e.lapsedAt = 0, time.Time{}, time.Time{}
 	e.runs, e.floor, e.ends, e.serial = map[string]*run{}, map[string]int{}, nil, 0
 	e.changed, e.conns, e.seq = make(chan struct{}), map[net.Conn]bool{}, 0
@@ -202,7 +208,7 @@
 	e.seq++
 	entry := map[string]any{
 		"service": serviceName, "addr": e.address, "zone": e.zone, "version": "1", "slots": 8, "state": "ready", "seq": e.seq,
-		"born": e.born.UnixMilli(), "capacity": e.capacity, "labels": e.labels,
+		"born": e.bornMs, "capacity": e.capacity, "labels": e.labels,
 	}
 	e.mu.Unlock()
 	e.world.store.put("servers/"+e.id, entry)
@@ -256,6 +262,14 @@
 	e.cut = cut
 }
 
+// jump moves the time of day of the executor's machine.
+func (e *executor) jump(by time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ahead += by
+	e.world.note("time of day of the machine of %s jumps by %v", e.id, by)
+}
+
 // notify wakes the calls that wait for an end. The caller holds mu.
 func (e *executor) notify() {
 	close(e.changed)
@@ -311,7 +325,7 @@
 
 // finish ends a run and lists its end. The caller holds mu.
 func (e *executor) finish(r *run, how string, now time.Time) {
-	delete(e.runs, r.task)
+	delete(e.runs, runKey(r.task, r.number))
 	e.floor[r.task] = max(e.floor[r.task], r.number)
 	e.serial++
 	e.ends = append(e.ends, end{e.serial, r, how, now})
@@ -319,6 +333,9 @@
 	e.notify()
 }
 
+// runKey returns the key of a run in executor.runs.
+func runKey(task string, number int) string { return fmt.Sprintf("%s/%d", task, number) }
+
 // call is the body of a call to an executor.
 type call struct {
 	Task  string `json:"task"`
@@ -341,6 +358,11 @@
 		answer(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	if r.URL.Path == "/-/run-start" && e.world.delays(e, c) {
+		e.deliverLate(c)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	born := e.born
 	e.calls++
@@ -364,6 +386,16 @@
 	answer(w, status, body)
 }
 
+// deliverLate carries an order out after lateTime, by whatever life of the executor is up then.
+// The caller gets no answer.
+func (e *executor) deliverLate(c call) {
+	e.world.note("order %s run %d to %s is held up", c.Task, c.Run, e.id)
+	time.AfterFunc(lateTime, func() {
+		status, body := e.serveStart(c)
+		e.world.note("order %s run %d is carried out on %s late: %d %v", c.Task, c.Run, e.id, status, body["reason"])
+	})
+}
+
 func refused(reason string) (int, map[string]any) {
 	return http.StatusConflict, map[string]any{"reason": reason}
 }
@@ -394,8 +426,7 @@
 	}
 	e.fence = c.Fence
 	e.endDue(now)
-	current := e.runs[c.Task]
-	if current != nil && current.number == c.Run {
+	if e.runs[runKey(c.Task, c.Run)] != nil {
 		return http.StatusOK, map[string]any{}
 	}
 	if c.Run <= e.floor[c.Task] {
@@ -414,7 +445,7 @@
 	if r.gang == nil {
 		r.due = now.Add(r.work)
 	}
-	e.runs[c.Task] = r
+	e.runs[runKey(r.task, r.number)] = r
 	e.world.started(e, r)
 	return http.StatusOK, map[string]any{}
 }
@@ -429,7 +460,7 @@
 	now := time.Now()
 	e.endDue(now)
 	e.floor[c.Task] = max(e.floor[c.Task], c.Run)
-	if r := e.runs[c.Task]; r != nil && r.number == c.Run {
+	if r := e.runs[runKey(c.Task, c.Run)]; r != nil {
 		e.finish(r, howStopped, now)
 	}
 	return http.StatusOK, map[string]any{}
@@ -466,7 +497,7 @@
 	for _, x := range e.ends[:min(len(e.ends), endsPerAnswer)] {
 		ended = append(ended, []any{x.serial, x.run.task, x.run.number, x.how, ""})
 	}
-	return http.StatusOK, map[string]any{"running": running, "ended": ended, "born": e.born.UnixMilli()}
+	return http.StatusOK, map[string]any{"running": running, "ended": ended, "born": e.bornMs}
 }
 
 // percent returns the progress of a run.
--- a/review/stand/scenarios.go
+++ b/review/stand/scenarios.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 )
 
@@ -12,8 +11,13 @@
 	"split":   playSplit,
 	"idle":    playIdle,
 	"crashes": playCrashes,
-	"route":   playRoute,
 	"gang":    playGang,
+	"late":    playLate,
+
+	// These fail too, and are no cases of the review; see REPORT.md.
+	"route": playRoute,
+	"ack":   playAck,
+	"born":  playBorn,
 }
 
 // playSplit hands in a job of many small tasks, which fit on one executor, and cuts that
@@ -96,42 +100,6 @@
 	return nil
 }
 
-// playRoute hands in a job, and then replaces its route by one with another name and the same
-// host, prefix and service.
-func playRoute(w *world, trouble bool) error {
-	if err := w.begin(48, 0, 3, queue("slot-book", "/q/", 1, 3)); err != nil {
-		return err
-	}
-	j := &job{id: w.newID(), prefix: "/q/", steps: []step{{Tasks: 4, CPU: 1000, Memory: 1000, Est: 8000}}, work: fixed(12 * time.Second)}
-	if !w.submit(j) {
-		return fmt.Errorf("%w: the job was not accepted", errCannotRun)
-	}
-	time.Sleep(time.Second)
-	name := "slot-book"
-	if trouble {
-		name = "slot-book-2"
-	}
-	w.configure(5, queue(name, "/q/", 1, 3))
-	time.Sleep(configTime + visibleTime)
-	for range 3 {
-		status, state := w.state(j)
-		w.note("GET %s: %d %s, %d of its tasks run", j.id, status, state, w.running(j.id))
-		if status == http.StatusGone {
-			w.violation("LOST: the accepted job %s, of which %d tasks run, got the answer 410", j.id, w.running(j.id))
-		}
-		time.Sleep(time.Second)
-	}
-	w.judge(0)
-	return nil
-}
-
-const (
-	// configTime is how long a configuration takes until it is in force (config-ms), and
-	// visibleTime how long a job may be unknown after it was accepted (visible_ms).
-	configTime  = 2 * time.Second
-	visibleTime = 3 * time.Second
-)
-
 // playGang hands in a gang for the two executors of a kind, one of which crashes for good.
 func playGang(w *world, trouble bool) error {
 	if err := w.begin(48, 2, 3, queue("q", "/q/", 1, 3)); err != nil {
@@ -157,3 +125,40 @@
 	w.judge(0)
 	return nil
 }
+
+// playLate hands in jobs, of which one order is held up on its way. Its executor then crashes
+// and is restarted under its id.
+func playLate(w *world, trouble bool) error {
+	if err := w.begin(48, 0, 3, queue("q", "/q/", 1, 3)); err != nil {
+		return err
+	}
+	for n := range 60 {
+		j := &job{id: w.newID(), prefix: "/q/", steps: []step{{Tasks: 2, CPU: 2000, Memory: 1000, Est: 8000}}, work: fixed(8 * time.Second)}
+		if trouble && n == 20 {
+			w.mu.Lock()
+			w.late = j
+			w.mu.Unlock()
+		}
+		if !w.submit(j) {
+			return fmt.Errorf("%w: a job was not accepted", errCannotRun)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if trouble {
+		if w.heldUp() == nil {
+			return fmt.Errorf("%w: no order was held up", errCannotRun)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		w.heldUp().crash(restartTime)
+	}
+	time.Sleep(lateTime)
+	w.judge(0)
+	return nil
+}
+
+// heldUp returns the executor whose order was held up, nil before that.
+func (w *world) heldUp() *executor {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lateOn
+}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -91,7 +91,9 @@
 	order  []*job
 	runs   map[string][]*runRecord // by task
 	gangs  map[string]*gang
-	broken []string // violations
+	broken []string  // violations
+	late   *job      // the next order of a task of this job is held up; nil if none is
+	lateOn *executor // the executor whose order was held up; nil before that
 }
 
 // note writes a line to the record.
@@ -118,6 +120,18 @@
 	w.noteLocked("BROKEN %s", text)
 }
 
+// delays reports whether an order is held up: one of the job late, once.
+func (w *world) delays(e *executor, c call) bool {
+	id, _, _ := parseTask(c.Task)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.late == nil || w.late.id != id {
+		return false
+	}
+	w.late, w.lateOn = nil, e
+	return true
+}
+
 func (w *world) sizeOf(task string) size {
 	id, n, _ := parseTask(task)
 	w.mu.Lock()
