--- a/review/stand/scenarios.go
+++ b/review/stand/scenarios.go
@@ -76,15 +76,15 @@
 	return nil
 }
 
-// playCrashes hands in jobs for 20 s. In the first half a few executors crash each second and
+// playCrashes hands in jobs for 30 s. In the first 20 s a few executors crash each second and
 // are restarted.
 func playCrashes(w *world, trouble bool) error {
 	if err := w.begin(48, 0, 3, queue("q", "/q/", 1, 3)); err != nil {
 		return err
 	}
 	const (
-		traffic = 20 * time.Second
-		crashes = 10 * time.Second
+		traffic = 30 * time.Second
+		crashes = 20 * time.Second
 	)
 	if trouble {
 		random := rand.New(rand.NewPCG(w.random.Uint64(), 1))
