planner: A cut-off list of ends loses no runs

Cause: a worker lists at most 500 ended runs at a time, and HandleStatus took each run that was neither listed as running nor as ended for lost, so the runs on the next page started again.

A list of 500 ends now counts as cut off: its ends are applied, and nothing is concluded from what it lacks until the next list. Leases of a worker that answers don't expire meanwhile. The same code reads a new owner's first list. serve reports all ends in one message and is not affected.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -157,7 +157,7 @@
 	}
 	s.listedAt = c.now()
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
-		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended,
+		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended, MoreEnds: result.MoreEnds,
 	}, c.now())
 	c.reportBegun(s.id)
 	if len(ends) > 0 {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -129,6 +129,9 @@
 		if !w.earlierOwnersFenced && w.listed && !w.heartbeatTried {
 			continue // after a slow takeover: the worker's first answer may list ends of these runs
 		}
+		if w.endsUnread && w.unansweredCalls == 0 {
+			continue // the rest of its list may have ends of these runs
+		}
 		w.earlierOwnersFenced = true
 		var expired []*run
 		for _, r := range w.runs {
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -83,7 +83,7 @@
 // run that the earlier incarnation has not listed: the new one may have started it. A worker
 // that was draining has not crashed.
 func (p *Planner) workerRestarted(w *worker, now time.Duration) {
-	w.lastSerial = 0
+	w.lastSerial, w.endsUnread = 0, false
 	w.earlierOwnersFenced = true
 	if !w.reg.Draining {
 		w.markCrash(w.orderedRuns(), true)
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -125,6 +125,7 @@
 	SentAt      time.Duration // when the heartbeat was sent
 	Running     []RunningEntry
 	Ended       []EndEntry
+	MoreEnds    bool // the worker may have ended more runs, with higher serials, than it lists
 }
 
 // RunningEntry is a run that a worker lists as running.
@@ -155,6 +156,7 @@
 	p.observeIncarnation(w, status.Incarnation, now)
 	w.unansweredCalls, w.heartbeatTried = 0, true
 	w.earlierOwnersFenced = true
+	w.endsUnread = status.MoreEnds
 	w.observeAnswer(status.SentAt)
 	var ends []End
 	for _, e := range status.Ended {
@@ -170,6 +172,9 @@
 		present[runKey{e.Task, e.Number}] = true
 		p.applyRunning(w, e, status.Incarnation != 0, now)
 	}
+	if status.MoreEnds {
+		return ends // a run that is not listed may have ended
+	}
 	var lost, inherited []*run
 	for key, r := range w.runs {
 		if present[key] || r.confirmedAt >= status.SentAt || r.phase == phaseDecided || r.phase == phaseUnanswered {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -31,6 +31,7 @@
 	allocated           placer.Resources // sum of the sizes of runs
 	runs                map[runKey]*run
 	lastSerial          uint64        // serial of the newest end applied; 0 at the start of an incarnation
+	endsUnread          bool          // its newest list of ends was cut off
 	earlierOwnersFenced bool          // orders of earlier owners no longer have an effect on it: it has answered this owner or restarted, or all older leases have expired
 	leaseExpiry         time.Duration // when every lease given to the worker has certainly expired; 0 before the first
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
