conductor: An unresponsive worker is called until it answers

Cause: nothing starts on a worker that left a call unanswered until it answers, but its heartbeats ended once it had no runs and no ends to acknowledge, so nobody asked.

Planner.NeedsHeartbeat now decides for both sides: a listed worker that left a call unanswered is called until its current incarnation has answered. The same state was reached by an expired lease behind a cut, by a late answer of the earlier incarnation, by a start that another worker answered, and, by reading, by an entry that vanishes and returns. serve calls each listed worker at each heartbeat and is not affected.

--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -80,7 +80,7 @@
 
 // applyWorkerEntry passes a change of a worker's entry to the planner. A new worker may
 // run tasks once the journal names it. Heartbeats start for a worker that is new to this
-// owner, has another address or has restarted.
+// owner, has another address, has restarted, or was unresponsive when its entry vanished.
 func (c *Conductor) applyWorkerEntry(e keeper.Entry) {
 	id := platform.ExecutorID(e.Key())
 	if e.Deleted() {
@@ -105,7 +105,7 @@
 		s.restart(registration.Incarnation)
 	}
 	isNew, changed := c.planner.Register(registration, c.now())
-	if reconnect {
+	if reconnect || c.planner.NeedsHeartbeat(id) {
 		c.startHeartbeats(s) // to learn the worker's clock and its runs
 	}
 	if isNew {
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -115,10 +115,8 @@
 	c.planner.ReportStart(a, result.Outcome, c.now())
 	c.observeFailure(s, address, result.Outcome, err)
 	c.reportBegun(a.Worker)
-	switch result.Outcome {
-	case planner.Accepted, planner.Unknown, planner.NotSent:
+	if c.planner.NeedsHeartbeat(a.Worker) {
 		c.startHeartbeats(s) // also so that an idle worker that was not reached is noticed to be back
-	default:
 	}
 	c.mu.Unlock()
 	c.recordOutcome(a, result.Outcome, err)
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -83,10 +83,11 @@
 	}
 }
 
-// runHeartbeats sends heartbeats to a worker until it runs nothing and all its ends
-// are acknowledged, or it is removed.
+// runHeartbeats sends heartbeats to a worker until its current incarnation has answered, it
+// runs nothing, it has answered the last call and all its ends are acknowledged, or until
+// it is removed.
 func (c *Conductor) runHeartbeats(s *session) {
-	first := true // no heartbeat has succeeded yet
+	answered := false // a heartbeat has succeeded
 	for c.ctx.Err() == nil {
 		if !c.isOwner() {
 			c.sleep(heartbeatDelay)
@@ -94,21 +95,22 @@
 		}
 		c.mu.Lock()
 		busy := c.planner.Busy(s.id)
+		known := answered && s.listedAt != 0
 		removed := c.sessions[s.id] != s
-		if removed || !busy && !first && s.acknowledgedSerial == s.persistedSerial {
+		if removed || known && !c.planner.NeedsHeartbeat(s.id) && s.acknowledgedSerial == s.persistedSerial {
 			s.heartbeating = false
 			c.mu.Unlock()
 			return
 		}
 		c.mu.Unlock()
-		if !busy && !first {
+		if !busy && known {
 			c.sleep(finalAckDelay)
 		}
 		if !c.heartbeat(s, busy) {
 			c.sleep(heartbeatBackoff)
 			continue
 		}
-		first = false
+		answered = true
 		c.sleep(heartbeatDelay)
 	}
 }
@@ -155,7 +157,9 @@
 	if s.incarnation == incarnation {
 		s.acknowledgedSerial = max(s.acknowledgedSerial, acknowledged)
 	}
-	s.listedAt = c.now()
+	if s.incarnation == result.Incarnation || result.Incarnation == 0 {
+		s.listedAt = c.now()
+	}
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended, MoreEnds: result.MoreEnds,
 	}, c.now())
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -158,6 +158,13 @@
 	return w != nil && (len(w.runs) > 0 || !w.earlierOwnersFenced)
 }
 
+// NeedsHeartbeat reports whether the worker has to be called: it may be running tasks, or it
+// left a call unanswered, so that nothing starts on it until it answers.
+func (p *Planner) NeedsHeartbeat(id string) bool {
+	w := p.workers[id]
+	return w != nil && (p.Busy(id) || w.listed && w.unansweredCalls > 0)
+}
+
 // Renewable reports whether the worker's lease may be renewed: the worker is known to
 // refuse orders of earlier owners and has answered the last call. A heartbeat that
 // gets no answer may still reach the worker, so renewing the lease of an unresponsive
