planner: An expired lease is no proof that a task crashes its workers

Cause: a run whose lease expired on a worker that was gone from the list, or had refused connections, counted as a crash that proves its task to be the cause. A worker behind a cut gives the same signs.

Without certain crashes a task is given up after five, since they allow two starts after three.

TestExpiredLeaseIsNoProof fails on the code before; crashes.pml holds, and fails with NO_REPLY.

--- a/model/crashes.pml
+++ b/model/crashes.pml
@@ -9,7 +9,9 @@
  *   NO_INCARNATION   a new owner does not compare the incarnation of a worker with the one
  *                    that a start in the journal was decided for
  *   NO_STARTED       crashes under runs that may not have started count as proof
- *   NO_LIMIT         without runs that are known to have started there is no proof
+ *   NO_REPLY         a crash that shows as silence only counts as proof
+ *   NO_LIMIT         without certain crashes of runs that are known to have started there is
+ *                    no proof
  */
 
 #ifndef OWNERS
@@ -38,7 +40,9 @@
 /* The worker of the newest run. */
 bool ordered;       /* the order is on its way */
 bool executed;
-bool crashed;
+bool crashed;       /* or its lease has expired */
+bool lapsed;        /* its lease has expired behind a cut, and it has not crashed */
+bool replied;       /* its next incarnation has answered */
 
 /* What has happened. */
 byte crashes;       /* workers that crashed after they had started the task */
@@ -66,19 +70,26 @@
 #endif
 	if
 #ifdef NO_STARTED
-	:: !answered -> started++
+	:: !answered && replied -> started++
 #endif
+#ifdef NO_REPLY
 	:: answered -> started++
+#else
+	:: answered && replied -> started++
+#endif
 	:: else -> skip
 	fi;
 	if
 #ifdef NO_STARTED
-	:: separate && started >= 2 -> failed = true
-#else
+	:: separate && replied && started >= 2 -> failed = true
+#endif
+#ifdef NO_REPLY
 	:: separate && answered && started >= 2 -> failed = true
+#else
+	:: separate && answered && replied && started >= 2 -> failed = true
 #endif
 #ifndef NO_LIMIT
-	:: separate && count >= 4 -> failed = true
+	:: separate && (started >= 2 && count >= 4 || count >= 5) -> failed = true
 #endif
 	:: else -> skip
 	fi;
@@ -100,7 +111,7 @@
 #ifndef NO_CRASH_RECORD
 		stored_count = count; stored_started = started;
 #endif
-		ordered = true; executed = false; crashed = false
+		ordered = true; executed = false; crashed = false; lapsed = false; replied = false
 	}
 	:: d_step { ordered ->
 		ordered = false; executed = true;
@@ -116,6 +127,8 @@
 	}
 	:: d_step { executed && held == last_run && !inherited && !answered -> answered = true }
 	:: d_step { chance < CHANCE && stored_run > 0 && !crashed -> chance++; crash() }
+	:: d_step { chance < CHANCE && executed && !crashed -> chance++; lapsed = true; crashed = true }
+	:: d_step { crashed && !lapsed -> replied = true }
 	:: d_step { held != 0 && crashed -> count_crash() }
 	/* A start that was lost is given up. */
 	:: d_step { held != 0 && ordered -> ordered = false; held = 0; inherited = false }
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -22,13 +22,14 @@
 	// crashMemory is how long a run has to go on until earlier crashes of its task don't
 	// count any more. A service would otherwise collect those of years.
 	crashMemory = 10 * time.Minute
-	// minCrashes is the number of crashes under runs that are known to have started after
-	// which a run that crashed a worker of its own shortly after it began proves its task to
-	// be the cause. With minAllCrashes, whether or not the runs are known to have started, a
-	// run on a worker of its own proves it however late the crash came, since the platform
-	// allows two starts after three crashes.
+	// minCrashes is the number of certain crashes under runs that are known to have started
+	// after which a run that crashed a worker of its own shortly after it began proves its
+	// task to be the cause. If minAllCrashes were counted in all, a run on a worker of its own
+	// proves it however late the crash came. With maxCrashes in all it does so whatever is
+	// known of them, since the platform allows two starts after three crashes.
 	minCrashes    = 2
 	minAllCrashes = 4
+	maxCrashes    = 5
 	// minExposures is the number of crashes from which a task is a suspect although it had
 	// never begun shortly before.
 	minExposures = 3
@@ -40,13 +41,24 @@
 	Number  int    `cbor:"2,keyasint"`
 	Suspect bool   `cbor:"3,keyasint,omitempty"` // the task may have caused it
 	Proven  bool   `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
-	Started bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run
+	Started bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended since
 }
 
+// crashSign is what shows that a worker has crashed.
+type crashSign int
+
+// Signs of a crash. A worker behind a cut gives the first two as well: its runs went on until
+// their leases expired.
+const (
+	signSilent  crashSign = iota // it is silent, and no longer in the platform's list
+	signClosed                   // its machine refused connections until its leases had expired
+	signReplied                  // its next incarnation, or another worker at its address, has answered
+)
+
 // crashHistory is what is known of the crashes of workers under a task.
 type crashHistory struct {
 	count   int  // workers that crashed while they may have run the task
-	started int  // of these, those that are known to have started it
+	started int  // of these, those that have certainly crashed after they had started it
 	lastRun int  // newest run number that count includes
 	suspect bool // the task starts only on a worker of its own
 	proven  bool // the task is the cause, so its job fails
@@ -60,9 +72,9 @@
 }
 
 // markCrash notes that the worker has crashed while it may have had these runs. They are
-// all of those runs that are not marked yet. Without a sign that it has crashed, rather
-// than become unreachable, its runs are not suspected of a first crash.
-func (w *worker) markCrash(runs []*run, certain bool) {
+// all of those runs that are not marked yet. The runs of a silent worker are not suspected of
+// a first crash.
+func (w *worker) markCrash(runs []*run, sign crashSign) {
 	if len(runs) == 0 {
 		return
 	}
@@ -79,12 +91,17 @@
 			continue
 		}
 		h := s.tasks[r.taskIndex].crashes
-		count, proof := h.count+1, r.started && h.started+1 >= minCrashes
+		count, started := h.count+1, h.started
+		certain := sign == signReplied && r.started
+		if certain {
+			started++
+		}
 		recent := r.startedAt >= lastSign-crashWindow
 		r.crash = &Crash{
-			Task: s.taskName(r.taskIndex), Number: r.number, Started: r.started,
-			Suspect: certain && recent || r.separate || count >= minExposures,
-			Proven:  r.separate && (recent && proof || count >= minAllCrashes),
+			Task: s.taskName(r.taskIndex), Number: r.number, Started: certain,
+			Suspect: sign != signSilent && recent || r.separate || count >= minExposures,
+			Proven: r.separate && (certain && recent && started >= minCrashes ||
+				started >= minCrashes && count >= minAllCrashes || count >= maxCrashes),
 		}
 	}
 }
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -166,6 +166,21 @@
 		f.assertGivenUp()
 		f.assertState("j", Completed)
 	})
+	t.Run("workers that do not come back", func(t *testing.T) {
+		f := newCrashFixture(t, 3)
+		f.crash = func(id string) {
+			f.p.ObserveClosed(id, f.now)
+			f.expire(id)
+			next := "next of " + id
+			f.addWorker(next)
+			f.incarnation[next] = 1
+			f.answer(next)
+		}
+		f.submit("deadly", newStep(1))
+		f.submit("j", newStep(4))
+		f.assertGivenUp()
+		f.assertState("j", Completed)
+	})
 	t.Run("owner changes at each crash", func(t *testing.T) {
 		f := newCrashFixture(t, 3)
 		f.crash = func(id string) {
@@ -185,6 +200,38 @@
 	})
 }
 
+// expire removes a worker from the platform's list and lets its leases expire.
+func (f *crashFixture) expire(id string) {
+	delete(f.incarnation, id)
+	f.p.ExtendLease(id, f.now+6*second)
+	f.p.Deregister(id)
+	f.now += 7 * second
+}
+
+// TestExpiredLeaseIsNoProof checks that a job does not fail by one crash and one cut (LOST):
+// a worker whose leases have expired may have run the task until then.
+func TestExpiredLeaseIsNoProof(t *testing.T) {
+	for name, refuses := range map[string]bool{"silent": false, "connections refused": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFixture(t, 2)
+			f.submit("j", newStep(1))
+			first := f.starts()
+			f.Assert(first, quicktest.HasLen, 1)
+			f.now += second / 100
+			f.restart(first[0].Worker)
+			second := f.starts()
+			f.Assert(second, quicktest.HasLen, 1)
+			f.Assert(second[0].Separate, quicktest.IsTrue)
+			if refuses {
+				f.p.ObserveClosed(second[0].Worker, f.now)
+			}
+			f.expire(second[0].Worker)
+			f.Assert(f.starts(), quicktest.HasLen, 1)
+			f.assertState("j", Running)
+		})
+	}
+}
+
 // TestBystandersOfCrashesComplete checks that no job fails because workers crash again and
 // again under its tasks for another reason.
 func TestBystandersOfCrashesComplete(t *testing.T) {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -139,8 +139,12 @@
 				expired = append(expired, r)
 			}
 		}
-		if closed := w.closedAt != 0; !w.reg.Draining && (closed || !w.listed) {
-			w.markCrash(expired, closed)
+		switch {
+		case w.reg.Draining:
+		case w.closedAt != 0:
+			w.markCrash(expired, signClosed)
+		case !w.listed:
+			w.markCrash(expired, signSilent)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
 	}
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -86,7 +86,7 @@
 	w.lastSerial, w.endsUnread = 0, false
 	w.earlierOwnersFenced = true
 	if !w.reg.Draining {
-		w.markCrash(w.orderedRuns(), true)
+		w.markCrash(w.orderedRuns(), signReplied)
 	}
 	w.lastAnswerAt, w.closedAt = 0, 0
 	p.forgetAdvice(w)
@@ -126,7 +126,7 @@
 	}
 	runs := w.orderedRuns()
 	if !w.reg.Draining {
-		w.markCrash(runs, true)
+		w.markCrash(runs, signReplied)
 	}
 	p.loseRuns(runs, Lost, now)
 }
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -188,7 +188,7 @@
 			inherited = append(inherited, r)
 		}
 	}
-	w.markCrash(inherited, true)
+	w.markCrash(inherited, signReplied)
 	p.loseRuns(lost, Lost, now)
 	return ends
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -101,7 +101,7 @@
 	LastFailedGangRun int    `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
 	Crashes           int    `cbor:"12,keyasint,omitempty"` // workers that crashed under the task
 	LastCrashRun      int    `cbor:"13,keyasint,omitempty"` // newest run number that Crashes counts
-	StartedCrashes    int    `cbor:"18,keyasint,omitempty"` // of Crashes, those under runs that are known to have started
+	StartedCrashes    int    `cbor:"18,keyasint,omitempty"` // of Crashes, the certain ones under runs that are known to have started
 	Suspect           bool   `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
 	Incarnation       int64  `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
 	Separate          bool   `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
