planner: Only crashes right after the start prove that a task causes them

Callers saw jobs as failed whose tasks had ended done (LOST). Cause: a run that its worker had started and whose next incarnation did not have it counted as ended by the crash, also if it had ended before and its end had not been read.

A crash now proves only if the worker's machine closed or refused a connection within 250 ms of the start. A heartbeat follows the start of a suspect at once so that it is noticed in time.

TestCrashAfterEndIsNoProof fails on the code before.

--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -97,7 +97,7 @@
 	s := c.sessions[id]
 	reconnect := s == nil || s.address != registration.Address || s.incarnation != registration.Incarnation
 	if s == nil {
-		s = &session{id: id}
+		s = &session{id: id, wakeup: make(chan struct{}, 1)}
 		c.sessions[id] = s
 	}
 	s.address = registration.Address
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -118,6 +118,9 @@
 	if c.planner.NeedsHeartbeat(a.Worker) {
 		c.startHeartbeats(s) // also so that an idle worker that was not reached is noticed to be back
 	}
+	if a.Separate {
+		s.heartbeatNow() // so that a crash is noticed at once
+	}
 	c.mu.Unlock()
 	c.recordOutcome(a, result.Outcome, err)
 	if result.Outcome != planner.Accepted {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -44,6 +44,7 @@
 	acknowledgedSerial uint64        // serial of the newest end that the worker may forget
 	listedAt           time.Duration // when the newest list of the incarnation was received; 0 before the first
 	heartbeating       bool          // runHeartbeats is running
+	wakeup             chan struct{} // of capacity 1; has an element if a heartbeat is due at once
 }
 
 // leaseUntil returns when a lease given to the worker now ends, in ms on the worker's
@@ -104,7 +105,7 @@
 		}
 		c.mu.Unlock()
 		if !busy && known {
-			c.sleep(finalAckDelay)
+			c.sleepUnlessDue(s, finalAckDelay)
 		}
 		if !c.heartbeat(s, busy) {
 			c.sleep(heartbeatBackoff)
@@ -274,5 +275,24 @@
 	c.spawn(func() { c.runHeartbeats(s) })
 }
 
+// sleepUnlessDue waits until d has passed, a heartbeat is due at once, or the ownership ends.
+func (c *Conductor) sleepUnlessDue(s *session, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.wakeup:
+	case <-c.ctx.Done():
+	}
+}
+
+// heartbeatNow makes runHeartbeats send a heartbeat although the worker was idle.
+func (s *session) heartbeatNow() {
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
 // sleep waits until d has passed or the ownership ends.
 func (c *Conductor) sleep(d time.Duration) { keeper.Sleep(c.ctx, d) }
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -70,3 +70,17 @@
 	c.observeFailure(s, s.address, planner.Replaced, nil)
 	quicktest.Assert(t, c.planner.Busy("w0"), quicktest.IsFalse)
 }
+
+// TestHeartbeatNow checks that a heartbeat that is due at once does not wait for the time in
+// which ends of an idle worker are collected: the crash of a worker that has just started a
+// suspect is noticed too late otherwise to tell its cause.
+func TestHeartbeatNow(t *testing.T) {
+	c := &Conductor{ctx: t.Context()}
+	s := &session{wakeup: make(chan struct{}, 1)}
+	s.heartbeatNow()
+	s.heartbeatNow() // does not block
+	begin := time.Now()
+	c.sleepUnlessDue(s, time.Minute)
+	c.sleepUnlessDue(s, time.Millisecond)
+	quicktest.Assert(t, time.Since(begin) < 30*time.Second, quicktest.IsTrue)
+}
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -22,11 +22,11 @@
 	// crashMemory is how long a run has to go on until earlier crashes of its task don't
 	// count any more. A service would otherwise collect those of years.
 	crashMemory = 10 * time.Minute
-	// minCrashes is the number of certain crashes under runs that are known to have started
-	// after which a run that crashed a worker of its own shortly after it began proves its
-	// task to be the cause. If minAllCrashes were counted in all, a run on a worker of its own
-	// proves it however late the crash came. With maxCrashes in all it does so whatever is
-	// known of them, since the platform allows two starts after three crashes.
+	// minCrashes is the number of workers that have certainly crashed right after they had
+	// started a task, after which a run on a worker of its own proves the task to be the
+	// cause. If minAllCrashes were counted in all, it does so however late the last crash
+	// came, and with maxCrashes in all whatever is known of them, since the platform allows
+	// two starts after three crashes.
 	minCrashes    = 2
 	minAllCrashes = 4
 	maxCrashes    = 5
@@ -41,7 +41,7 @@
 	Number  int    `cbor:"2,keyasint"`
 	Suspect bool   `cbor:"3,keyasint,omitempty"` // the task may have caused it
 	Proven  bool   `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
-	Started bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended since
+	Started bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended right after that
 }
 
 // crashSign is what shows that a worker has crashed.
@@ -58,7 +58,7 @@
 // crashHistory is what is known of the crashes of workers under a task.
 type crashHistory struct {
 	count   int  // workers that crashed while they may have run the task
-	started int  // of these, those that have certainly crashed after they had started it
+	started int  // of these, those that have certainly crashed right after they had started it
 	lastRun int  // newest run number that count includes
 	suspect bool // the task starts only on a worker of its own
 	proven  bool // the task is the cause, so its job fails
@@ -92,7 +92,7 @@
 		}
 		h := s.tasks[r.taskIndex].crashes
 		count, started := h.count+1, h.started
-		certain := sign == signReplied && r.started
+		certain := sign == signReplied && r.started && w.closedSoonAfter(r)
 		if certain {
 			started++
 		}
@@ -100,12 +100,19 @@
 		r.crash = &Crash{
 			Task: s.taskName(r.taskIndex), Number: r.number, Started: certain,
 			Suspect: sign != signSilent && recent || r.separate || count >= minExposures,
-			Proven: r.separate && (certain && recent && started >= minCrashes ||
+			Proven: r.separate && (certain && started >= minCrashes ||
 				started >= minCrashes && count >= minAllCrashes || count >= maxCrashes),
 		}
 	}
 }
 
+// closedSoonAfter reports whether the worker's machine closed or refused a connection within
+// crashWindow of the start of a run. After a longer time the run may have ended before the
+// crash, and its end was not read.
+func (w *worker) closedSoonAfter(r *run) bool {
+	return w.closedAt != 0 && w.closedAt-r.startedAt <= crashWindow
+}
+
 // loseRuns releases runs that have ended without a report. It counts the crashes of their
 // workers and fails the jobs of the tasks that caused them.
 func (p *Planner) loseRuns(runs []*run, result string, now time.Duration) {
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"filberthaven.example/placer"
 	"github.com/frankban/quicktest"
@@ -232,6 +233,35 @@
 	}
 }
 
+// TestCrashAfterEndIsNoProof checks that a job does not fail by crashes that came later after
+// the starts of its task than the runs may have taken (LOST): they may have ended before, and
+// nobody has read their ends. Crashes right after the starts are proof.
+func TestCrashAfterEndIsNoProof(t *testing.T) {
+	for name, test := range map[string]struct {
+		after time.Duration // from the start to the first refused connection
+		want  State
+	}{"after 400 ms": {400 * time.Millisecond, Running}, "after 10 ms": {10 * time.Millisecond, Failed}} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFixture(t, 2)
+			f.submit("j", newStep(1))
+			for range 2 {
+				starts := f.starts()
+				f.Assert(starts, quicktest.HasLen, 1)
+				f.now += test.after
+				f.p.ObserveClosed(starts[0].Worker, f.now)
+				f.now += second / 10
+				f.restart(starts[0].Worker)
+			}
+			f.decide()
+			if test.want == Failed {
+				f.Assert(f.p.FinalState("j"), quicktest.Equals, Failed)
+				return
+			}
+			f.assertState("j", test.want)
+		})
+	}
+}
+
 // TestBystandersOfCrashesComplete checks that no job fails because workers crash again and
 // again under its tasks for another reason.
 func TestBystandersOfCrashesComplete(t *testing.T) {
