planner: Nothing starts on a restarted worker until it has answered

Cause: a start needs the clock of the worker's incarnation, which only an answer tells.

Such a worker takes no starts until it has answered, and is called at once when its entry shows the restart.

TestNoStartOnUnheardIncarnation fails on the code before.

--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -103,6 +103,7 @@
 	s.address = registration.Address
 	if registration.Incarnation > s.incarnation {
 		s.restart(registration.Incarnation)
+		s.heartbeatNow()
 	}
 	isNew, changed := c.planner.Register(registration, c.now())
 	if reconnect || c.planner.NeedsHeartbeat(id) {
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -83,7 +83,7 @@
 // run that the earlier incarnation has not listed: the new one may have started it. A worker
 // that was draining has not crashed.
 func (p *Planner) workerRestarted(w *worker, now time.Duration) {
-	w.lastSerial, w.endsUnread = 0, false
+	w.lastSerial, w.endsUnread, w.restarted = 0, false, true
 	w.earlierOwnersFenced = true
 	if !w.reg.Draining {
 		w.markCrash(w.orderedRuns(), signReplied)
@@ -134,8 +134,13 @@
 // ObserveIncarnation applies the incarnation that the answer to a start names. The worker
 // may have restarted since the order was sent, before the platform's list shows it.
 func (p *Planner) ObserveIncarnation(id string, incarnation int64, now time.Duration) {
-	if w := p.workers[id]; w != nil {
-		p.observeIncarnation(w, incarnation, now)
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	p.observeIncarnation(w, incarnation, now)
+	if incarnation == w.reg.Incarnation {
+		w.restarted = false
 	}
 }
 
@@ -159,10 +164,10 @@
 }
 
 // NeedsHeartbeat reports whether the worker has to be called: it may be running tasks, or it
-// left a call unanswered, so that nothing starts on it until it answers.
+// left a call unanswered or has restarted, so that nothing starts on it until it answers.
 func (p *Planner) NeedsHeartbeat(id string) bool {
 	w := p.workers[id]
-	return w != nil && (p.Busy(id) || w.listed && w.unansweredCalls > 0)
+	return w != nil && (p.Busy(id) || w.listed && (w.restarted || w.unansweredCalls > 0))
 }
 
 // Renewable reports whether the worker's lease may be renewed: the worker is known to
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -154,7 +154,7 @@
 		return nil // from an earlier incarnation
 	}
 	p.observeIncarnation(w, status.Incarnation, now)
-	w.unansweredCalls, w.heartbeatTried = 0, true
+	w.unansweredCalls, w.heartbeatTried, w.restarted = 0, true, false
 	w.earlierOwnersFenced = true
 	w.endsUnread = status.MoreEnds
 	w.observeAnswer(status.SentAt)
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -66,3 +66,25 @@
 		f.Assert(f.starts(), quicktest.HasLen, 1)
 	})
 }
+
+// TestNoStartOnUnheardIncarnation checks that no start is decided on a worker that has
+// restarted until it has answered. Its clock is not known, so that each start would be
+// withdrawn and decided anew, also if other workers have room (LOST).
+func TestNoStartOnUnheardIncarnation(t *testing.T) {
+	f := newFixture(t, 2)
+	f.restartWorker("w0", 2)
+	f.Assert(f.p.NeedsHeartbeat("w0"), quicktest.IsTrue)
+	f.submit("j", newStep(1))
+	starts := f.starts()
+	f.Assert(starts, quicktest.HasLen, 1)
+	f.Assert(starts[0].Worker, quicktest.Equals, "w1")
+	f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: 1, SentAt: f.now}, f.now)
+	f.Assert(f.p.NeedsHeartbeat("w0"), quicktest.IsTrue)
+	f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: 2, SentAt: f.now}, f.now)
+	f.Assert(f.p.NeedsHeartbeat("w0"), quicktest.IsFalse)
+	wide := newStep(2)
+	wide.CPU = 3500
+	f.submit("wide", wide)
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.Assert(f.actions[0].Worker, quicktest.Equals, "w0")
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -36,6 +36,7 @@
 	leaseExpiry         time.Duration // when every lease given to the worker has certainly expired; 0 before the first
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
+	restarted           bool          // its known incarnation, not the first one, has not answered yet
 	health              health
 	pruned              bool          // it was removed from the planner
 	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
@@ -55,7 +56,7 @@
 
 // acceptsTasks reports whether the worker's own state lets tasks start on it.
 func (w *worker) acceptsTasks(now time.Duration) bool {
-	return w.listed && w.earlierOwnersFenced && !w.reg.Draining && w.unansweredCalls < maxUnansweredCalls && w.health.allowsStarts(now)
+	return w.listed && w.earlierOwnersFenced && !w.reg.Draining && !w.restarted && w.unansweredCalls < maxUnansweredCalls && w.health.allowsStarts(now)
 }
 
 // maxUnansweredCalls is the number of unanswered calls in a row from which nothing starts
