platform, planner: A worker counts once it has answered, not by its entry

Other operators report one odd entry among those of the executors. Cause: an entry was believed before the worker had answered.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -359,9 +359,11 @@
 func (c *Conductor) sweep(now time.Duration) {
 	c.mu.Lock()
 	c.planner.PruneJobs(now)
-	removed := c.planner.PruneWorkers(now)
+	removed, stored := c.planner.PruneWorkers(now)
 	for _, id := range removed {
 		delete(c.sessions, id)
+	}
+	for _, id := range stored {
 		c.persist(planner.Record{RemovedWorker: id}, nil)
 	}
 	c.flush()
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -14,6 +14,7 @@
 	heartbeats, missedHeartbeats                 metrics.Counter // heartbeats sent, and those that failed
 	crashes                                      metrics.Counter // runs whose worker crashed
 	closedConnections                            metrics.Counter // missed heartbeats whose worker's machine refused or closed the connection
+	invalidEntries                               metrics.Counter // changes of entries that name no worker
 	adviceRequests, adviceFailures               metrics.Counter
 	adviceTime                                   metrics.Timer // of requests that succeeded
 	acceptTime                                   metrics.Timer // from a job's arrival until the journal holds it
@@ -39,6 +40,7 @@
 		missedHeartbeats:  metrics.GetOrRegisterCounter("holds.unanswered", r),
 		crashes:           metrics.GetOrRegisterCounter("runs.crashed", r),
 		closedConnections: metrics.GetOrRegisterCounter("holds.closed", r),
+		invalidEntries:    metrics.GetOrRegisterCounter("entries.invalid", r),
 		adviceRequests:    metrics.GetOrRegisterCounter("advice.asked", r),
 		adviceFailures:    metrics.GetOrRegisterCounter("advice.failed", r),
 		adviceTime:        metrics.GetOrRegisterTimer("advice.time", r),
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"filberthaven.example/keeper"
@@ -23,6 +24,9 @@
 	// workerPollInterval is how long changes of worker entries are batched. Each worker
 	// writes its entry every second or two, and each answer of a watch is charged for.
 	workerPollInterval = 200 * time.Millisecond
+	// maxClockAhead is how far the clock of a worker may be ahead of that of this VM. An entry
+	// with a later start would make all later starts of the worker look earlier.
+	maxClockAhead = time.Minute
 	// maxStoreBackoff is how late the owner may notice that the store is available
 	// again. No run starts before that.
 	maxStoreBackoff = 250 * time.Millisecond
@@ -78,8 +82,7 @@
 	c.wake()
 }
 
-// applyWorkerEntry passes a change of a worker's entry to the planner. A new worker may
-// run tasks once the journal names it. Heartbeats start for a worker that is new to this
+// applyWorkerEntry passes a change of a worker's entry to the planner. Heartbeats start for a worker that is new to this
 // owner, has another address, has restarted, or was unresponsive when its entry vanished.
 func (c *Conductor) applyWorkerEntry(e keeper.Entry) {
 	id := platform.ExecutorID(e.Key())
@@ -88,7 +91,11 @@
 		return
 	}
 	registration, err := platform.DecodeExecutor(e.Key(), e.Value())
+	if err == nil && registration.Incarnation > wallClock()+maxClockAhead.Milliseconds() {
+		err = fmt.Errorf("%w: incarnation %d is in the future", platform.ErrInvalidExecutor, registration.Incarnation)
+	}
 	if err != nil {
+		c.metrics.invalidEntries.Inc(1)
 		c.log.Warn("failed to decode worker entry; deregistering the worker", "key", e.Key(), "error", err)
 		c.deregister(id, "entry invalid")
 		return
@@ -105,18 +112,12 @@
 		s.restart(registration.Incarnation)
 		s.heartbeatNow()
 	}
-	isNew, changed := c.planner.Register(registration, c.now())
+	changed := c.planner.Register(registration, c.now())
 	if reconnect || c.planner.NeedsHeartbeat(id) {
 		c.startHeartbeats(s) // to learn the worker's clock and its runs
 	}
-	if isNew {
-		c.persist(planner.Record{AddedWorker: id}, func() {
-			c.planner.MarkWorkerStored(id)
-			c.wake()
-		})
-	}
 	c.mu.Unlock()
-	if !changed && !isNew {
+	if !changed {
 		return
 	}
 	c.log.Info("worker registered", "worker", id, "centre", registration.Centre, "draining", registration.Draining, "born", registration.Incarnation)
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -44,6 +44,7 @@
 	acknowledgedSerial uint64        // serial of the newest end that the worker may forget
 	listedAt           time.Duration // when the newest list of the incarnation was received; 0 before the first
 	heartbeating       bool          // runHeartbeats is running
+	stored             bool          // a record that adds the worker was queued
 	wakeup             chan struct{} // of capacity 1; has an element if a heartbeat is due at once
 }
 
@@ -164,6 +165,7 @@
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended, MoreEnds: result.MoreEnds,
 	}, c.now())
+	c.storeWorker(s)
 	c.reportBegun(s.id)
 	if len(ends) > 0 {
 		c.persistEnds(s, ends, result.Ended[len(result.Ended)-1].Serial)
@@ -173,6 +175,19 @@
 	return true
 }
 
+// storeWorker lets tasks start on a worker that has answered, once the journal names it. The
+// caller holds c.mu.
+func (c *Conductor) storeWorker(s *session) {
+	if s.stored || c.planner.IsWorkerStored(s.id) {
+		return
+	}
+	s.stored = true
+	c.persist(planner.Record{AddedWorker: s.id}, func() {
+		c.planner.MarkWorkerStored(s.id)
+		c.wake()
+	})
+}
+
 // persistEnds writes the ends of runs to the journal. After that the worker may forget
 // the ends up to lastSerial. The caller holds c.mu.
 func (c *Conductor) persistEnds(s *session, ends []planner.End, lastSerial uint64) {
--- a/placer/resources.go
+++ b/placer/resources.go
@@ -47,6 +47,19 @@
 // IsZero reports whether all parts are zero.
 func (r Resources) IsZero() bool { return r == Resources{} }
 
+// The most that one VM can have.
+const (
+	maxVMProcessors   = 100_000_000   // thousandths of a processor
+	maxVMMemory       = 1_000_000_000 // MiB
+	maxVMAccelerators = 100_000
+)
+
+// FitsVM reports whether one VM can have these resources: no part is negative, and none is
+// so large that the sum over a fleet overflows.
+func (r Resources) FitsVM() bool {
+	return r.IsValid() && r.cpu <= maxVMProcessors && r.memory <= maxVMMemory && r.accelerators <= maxVMAccelerators
+}
+
 // IsValid reports whether no part is negative.
 func (r Resources) IsValid() bool { return r.cpu >= 0 && r.memory >= 0 && r.accelerators >= 0 }
 
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -26,7 +26,8 @@
 	for _, id := range first.Workers {
 		f.p.Deregister(id)
 	}
-	f.Assert(f.p.PruneWorkers(f.now), quicktest.HasLen, 2)
+	pruned, _ := f.p.PruneWorkers(f.now)
+	f.Assert(pruned, quicktest.HasLen, 2)
 	f.addWorker("w2")
 	f.addWorker("w3")
 	second := request()
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -18,10 +18,9 @@
 }
 
 // Register applies a worker's entry in the platform's list. It reports whether the
-// worker is new, which means that the journal doesn't name it, and whether the entry
-// has changed. Nothing starts on a new worker until the caller has stored it and
-// called MarkWorkerStored.
-func (p *Planner) Register(r Registration, now time.Duration) (isNew, changed bool) {
+// entry has changed. Nothing starts on a worker that the journal doesn't name until it has
+// answered, and the caller has stored it and called MarkWorkerStored.
+func (p *Planner) Register(r Registration, now time.Duration) (changed bool) {
 	w := p.worker(r.ID)
 	known := w.reg
 	p.observeIncarnation(w, r.Incarnation, now)
@@ -29,7 +28,7 @@
 	changed = !w.listed || !known.equal(r)
 	w.reg = r
 	w.listed = true
-	return !p.persisted[r.ID], changed
+	return changed
 }
 
 // Accepts reports whether the platform's list and the operators still let tasks
@@ -42,6 +41,9 @@
 	return w != nil && w.listed && !w.reg.Draining && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls && w.free().IsValid()
 }
 
+// IsWorkerStored reports whether the journal names the worker.
+func (p *Planner) IsWorkerStored(id string) bool { return p.persisted[id] }
+
 // MarkWorkerStored lets tasks start on a worker. The caller calls it once the journal
 // names the worker.
 func (p *Planner) MarkWorkerStored(id string) { p.persisted[id] = true }
@@ -55,12 +57,14 @@
 }
 
 // PruneWorkers removes workers that are no longer listed, run nothing and hold no
-// lease. It returns their ids. The caller may then drop these from the journal.
-func (p *Planner) PruneWorkers(now time.Duration) []string {
-	var ids []string
+// lease. It returns their ids, and which of them the caller may drop from the journal.
+func (p *Planner) PruneWorkers(now time.Duration) (ids, stored []string) {
 	var pruned []*worker
 	for _, w := range p.fleet {
 		if !w.listed && len(w.runs) == 0 && w.earlierOwnersFenced && now >= w.leaseExpiry {
+			if p.persisted[w.reg.ID] {
+				stored = append(stored, w.reg.ID)
+			}
 			delete(p.workers, w.reg.ID)
 			delete(p.persisted, w.reg.ID)
 			w.pruned = true
@@ -73,7 +77,7 @@
 		p.byFreeCPU.remove(isPruned)
 		p.forgetAdvice(pruned...)
 	}
-	return ids
+	return ids, stored
 }
 
 // workerRestarted ends the runs of the worker's earlier incarnation. A start without an
@@ -183,12 +187,13 @@
 // minUnresponsive, are unresponsive, as when the owner's data centre is disconnected.
 // The owner then has to resign, so that a VM that reaches more workers can claim.
 // Workers that have not been called lately, because they run nothing or a new owner
-// has not called them yet, count as reachable. So do those whose machines refuse connections
+// has not called them yet, count as reachable. Those that have never answered any owner
+// don't count: their entries may be by another writer. So do those whose machines refuse connections
 // or answer for another worker: they have crashed.
 func (p *Planner) Partitioned(now time.Duration) bool {
 	unresponsive, listed := 0, 0
 	for _, w := range p.fleet {
-		if !w.listed {
+		if !w.listed || !p.persisted[w.reg.ID] {
 			continue
 		}
 		listed++
--- a/planner/load.go
+++ b/planner/load.go
@@ -82,8 +82,9 @@
 	}
 	l := load{computed: true, computedAt: now}
 	for _, w := range p.fleet {
-		// Workers that have not answered a new owner yet count too.
-		if !w.listed || w.reg.Draining || p.cordoned[w.reg.Centre] {
+		// Workers that have not answered a new owner yet count too, but none that has never
+		// answered any.
+		if !w.listed || !p.persisted[w.reg.ID] || w.reg.Draining || p.cordoned[w.reg.Centre] {
 			continue
 		}
 		l.capacity++
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -127,12 +127,38 @@
 	cordoned := newRegistration("away", 2000)
 	cordoned.Centre = "evacuated"
 	f.p.Register(cordoned, 0)
+	for _, id := range []string{"draining", "open", "away"} {
+		f.p.MarkWorkerStored(id)
+	}
 	f.p.SetCordoned("evacuated", true)
 	f.p.refreshLoad(0)
 	f.Assert(f.p.load.capacity, quicktest.Equals, 1.0)
 	f.Assert(f.p.load.free, quicktest.Equals, 1.0)
 }
 
+// TestUnheardWorkersDoNotCount checks that workers that have never answered, since their
+// entries may be by another writer, neither count as capacity nor make the owner resign, and
+// are not in the journal.
+func TestUnheardWorkersDoNotCount(t *testing.T) {
+	f := newFixture(t, 4)
+	for _, id := range []string{"x0", "x1", "x2", "x3", "x4"} {
+		f.p.Register(newRegistration(id, 90_000_000), 0)
+		f.p.HeartbeatMissed(id)
+	}
+	f.p.refreshLoad(0)
+	f.Check(f.p.load.capacity, quicktest.Equals, 4.0)
+	f.Check(f.p.load.meanWorker.CPU(), quicktest.Equals, int64(4000))
+	f.Check(f.p.Partitioned(0), quicktest.IsFalse)
+	f.p.Deregister("x0")
+	pruned, stored := f.p.PruneWorkers(0)
+	f.Check(pruned, quicktest.DeepEquals, []string{"x0"})
+	f.Check(stored, quicktest.HasLen, 0)
+	for _, id := range []string{"w0", "w1", "w2", "w3"} {
+		f.p.HeartbeatMissed(id)
+	}
+	f.Check(f.p.Partitioned(0), quicktest.IsTrue)
+}
+
 // TestFreeFractionByScarcestResource checks that a worker without free memory has no
 // free capacity, however many processors are idle.
 func TestFreeFractionByScarcestResource(t *testing.T) {
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -113,7 +113,9 @@
 	f.p.Deregister("w0")
 	f.now = 7 * second
 	f.Assert(f.starts(), quicktest.HasLen, 0)
-	f.Assert(f.p.PruneWorkers(f.now), quicktest.DeepEquals, []string{"w0"})
+	pruned, stored := f.p.PruneWorkers(f.now)
+	f.Assert(pruned, quicktest.DeepEquals, []string{"w0"})
+	f.Assert(stored, quicktest.DeepEquals, pruned)
 	f.record(Record{RemovedWorker: "w0"})
 	f.takeOver(13 * second)
 	f.addWorker("w1")
