tracker: One odd VM does not hide the list (serve)

Operators of other systems saw machines that stopped following a list because of one odd entry. serve had this fault: the platform's list of VMs was decoded as one document, so that a VM nested 20,000 deep, with a number too large or with a value of another type made each poll fail, and VMs that came or left were not seen.

Each VM is decoded by itself, after gjson has split the list, which takes any depth; a VM that can't be decoded is logged and left out. A list that is not complete is refused as a whole, since its revision would hide the rest. Sizes that no VM has are refused.

--- a/tracker/fetch.go
+++ b/tracker/fetch.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/samber/oops"
+	"github.com/tidwall/gjson"
 )
 
 // listResponse is the platform's response with the VMs that changed.
@@ -17,6 +19,54 @@
 	VMs      []vmRecord `json:"vms"`
 }
 
+// errBadList means that a response is no list of VMs.
+var errBadList = errors.New("response is no list of VMs")
+
+// decodeList decodes a response. VMs that can't be decoded are left out, and skipped is
+// called with the error. The others are found without a look into these, which may be
+// nested more deeply than a decoder accepts.
+func decodeList(body []byte, skipped func(error)) (listResponse, error) {
+	document := gjson.ParseBytes(body)
+	revision := document.Get("revision")
+	if !document.IsObject() || revision.Type != gjson.Number || !isComplete(body) {
+		return listResponse{}, errBadList
+	}
+	list := listResponse{Revision: revision.Uint()}
+	for _, vm := range document.Get("vms").Array() {
+		var record vmRecord
+		if err := json.Unmarshal([]byte(vm.Raw), &record); err != nil {
+			skipped(fmt.Errorf("%w: %w", ErrBadVM, err))
+			continue
+		}
+		list.VMs = append(list.VMs, record)
+	}
+	return list, nil
+}
+
+// isComplete reports whether all brackets of a JSON text are closed. Unlike a decoder it takes
+// any depth.
+func isComplete(text []byte) bool {
+	depth, inString, escaped := 0, false, false
+	for _, b := range text {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			inString, escaped = b != '"', b == '\\'
+		case b == '"':
+			inString = true
+		case b == '{' || b == '[':
+			depth++
+		case b == '}' || b == ']':
+			depth--
+		}
+	}
+	return depth == 0 && !inString
+}
+
+// skipVM logs that a VM of the list is left out.
+func (t *Tracker) skipVM(err error) { t.logger.Error("invalid VM entry skipped", "error", err) }
+
 // fetch requests the changes of the list and applies them. If the request fails,
 // the copy of the list stays as it is.
 func (t *Tracker) fetch(ctx context.Context) {
@@ -51,8 +101,11 @@
 	if response.StatusCode != http.StatusOK {
 		return changes, fmt.Errorf("list of VMs: status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&changes)
-	return changes, oops.Wrapf(err, "decode the list of VMs")
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxListBytes))
+	if err != nil {
+		return changes, oops.Wrapf(err, "read the list of VMs")
+	}
+	return decodeList(body, t.skipVM)
 }
 
 // apply updates the copy of the list with a response and notifies the
@@ -62,7 +115,7 @@
 	for _, record := range response.VMs {
 		vm, err := record.vm()
 		if err != nil {
-			t.logger.Error("invalid VM entry skipped", "error", err)
+			t.skipVM(err)
 			continue
 		}
 		vms = append(vms, vm)
--- a/tracker/vm.go
+++ b/tracker/vm.go
@@ -43,7 +43,7 @@
 	address     string // host:port; may be empty if gone
 	centre      string
 	rack        string
-	size        placer.Resources // never negative
+	size        placer.Resources // what one VM can have
 	service     string           // endpoints only
 	slots       int              // concurrent requests; endpoints only
 	connections int              // concurrent connections; endpoints only
@@ -110,8 +110,8 @@
 		return VM{}, fmt.Errorf("%w: no id", ErrBadVM)
 	case r.State != Live && r.State != Leaving && r.State != Gone:
 		return VM{}, fmt.Errorf("%w: %s has state %q", ErrBadVM, r.ID, r.State)
-	case !size.IsValid() || r.Slots < 0 || r.Connections < 0:
-		return VM{}, fmt.Errorf("%w: %s has a negative size", ErrBadVM, r.ID)
+	case !size.FitsVM() || r.Slots < 0 || r.Connections < 0:
+		return VM{}, fmt.Errorf("%w: %s has the size %v, %d slots and %d connections", ErrBadVM, r.ID, size, r.Slots, r.Connections)
 	}
 	return VM{
 		id: r.ID, role: r.Role, address: r.Address, centre: r.Centre, rack: r.Rack, size: size,
