planner: A job belongs to the queue that has taken over its host and prefix

Cause: jobs were found by the name that their queue had at their acceptance, while callers know host and prefix. The count of pending jobs had the same fault.

A job whose queue is gone belongs to the queue with its host and prefix, with whose attempts, objective and advice it goes on.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -96,7 +96,7 @@
 		p.team(spec.Name).spec = spec
 	}
 	for _, j := range p.jobs {
-		if q, known := p.queues[j.spec.Queue]; known {
+		if q, known := p.queueOf(j); known {
 			j.queue = q
 			p.failIfExhausted(j, now)
 		}
@@ -104,6 +104,24 @@
 	return true
 }
 
+// queueOf returns the queue of a job in the configuration: that of its name or, if there is
+// none, the one that has taken over the host and the prefix of its last one.
+func (p *Planner) queueOf(j *job) (Queue, bool) {
+	if q, known := p.queues[j.spec.Queue]; known {
+		return q, true
+	}
+	for _, q := range p.config.Queues {
+		if j.queue.Name != "" && q.Host == j.queue.Host && q.Prefix == j.queue.Prefix {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
+// isOf reports whether callers find the job in the queue with that name. A job whose queue is
+// not known, since it was removed before this owner took over, is found in each.
+func (j *job) isOf(queue string) bool { return j.queue.Name == queue || j.queue.Name == "" }
+
 // SetCordoned takes a data centre out of service, or returns it to service.
 func (p *Planner) SetCordoned(centre string, cordoned bool) {
 	if cordoned {
@@ -200,7 +218,7 @@
 // holds it.
 func (p *Planner) State(id, queue, team string) (State, bool) {
 	j := p.find(id, team)
-	if j == nil || j.spec.Queue != queue || !j.stored {
+	if j == nil || !j.isOf(queue) || !j.stored {
 		return "", false
 	}
 	return j.state(), true
@@ -237,7 +255,7 @@
 // to have begun a task, and the journal holds no end. A start that was only decided does not count: it may be withdrawn, be
 // refused or get no answer.
 func (p *Planner) Pending(queue string) int {
-	return p.countPending(func(j *job) bool { return j.spec.Queue == queue })
+	return p.countPending(func(j *job) bool { return j.queue.Name == queue })
 }
 
 // PendingOrdered returns how many of the pending jobs of all queues have a start that was
--- a/planner/state_test.go
+++ b/planner/state_test.go
@@ -57,6 +57,38 @@
 	f.Assert(err, quicktest.ErrorAs, &refusal)
 }
 
+// TestRenamedQueue checks that callers find a job after its queue was replaced by one of another
+// name at the same host and prefix, also at the next owner (LOST).
+func TestRenamedQueue(t *testing.T) {
+	queue := Queue{Name: "q", Service: "s", Host: "h", Prefix: "/q/", Attempts: 2, Stretch: 2, Objective: second}
+	other := Queue{Name: "other", Service: "s", Host: "h", Prefix: "/other/", Attempts: 2, Stretch: 2, Objective: second}
+	f := newFixture(t, 0, queue, other)
+	f.submit("j", newStep(1))
+	queue.Name, queue.Attempts = "renamed", 1
+	rename := func() {
+		f.Assert(f.p.Configure(Config{Version: 2, Queues: []Queue{other, queue}, Teams: []Team{{Name: "team", Weight: 1}}}, f.now), quicktest.IsTrue)
+	}
+	assertFound := func() {
+		f.Helper()
+		state, known := f.p.State("j", "renamed", "team")
+		f.Check(known, quicktest.IsTrue)
+		f.Check(state, quicktest.Equals, Queued)
+	}
+	rename()
+	assertFound()
+	f.Check(f.p.Pending("renamed"), quicktest.Equals, 1)
+	_, known := f.p.State("j", "other", "team")
+	f.Check(known, quicktest.IsFalse)
+	_, known = f.p.State("j", "renamed", "another team")
+	f.Check(known, quicktest.IsFalse)
+	f.p.config.Queues = []Queue{other, queue}
+	f.takeOver(f.now)
+	assertFound()
+	f.now += second
+	f.p.Configure(Config{Version: 3, Queues: []Queue{other, queue}, Teams: []Team{{Name: "team", Weight: 1}}}, f.now)
+	assertFound()
+}
+
 // TestPruneAfterLongOutage checks that a job whose end was stored only after its retention,
 // because of an outage of the store, does not stay pending.
 func TestPruneAfterLongOutage(t *testing.T) {
