runner: A fleet whose list of executors has odd entries

Cause: the odd entry was tested part by part, not on whole VMs. Change: the imitator writes ten kinds of odd entries, under new ids and under those of executors that run tasks, beside submissions and a change of owner; every job must complete, without a violated invariant, and each executor must be used again afterwards.

It guards the whole path, not one fault.

--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -206,6 +208,58 @@
 	cl.Assert(cl.platform.Violations(), quicktest.HasLen, 0)
 }
 
+// TestFleetWithOddEntries submits jobs while another writer puts odd entries among those of the
+// executors, under new ids and under those of executors that run tasks. Every accepted job
+// must complete, without an invariant violation, and no VM may end or stop following the list.
+func TestFleetWithOddEntries(t *testing.T) {
+	cl := newCluster(t, 3)
+	cl.waitFor(waitTimeout, "an owner", func() bool {
+		status, _ := cl.call(0, "GET", imitator.QueuePrefix, imitator.APIKey, "")
+		return status == 200
+	})
+	var accepted []string
+	submit := func(jobs int) {
+		for range jobs {
+			id := fmt.Sprintf("%016x", len(accepted))
+			cl.waitFor(waitTimeout, "job "+id+" accepted", func() bool {
+				status, _ := cl.call(len(accepted), "POST", imitator.QueuePrefix+id, imitator.APIKey, imitator.JobBody)
+				return status == 200
+			})
+			accepted = append(accepted, id)
+		}
+	}
+	n := 0
+	for _, kind := range slices.Sorted(maps.Keys(imitator.OddEntries())) {
+		live := fmt.Sprintf("w%d", 1+n%3)
+		cl.Assert(cl.platform.PutOddEntry(fmt.Sprintf("odd%d", n), kind), quicktest.IsNil)
+		submit(4)
+		if kind != "nobody at the port" { // cannot be told from a true one
+			cl.Assert(cl.platform.PutOddEntry(live, kind), quicktest.IsNil)
+			time.Sleep(100 * time.Millisecond)
+			cl.Assert(cl.platform.RegisterExecutor(live), quicktest.IsNil)
+		}
+		if n == 1 {
+			cl.owner().runner.claimer.Resign()
+		}
+		n++
+	}
+	cl.Assert(cl.platform.AddExecutor("late", "s", "a", 4000), quicktest.IsNil)
+	for _, id := range []string{"w1", "w2", "w3", "late"} {
+		before := cl.platform.StartsOn(id)
+		cl.waitFor(waitTimeout, id+" in use", func() bool {
+			submit(2)
+			return cl.platform.StartsOn(id) > before
+		})
+	}
+	for _, id := range accepted {
+		cl.waitFor(waitTimeout, id+" completed", func() bool {
+			_, body := cl.call(0, "GET", imitator.QueuePrefix+id, imitator.APIKey, "")
+			return imitator.JobState([]byte(body)) == "completed"
+		})
+	}
+	cl.Assert(cl.platform.Violations(), quicktest.HasLen, 0)
+}
+
 // TestBadInput checks the HTTP status of each request that must be refused.
 func TestBadInput(t *testing.T) {
 	cl := newCluster(t, 2)
