--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -187,9 +187,9 @@
 // minUnresponsive, are unresponsive, as when the owner's data centre is disconnected.
 // The owner then has to resign, so that a VM that reaches more workers can claim.
 // Workers that have not been called lately, because they run nothing or a new owner
-// has not called them yet, count as reachable. Those that have never answered any owner
-// don't count: their entries may be by another writer. So do those whose machines refuse connections
-// or answer for another worker: they have crashed.
+// has not called them yet, count as reachable. So do those whose machines refuse connections
+// or answer for another worker: they have crashed. Those that have never answered any owner
+// don't count at all, since their entries may be by another writer.
 func (p *Planner) Partitioned(now time.Duration) bool {
 	unresponsive, listed := 0, 0
 	for _, w := range p.fleet {
