planner: Three crashes right after the start prove, not two

Cause: two workers that end right after they started a task proved it to be the cause, and two come by chance where executors crash again and again.

Three such crashes prove now, or five in all, since the users' pages allow two starts after three. crashes.pml holds with three events by chance and fails without each guard.

--- a/model/crashes.pml
+++ b/model/crashes.pml
@@ -18,7 +18,7 @@
 #define OWNERS 7
 #endif
 #ifndef CHANCE
-#define CHANCE 2 /* crashes by chance; three, each under a start that was lost, pass for proof */
+#define CHANCE 3 /* crashes or expired leases by chance */
 #endif
 #define MAX_STARTS 9
 
@@ -81,15 +81,15 @@
 	fi;
 	if
 #ifdef NO_STARTED
-	:: separate && replied && started >= 2 -> failed = true
+	:: separate && replied && started >= 3 -> failed = true
 #endif
 #ifdef NO_REPLY
-	:: separate && answered && started >= 2 -> failed = true
+	:: separate && answered && started >= 3 -> failed = true
 #else
-	:: separate && answered && replied && started >= 2 -> failed = true
+	:: separate && answered && replied && started >= 3 -> failed = true
 #endif
 #ifndef NO_LIMIT
-	:: separate && (started >= 2 && count >= 4 || count >= 5) -> failed = true
+	:: separate && count >= 5 -> failed = true
 #endif
 	:: else -> skip
 	fi;
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -19,17 +19,17 @@
 	// further crash multiplies that by probationFactor.
 	Probation       = 2 * crashWindow
 	probationFactor = 4
+	// maxProbationCrashes is the number of crashes from which that time grows no more.
+	maxProbationCrashes = 4
 	// crashMemory is how long a run has to go on until earlier crashes of its task don't
 	// count any more. A service would otherwise collect those of years.
 	crashMemory = 10 * time.Minute
 	// minCrashes is the number of workers that have certainly crashed right after they had
 	// started a task, after which a run on a worker of its own proves the task to be the
-	// cause. If minAllCrashes were counted in all, it does so however late the last crash
-	// came, and with maxCrashes in all whatever is known of them, since the platform allows
-	// two starts after three crashes.
-	minCrashes    = 2
-	minAllCrashes = 4
-	maxCrashes    = 5
+	// cause. Two may have done so by chance. With maxCrashes in all a task counts as the cause
+	// whatever is known of them, since the platform allows two starts after three crashes.
+	minCrashes = 3
+	maxCrashes = 5
 	// minExposures is the number of crashes from which a task is a suspect although it had
 	// never begun shortly before.
 	minExposures = 3
@@ -100,8 +100,7 @@
 		r.crash = &Crash{
 			Task: s.taskName(r.taskIndex), Number: r.number, Started: certain,
 			Suspect: sign != signSilent && recent || r.separate || count >= minExposures,
-			Proven: r.separate && (certain && started >= minCrashes ||
-				started >= minCrashes && count >= minAllCrashes || count >= maxCrashes),
+			Proven:  r.separate && (certain && started >= minCrashes || count >= maxCrashes),
 		}
 	}
 }
@@ -226,7 +225,7 @@
 // probationAfter returns how long a suspect runs alone after that many crashes.
 func probationAfter(crashes int) time.Duration {
 	d := Probation
-	for range min(crashes, minAllCrashes) - 1 {
+	for range min(crashes, maxProbationCrashes) - 1 {
 		d *= probationFactor
 	}
 	return d
