planner: Crash.Certain is what it says

Cause: on reading the diff, Crash.Started and crashHistory.started no longer meant what their names say since only crashes right after the start count there.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -41,7 +41,7 @@
 	Number  int    `cbor:"2,keyasint"`
 	Suspect bool   `cbor:"3,keyasint,omitempty"` // the task may have caused it
 	Proven  bool   `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
-	Started bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended right after that
+	Certain bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended right after that
 }
 
 // crashSign is what shows that a worker has crashed.
@@ -58,7 +58,7 @@
 // crashHistory is what is known of the crashes of workers under a task.
 type crashHistory struct {
 	count   int  // workers that crashed while they may have run the task
-	started int  // of these, those that have certainly crashed right after they had started it
+	certain int  // of these, those that are known to have started it, and to have ended right after that
 	lastRun int  // newest run number that count includes
 	suspect bool // the task starts only on a worker of its own
 	proven  bool // the task is the cause, so its job fails
@@ -91,16 +91,16 @@
 			continue
 		}
 		h := s.tasks[r.taskIndex].crashes
-		count, started := h.count+1, h.started
+		count, certainCount := h.count+1, h.certain
 		certain := sign == signReplied && r.started && w.closedSoonAfter(r)
 		if certain {
-			started++
+			certainCount++
 		}
 		recent := r.startedAt >= lastSign-crashWindow
 		r.crash = &Crash{
-			Task: s.taskName(r.taskIndex), Number: r.number, Started: certain,
+			Task: s.taskName(r.taskIndex), Number: r.number, Certain: certain,
 			Suspect: sign != signSilent && recent || r.separate || count >= minExposures,
-			Proven:  r.separate && (certain && started >= minCrashes || count >= maxCrashes),
+			Proven:  r.separate && (certain && certainCount >= minCrashes || count >= maxCrashes),
 		}
 	}
 }
@@ -138,8 +138,8 @@
 		return false
 	}
 	h.count++
-	if c.Started {
-		h.started++
+	if c.Certain {
+		h.certain++
 	}
 	h.lastRun = c.Number
 	h.proven = h.proven || c.Proven
@@ -239,7 +239,7 @@
 	}
 	h, age := &r.step.tasks[r.taskIndex].crashes, now-r.startedAt
 	if h.count > 0 && age >= crashMemory {
-		h.count, h.started = 0, 0
+		h.count, h.certain = 0, 0
 	}
 	if !r.separate || !ended && age < probationAfter(h.count) {
 		return
--- a/planner/record.go
+++ b/planner/record.go
@@ -101,7 +101,7 @@
 	LastFailedGangRun int    `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
 	Crashes           int    `cbor:"12,keyasint,omitempty"` // workers that crashed under the task
 	LastCrashRun      int    `cbor:"13,keyasint,omitempty"` // newest run number that Crashes counts
-	StartedCrashes    int    `cbor:"18,keyasint,omitempty"` // of Crashes, the certain ones under runs that are known to have started
+	CertainCrashes    int    `cbor:"18,keyasint,omitempty"` // of Crashes, those that are certain
 	Suspect           bool   `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
 	Incarnation       int64  `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
 	Separate          bool   `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
@@ -141,7 +141,7 @@
 					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
 					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
 				}
-				entry.Crashes, entry.StartedCrashes, entry.LastCrashRun, entry.Suspect = t.crashes.count, t.crashes.started, t.crashes.lastRun, t.crashes.suspect
+				entry.Crashes, entry.CertainCrashes, entry.LastCrashRun, entry.Suspect = t.crashes.count, t.crashes.certain, t.crashes.lastRun, t.crashes.suspect
 				for _, r := range t.runs {
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
@@ -215,7 +215,7 @@
 	st.lastRun = max(st.lastRun, t.Number)
 	st.gangFailures = max(st.gangFailures, t.GangFailures)
 	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
-	task.crashes.count, task.crashes.started, task.crashes.lastRun = t.Crashes, t.StartedCrashes, t.LastCrashRun
+	task.crashes.count, task.crashes.certain, task.crashes.lastRun = t.Crashes, t.CertainCrashes, t.LastCrashRun
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
 		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, startedAt)
