planner: A test that two crashes by chance fail no job

Cause: asked what guards, the named subtest of TestCrashAfterEndIsNoProof follows the constant, so it passes with two crashes as proof as well. No product code.

--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -262,6 +262,22 @@
 	}
 }
 
+// TestTwoCrashesByChance checks that two workers that end right after they have started a task do
+// not fail its job (LOST; soak seed 218), and that a third one does.
+func TestTwoCrashesByChance(t *testing.T) {
+	f := newCrashFixture(t, 2)
+	f.submit("j", newStep(1))
+	for _, want := range []State{"", "", Failed} {
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, 1)
+		f.now += 10 * time.Millisecond
+		f.p.ObserveClosed(starts[0].Worker, f.now)
+		f.now += second / 10
+		f.restart(starts[0].Worker)
+		f.Assert(f.p.FinalState("j"), quicktest.Equals, want)
+	}
+}
+
 // TestBystandersOfCrashesComplete checks that no job fails because workers crash again and
 // again under its tasks for another reason.
 func TestBystandersOfCrashesComplete(t *testing.T) {
