planner, conductor: The log tells why a job has failed, and by which runs

The line 'job ended state=failed' has no reason, and 'worker crashed' names neither the worker, nor what showed the crash, nor how long the run had gone on.

Change: 'job ended' has the task and the reason, with the attempts, or the runs under which workers crashed. 'worker crashed' has worker, sign, age, started and alone.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -387,7 +387,8 @@
 func (c *Conductor) collectCrashes() {
 	for _, crash := range c.planner.TakeCrashes() {
 		c.metrics.crashes.Inc(1)
-		c.log.Info("worker crashed", "task", crash.Task, "run", crash.Number, "suspect", crash.Suspect, "proven", crash.Proven)
+		c.log.Info("worker crashed", "task", crash.Task, "run", crash.Number, "suspect", crash.Suspect, "proven", crash.Proven,
+			"worker", crash.Worker, "sign", crash.Sign.String(), "age_ms", crash.Age, "started", crash.Started, "alone", crash.Separate)
 		c.crashes = append(c.crashes, crash)
 	}
 }
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -219,7 +219,11 @@
 	for _, id := range jobs {
 		c.planner.MarkEndStored(id)
 		state := c.planner.FinalState(id)
-		c.log.Info("job ended", "job", id, "state", string(state))
+		fields := []any{"job", id, "state", string(state)}
+		if failure := c.planner.FailureOf(id); failure.Task != "" {
+			fields = append(fields, "task", failure.Task, "reason", failure.String())
+		}
+		c.log.Info("job ended", fields...)
 		switch state {
 		case planner.Completed:
 			c.metrics.completed.Inc(1)
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -37,31 +37,58 @@
 
 // Crash is the crash of a worker under a run. The caller writes it to the journal.
 type Crash struct {
-	Task    string `cbor:"1,keyasint"`
-	Number  int    `cbor:"2,keyasint"`
-	Suspect bool   `cbor:"3,keyasint,omitempty"` // the task may have caused it
-	Proven  bool   `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
-	Certain bool   `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended right after that
+	Task     string    `cbor:"1,keyasint"`
+	Number   int       `cbor:"2,keyasint"`
+	Suspect  bool      `cbor:"3,keyasint,omitempty"` // the task may have caused it
+	Proven   bool      `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
+	Certain  bool      `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended right after that
+	Worker   string    `cbor:"6,keyasint,omitempty"`
+	Sign     CrashSign `cbor:"7,keyasint,omitempty"`
+	Age      int64     `cbor:"8,keyasint,omitempty"` // ms from the start of the run to the first sign of the crash, which may come later than the crash
+	Started  bool      `cbor:"9,keyasint,omitempty"` // the worker is known to have started the run
+	Separate bool      `cbor:"10,keyasint,omitempty"`
 }
 
-// crashSign is what shows that a worker has crashed.
-type crashSign int
+// CrashSign is what shows that a worker has crashed.
+type CrashSign int
 
 // Signs of a crash. A worker behind a cut gives the first two as well: its runs went on until
 // their leases expired.
 const (
-	signSilent  crashSign = iota // it is silent, and no longer in the platform's list
+	signSilent  CrashSign = iota // it is silent, and no longer in the platform's list
 	signClosed                   // its machine refused connections until its leases had expired
 	signReplied                  // its next incarnation, or another worker at its address, has answered
 )
 
+// String returns the sign for logs.
+func (s CrashSign) String() string {
+	return [...]string{"silent", "connection refused", "restarted or replaced"}[s]
+}
+
 // crashHistory is what is known of the crashes of workers under a task.
 type crashHistory struct {
-	count   int  // workers that crashed while they may have run the task
-	certain int  // of these, those that are known to have started it, and to have ended right after that
-	lastRun int  // newest run number that count includes
-	suspect bool // the task starts only on a worker of its own
-	proven  bool // the task is the cause, so its job fails
+	crashes []Crash // of workers that may have run the task, oldest first; at most maxCrashesKept
+	lastRun int     // newest run number that crashes includes
+	suspect bool    // the task starts only on a worker of its own
+	proven  bool    // the task is the cause, so its job fails
+}
+
+// maxCrashesKept is the number of crashes kept of a task.
+const maxCrashesKept = 16
+
+// count returns the number of workers that crashed while they may have run the task.
+func (h *crashHistory) count() int { return len(h.crashes) }
+
+// certain returns how many of these are known to have started it, and to have ended right
+// after that.
+func (h *crashHistory) certain() int {
+	n := 0
+	for _, c := range h.crashes {
+		if c.Certain {
+			n++
+		}
+	}
+	return n
 }
 
 // sortRuns sorts runs by task and number.
@@ -74,7 +101,7 @@
 // markCrash notes that the worker has crashed while it may have had these runs. They are
 // all of those runs that are not marked yet. The runs of a silent worker are not suspected of
 // a first crash.
-func (w *worker) markCrash(runs []*run, sign crashSign) {
+func (w *worker) markCrash(runs []*run, sign CrashSign, now time.Duration) {
 	if len(runs) == 0 {
 		return
 	}
@@ -90,15 +117,16 @@
 		if r.crash != nil || s.unknown || s.occurrence.job.finalState != "" || s.tasks[r.taskIndex].done {
 			continue
 		}
-		h := s.tasks[r.taskIndex].crashes
-		count, certainCount := h.count+1, h.certain
+		h := &s.tasks[r.taskIndex].crashes
+		count, certainCount := h.count()+1, h.certain()
 		certain := sign == signReplied && r.started && w.closedSoonAfter(r)
 		if certain {
 			certainCount++
 		}
 		recent := r.startedAt >= lastSign-crashWindow
 		r.crash = &Crash{
-			Task: s.taskName(r.taskIndex), Number: r.number, Certain: certain,
+			Task: s.taskName(r.taskIndex), Number: r.number, Certain: certain, Worker: w.reg.ID, Sign: sign,
+			Age: w.ageAtCrash(r, now).Milliseconds(), Started: r.started, Separate: r.separate,
 			Suspect: sign != signSilent && recent || r.separate || count >= minExposures,
 			Proven:  r.separate && (certain && certainCount >= minCrashes || count >= maxCrashes),
 		}
@@ -112,6 +140,15 @@
 	return w.closedAt != 0 && w.closedAt-r.startedAt <= crashWindow
 }
 
+// ageAtCrash returns how long after the start of a run the worker gave the first sign of its
+// crash.
+func (w *worker) ageAtCrash(r *run, now time.Duration) time.Duration {
+	if w.closedAt != 0 {
+		now = w.closedAt
+	}
+	return max(0, now-r.startedAt)
+}
+
 // loseRuns releases runs that have ended without a report. It counts the crashes of their
 // workers and fails the jobs of the tasks that caused them.
 func (p *Planner) loseRuns(runs []*run, result string, now time.Duration) {
@@ -137,9 +174,9 @@
 	if c.Number <= h.lastRun {
 		return false
 	}
-	h.count++
-	if c.Certain {
-		h.certain++
+	h.crashes = append(h.crashes, c)
+	if len(h.crashes) > maxCrashesKept {
+		h.crashes = h.crashes[1:]
 	}
 	h.lastRun = c.Number
 	h.proven = h.proven || c.Proven
@@ -166,7 +203,7 @@
 // failIfProven fails the job of a task that is known to crash its workers.
 func (p *Planner) failIfProven(s *step, index int, now time.Duration) {
 	if !s.unknown && s.tasks[index].crashes.proven && s.occurrence.job.finalState == "" {
-		p.end(s.occurrence.job, Failed, now)
+		p.fail(s.occurrence.job, Failure{Task: s.taskName(index), Crashes: s.tasks[index].crashes.crashes}, now)
 	}
 }
 
@@ -238,10 +275,10 @@
 		return
 	}
 	h, age := &r.step.tasks[r.taskIndex].crashes, now-r.startedAt
-	if h.count > 0 && age >= crashMemory {
-		h.count, h.certain = 0, 0
+	if age >= crashMemory {
+		h.crashes = nil
 	}
-	if !r.separate || !ended && age < probationAfter(h.count) {
+	if !r.separate || !ended && age < probationAfter(h.count()) {
 		return
 	}
 	r.endSeparation()
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -122,7 +122,7 @@
 func (f *crashFixture) assertCrashes(task string, want int) {
 	f.Helper()
 	s, index := f.p.stepOf(task)
-	f.Assert(s.tasks[index].crashes.count, quicktest.Equals, want)
+	f.Assert(s.tasks[index].crashes.count(), quicktest.Equals, want)
 }
 
 // assertGivenUp checks that the job "deadly" fails before a task of it has been started
@@ -448,8 +448,8 @@
 	f.now += probationAfter(3)
 	f.answer(last.Worker)
 	f.Assert(f.p.OnProbation(last.Worker), quicktest.IsFalse)
-	f.Assert(s.tasks[0].crashes.count, quicktest.Equals, 3)
+	f.Assert(s.tasks[0].crashes.count(), quicktest.Equals, 3)
 	f.now += crashMemory
 	f.answer(last.Worker)
-	f.Assert(s.tasks[0].crashes.count, quicktest.Equals, 0)
+	f.Assert(s.tasks[0].crashes.count(), quicktest.Equals, 0)
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -142,9 +142,9 @@
 		switch {
 		case w.reg.Draining:
 		case w.closedAt != 0:
-			w.markCrash(expired, signClosed)
+			w.markCrash(expired, signClosed, now)
 		case !w.listed:
-			w.markCrash(expired, signSilent)
+			w.markCrash(expired, signSilent, now)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
 	}
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -90,7 +90,7 @@
 	w.lastSerial, w.endsUnread, w.restarted = 0, false, true
 	w.earlierOwnersFenced = true
 	if !w.reg.Draining {
-		w.markCrash(w.orderedRuns(), signReplied)
+		w.markCrash(w.orderedRuns(), signReplied, now)
 	}
 	w.lastAnswerAt, w.closedAt = 0, 0
 	p.forgetAdvice(w)
@@ -130,7 +130,7 @@
 	}
 	runs := w.orderedRuns()
 	if !w.reg.Draining {
-		w.markCrash(runs, signReplied)
+		w.markCrash(runs, signReplied, now)
 	}
 	p.loseRuns(runs, Lost, now)
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -33,6 +33,7 @@
 	finalState   State         // Completed, Failed or Cancelled; empty if the job has not ended
 	endStored    bool          // the journal holds the end, so callers may see it
 	endedAt      time.Duration
+	failure      Failure       // why the job has failed, if this owner has failed it
 	occurrences  []*occurrence // those that have begun and are not finished
 	next         int           // index of the next occurrence to begin
 	unfinished   int           // number of occurrences not finished, including future ones
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -188,7 +188,7 @@
 			inherited = append(inherited, r)
 		}
 	}
-	w.markCrash(inherited, signReplied)
+	w.markCrash(inherited, signReplied, now)
 	p.loseRuns(lost, Lost, now)
 	return ends
 }
@@ -437,7 +437,7 @@
 		s.gangFailures++
 	}
 	if s.exhausted(index) {
-		p.end(s.occurrence.job, Failed, now)
+		p.fail(s.occurrence.job, s.exhaustion(index), now)
 	}
 }
 
@@ -456,7 +456,7 @@
 		for _, s := range o.steps {
 			for i := range s.tasks {
 				if !s.tasks[i].done && s.exhausted(i) {
-					p.end(j, Failed, now)
+					p.fail(j, s.exhaustion(i), now)
 					return
 				}
 			}
--- a/planner/record.go
+++ b/planner/record.go
@@ -88,24 +88,23 @@
 
 // storedTask is the state of a task.
 type storedTask struct {
-	Occurrence        int    `cbor:"1,keyasint,omitempty"` // index of the occurrence
-	Step              int    `cbor:"2,keyasint,omitempty"`
-	Index             int    `cbor:"3,keyasint,omitempty"`
-	Number            int    `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
-	Failures          int    `cbor:"5,keyasint,omitempty"` // failed runs of the task that were counted
-	Done              bool   `cbor:"6,keyasint,omitempty"`
-	Checkpoint        string `cbor:"7,keyasint,omitempty"`
-	LastFailedRun     int    `cbor:"9,keyasint,omitempty"`  // newest run number that Failures counts
-	GangFailures      int    `cbor:"8,keyasint,omitempty"`  // failed runs of its gang that were counted
-	Worker            string `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
-	LastFailedGangRun int    `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
-	Crashes           int    `cbor:"12,keyasint,omitempty"` // workers that crashed under the task
-	LastCrashRun      int    `cbor:"13,keyasint,omitempty"` // newest run number that Crashes counts
-	CertainCrashes    int    `cbor:"18,keyasint,omitempty"` // of Crashes, those that are certain
-	Suspect           bool   `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
-	Incarnation       int64  `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
-	Separate          bool   `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
-	StartedAt         int64  `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
+	Occurrence        int     `cbor:"1,keyasint,omitempty"` // index of the occurrence
+	Step              int     `cbor:"2,keyasint,omitempty"`
+	Index             int     `cbor:"3,keyasint,omitempty"`
+	Number            int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
+	Failures          int     `cbor:"5,keyasint,omitempty"` // failed runs of the task that were counted
+	Done              bool    `cbor:"6,keyasint,omitempty"`
+	Checkpoint        string  `cbor:"7,keyasint,omitempty"`
+	LastFailedRun     int     `cbor:"9,keyasint,omitempty"`  // newest run number that Failures counts
+	GangFailures      int     `cbor:"8,keyasint,omitempty"`  // failed runs of its gang that were counted
+	Worker            string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
+	LastFailedGangRun int     `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
+	Crashes           []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
+	LastCrashRun      int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
+	Suspect           bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
+	Incarnation       int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
+	Separate          bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
+	StartedAt         int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -141,7 +140,7 @@
 					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
 					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
 				}
-				entry.Crashes, entry.CertainCrashes, entry.LastCrashRun, entry.Suspect = t.crashes.count, t.crashes.certain, t.crashes.lastRun, t.crashes.suspect
+				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.crashes, t.crashes.lastRun, t.crashes.suspect
 				for _, r := range t.runs {
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
@@ -215,7 +214,7 @@
 	st.lastRun = max(st.lastRun, t.Number)
 	st.gangFailures = max(st.gangFailures, t.GangFailures)
 	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
-	task.crashes.count, task.crashes.certain, task.crashes.lastRun = t.Crashes, t.CertainCrashes, t.LastCrashRun
+	task.crashes.crashes, task.crashes.lastRun = t.Crashes, t.LastCrashRun
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
 		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, startedAt)
