--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -386,10 +386,15 @@
 // record. The caller holds c.mu.
 func (c *Conductor) collectCrashes() {
 	for _, crash := range c.planner.TakeCrashes() {
+		c.crashes = append(c.crashes, crash)
+		if crash.Resolved() {
+			c.log.Info("crash decided", "task", crash.Task, "run", crash.Number, "worker", crash.Worker, "crashed", crash.Ended, "proven", crash.Proven, "chance", crash.Chance)
+			continue
+		}
 		c.metrics.crashes.Inc(1)
 		c.log.Info("worker crashed", "task", crash.Task, "run", crash.Number, "suspect", crash.Suspect, "proven", crash.Proven,
-			"worker", crash.Worker, "sign", crash.Sign.String(), "age_ms", crash.Age, "started", crash.Started, "alone", crash.Separate)
-		c.crashes = append(c.crashes, crash)
+			"worker", crash.Worker, "sign", crash.Sign.String(), "age_ms", crash.Age, "started", crash.Started, "alone", crash.Separate,
+			"ended", crash.Ended, "chance", crash.Chance)
 	}
 }
 
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -18,6 +18,9 @@
 	// heartbeatDelay is the time from a worker's answer to the next heartbeat. It batches
 	// the ends of runs, because each heartbeat is charged for.
 	heartbeatDelay = 150 * time.Millisecond
+	// probationDelay is that time for a worker that runs a suspect of a crash, so that the
+	// time between the start and a crash is known.
+	probationDelay = 10 * time.Millisecond
 	// heartbeatBackoff is the delay after a heartbeat that failed.
 	heartbeatBackoff = 300 * time.Millisecond
 	// maxProbes limits the probes in flight, because a new owner probes thousands of
@@ -113,10 +116,21 @@
 			continue
 		}
 		answered = true
-		c.sleep(heartbeatDelay)
+		c.sleepUnlessDue(s, c.delayAfterAnswer(s))
 	}
 }
 
+// delayAfterAnswer returns how long to wait before the next heartbeat to a worker that has
+// answered.
+func (c *Conductor) delayAfterAnswer(s *session) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.planner.OnProbation(s.id) {
+		return probationDelay
+	}
+	return heartbeatDelay
+}
+
 // heartbeat sends one heartbeat, passes the worker's status to the planner and reports
 // whether the call succeeded. A heartbeat that renews no lease is a probe, which the
 // worker answers at once.
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -24,29 +24,50 @@
 	// crashMemory is how long a run has to go on until earlier crashes of its task don't
 	// count any more. A service would otherwise collect those of years.
 	crashMemory = 10 * time.Minute
-	// minCrashes is the number of workers that have certainly crashed right after they had
-	// started a task, after which a run on a worker of its own proves the task to be the
-	// cause. Two may have done so by chance. With maxCrashes in all a task counts as the cause
-	// whatever is known of them, since the platform allows two starts after three crashes.
-	minCrashes = 3
-	maxCrashes = 5
 	// minExposures is the number of crashes from which a task is a suspect although it had
 	// never begun shortly before.
 	minExposures = 3
+	// maxCrashesKept is the number of crashes kept of a task.
+	maxCrashesKept = 16
 )
 
-// Crash is the crash of a worker under a run. The caller writes it to the journal.
+// Crash is the loss of a worker under a run. Whether the worker has crashed may turn out
+// later; the crash is then noted again under the same task and number. The caller writes it
+// to the journal.
 type Crash struct {
-	Task     string    `cbor:"1,keyasint"`
-	Number   int       `cbor:"2,keyasint"`
-	Suspect  bool      `cbor:"3,keyasint,omitempty"` // the task may have caused it
-	Proven   bool      `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
-	Certain  bool      `cbor:"5,keyasint,omitempty"` // the worker is known to have started the run, and to have ended right after that
-	Worker   string    `cbor:"6,keyasint,omitempty"`
-	Sign     CrashSign `cbor:"7,keyasint,omitempty"`
-	Age      int64     `cbor:"8,keyasint,omitempty"` // ms from the start of the run to the first sign of the crash, which may come later than the crash
-	Started  bool      `cbor:"9,keyasint,omitempty"` // the worker is known to have started the run
-	Separate bool      `cbor:"10,keyasint,omitempty"`
+	Task        string    `cbor:"1,keyasint"`
+	Number      int       `cbor:"2,keyasint"`
+	Suspect     bool      `cbor:"3,keyasint,omitempty"` // the task may have caused it
+	Proven      bool      `cbor:"4,keyasint,omitempty"` // the task has caused it and earlier ones
+	Prompt      bool      `cbor:"5,keyasint,omitempty"` // the machine closed or refused a connection within crashWindow of the start
+	Worker      string    `cbor:"6,keyasint,omitempty"`
+	Sign        CrashSign `cbor:"7,keyasint,omitempty"`
+	Age         int64     `cbor:"8,keyasint,omitempty"` // ms from the start of the run to the first sign of the crash, which may come later than the crash
+	Started     bool      `cbor:"9,keyasint,omitempty"` // the worker is known to have started the run
+	Separate    bool      `cbor:"10,keyasint,omitempty"`
+	Ended       bool      `cbor:"11,keyasint,omitempty"` // the worker's incarnation is known to have ended
+	Survived    bool      `cbor:"12,keyasint,omitempty"` // the worker's incarnation has answered since, so it was no crash
+	Chance      float64   `cbor:"13,keyasint,omitempty"` // probability that the worker ended by chance at this age of the run or earlier; 1 if another run may be the cause
+	Incarnation int64     `cbor:"14,keyasint,omitempty"` // of the worker; 0 if unknown
+	Address     string    `cbor:"15,keyasint,omitempty"` // of the worker
+	NotedAge    int64     `cbor:"17,keyasint,omitempty"` // ms from the start of the run until it was noted
+	At          int64     `cbor:"16,keyasint,omitempty"` // Unix ms at which it was noted; set in snapshots only
+
+	at time.Duration // when it was noted
+}
+
+// Resolved reports whether the crash was noted before, when it was not known whether the
+// worker had ended.
+func (c *Crash) Resolved() bool { return c.Survived || c.Ended && c.Sign != signReplied }
+
+// signAt returns when the worker gave the first sign of its crash.
+func (c *Crash) signAt() time.Duration {
+	return c.startedAt() + time.Duration(c.Age)*time.Millisecond
+}
+
+// startedAt returns when the run was started.
+func (c *Crash) startedAt() time.Duration {
+	return c.at - time.Duration(c.NotedAge)*time.Millisecond
 }
 
 // CrashSign is what shows that a worker has crashed.
@@ -67,30 +88,34 @@
 
 // crashHistory is what is known of the crashes of workers under a task.
 type crashHistory struct {
-	crashes []Crash // of workers that may have run the task, oldest first; at most maxCrashesKept
+	crashes []Crash // by number, at most maxCrashesKept
 	lastRun int     // newest run number that crashes includes
 	suspect bool    // the task starts only on a worker of its own
+	held    bool    // the task does not start in the current decision, as the fate of workers is open
 	proven  bool    // the task is the cause, so its job fails
 }
 
-// maxCrashesKept is the number of crashes kept of a task.
-const maxCrashesKept = 16
-
-// count returns the number of workers that crashed while they may have run the task.
-func (h *crashHistory) count() int { return len(h.crashes) }
-
-// certain returns how many of these are known to have started it, and to have ended right
-// after that.
-func (h *crashHistory) certain() int {
+// count returns the number of workers that may have crashed while they may have run the task.
+func (h *crashHistory) count() int {
 	n := 0
 	for _, c := range h.crashes {
-		if c.Certain {
+		if !c.Survived {
 			n++
 		}
 	}
 	return n
 }
 
+// find returns the crash under the run with that number, nil if it is not known.
+func (h *crashHistory) find(number int) *Crash {
+	for i := range h.crashes {
+		if h.crashes[i].Number == number {
+			return &h.crashes[i]
+		}
+	}
+	return nil
+}
+
 // sortRuns sorts runs by task and number.
 func sortRuns(runs []*run) {
 	slices.SortFunc(runs, func(a, b *run) int {
@@ -98,13 +123,14 @@
 	})
 }
 
-// markCrash notes that the worker has crashed while it may have had these runs. They are
+// markCrash notes that the worker may have crashed while it may have had these runs. They are
 // all of those runs that are not marked yet. The runs of a silent worker are not suspected of
 // a first crash.
-func (w *worker) markCrash(runs []*run, sign CrashSign, now time.Duration) {
+func (p *Planner) markCrash(w *worker, runs []*run, sign CrashSign, now time.Duration) {
 	if len(runs) == 0 {
 		return
 	}
+	p.noteLostWorker(w, now)
 	lastSign := runs[0].startedAt
 	for _, r := range runs {
 		lastSign = max(lastSign, r.startedAt)
@@ -112,24 +138,33 @@
 	if w.lastAnswerAt != 0 {
 		lastSign = max(lastSign, w.lastAnswerAt)
 	}
+	recent := func(r *run) bool { return r.startedAt >= lastSign-crashWindow }
+	recentRuns := 0
+	for _, r := range runs {
+		if recent(r) {
+			recentRuns++
+		}
+	}
 	for _, r := range runs {
 		s := r.step
 		if r.crash != nil || s.unknown || s.occurrence.job.finalState != "" || s.tasks[r.taskIndex].done {
 			continue
 		}
 		h := &s.tasks[r.taskIndex].crashes
-		count, certainCount := h.count()+1, h.certain()
-		certain := sign == signReplied && r.started && w.closedSoonAfter(r)
-		if certain {
-			certainCount++
+		age := w.ageAtCrash(r, now)
+		c := &Crash{
+			Task: s.taskName(r.taskIndex), Number: r.number, Worker: w.reg.ID, Sign: sign, Age: age.Milliseconds(), Started: r.started, Separate: r.separate,
+			Suspect: sign != signSilent && recent(r) || r.separate || h.count()+1 >= minExposures,
+			Prompt:  w.closedSoonAfter(r), Ended: sign == signReplied, Address: w.reg.Address, Incarnation: cmp.Or(r.incarnation, w.reg.Incarnation), at: now, NotedAge: max(0, now-r.startedAt).Milliseconds(),
 		}
-		recent := r.startedAt >= lastSign-crashWindow
-		r.crash = &Crash{
-			Task: s.taskName(r.taskIndex), Number: r.number, Certain: certain, Worker: w.reg.ID, Sign: sign,
-			Age: w.ageAtCrash(r, now).Milliseconds(), Started: r.started, Separate: r.separate,
-			Suspect: sign != signSilent && recent || r.separate || count >= minExposures,
-			Proven:  r.separate && (certain && certainCount >= minCrashes || count >= maxCrashes),
+		crashes := append(slices.Clone(h.crashes), *c)
+		c.Chance = max(p.chanceOfCrash(crashes, age, now), p.commonCause(w, now))
+		if !r.separate && (recentRuns > 1 || recentRuns == 1 && !recent(r)) {
+			c.Chance = 1
 		}
+		crashes[len(crashes)-1] = *c
+		c.Proven = isProof(crashes, false)
+		r.crash = c
 	}
 }
 
@@ -154,7 +189,7 @@
 func (p *Planner) loseRuns(runs []*run, result string, now time.Duration) {
 	sortRuns(runs)
 	for _, r := range runs {
-		if r.crash != nil && r.step.applyCrash(r.taskIndex, *r.crash) {
+		if r.crash != nil && p.applyCrash(r.step, r.taskIndex, *r.crash) {
 			p.newCrashes = append(p.newCrashes, *r.crash)
 		}
 		p.endRun(r, result, r.checkpoint, now)
@@ -164,25 +199,39 @@
 	}
 }
 
-// applyCrash counts a crash under the task with that index and reports whether it was not
-// counted before.
-func (s *step) applyCrash(index int, c Crash) bool {
+// applyCrash counts a crash under the task with that index, or what has become known of it
+// since, and reports whether that is new.
+func (p *Planner) applyCrash(s *step, index int, c Crash) bool {
 	if s.unknown || s.occurrence.job.finalState != "" {
 		return false
 	}
 	h := &s.tasks[index].crashes
-	if c.Number <= h.lastRun {
-		return false
-	}
-	h.crashes = append(h.crashes, c)
-	if len(h.crashes) > maxCrashesKept {
-		h.crashes = h.crashes[1:]
+	if known := h.find(c.Number); known != nil {
+		if known.Ended || known.Survived || !c.Ended && !c.Survived {
+			return false
+		}
+		c.at = known.at
+		*known = c
+		if h.count() == 0 {
+			s.setSuspect(index, false)
+		}
+	} else {
+		if c.Number <= h.lastRun {
+			return false
+		}
+		h.crashes = append(h.crashes, c)
+		if len(h.crashes) > maxCrashesKept {
+			h.crashes = h.crashes[1:]
+		}
+		h.lastRun = c.Number
+		if !c.Ended && !c.Survived {
+			p.openCrashes = append(p.openCrashes, openCrash{s, index, c.Number})
+		}
+		if c.Suspect && !c.Survived {
+			s.setSuspect(index, true)
+		}
 	}
-	h.lastRun = c.Number
 	h.proven = h.proven || c.Proven
-	if c.Suspect {
-		s.setSuspect(index, true)
-	}
 	return true
 }
 
@@ -203,6 +252,7 @@
 // failIfProven fails the job of a task that is known to crash its workers.
 func (p *Planner) failIfProven(s *step, index int, now time.Duration) {
 	if !s.unknown && s.tasks[index].crashes.proven && s.occurrence.job.finalState == "" {
+		p.explainLosses(s.tasks[index].crashes.crashes)
 		p.fail(s.occurrence.job, Failure{Task: s.taskName(index), Crashes: s.tasks[index].crashes.crashes}, now)
 	}
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -64,6 +64,7 @@
 // ReportAdviceSkipped.
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.expireLeases(now)
+	p.decideOpenCrashes(now)
 	p.beginDueOccurrences(now, wall)
 	p.decisions++
 	p.maxFreeCPU = 0
@@ -142,9 +143,9 @@
 		switch {
 		case w.reg.Draining:
 		case w.closedAt != 0:
-			w.markCrash(expired, signClosed, now)
+			p.markCrash(w, expired, signClosed, now)
 		case !w.listed:
-			w.markCrash(expired, signSilent, now)
+			p.markCrash(w, expired, signSilent, now)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
 	}
--- a/planner/failure.go
+++ b/planner/failure.go
@@ -22,9 +22,11 @@
 	case f.Attempts > 0:
 		return fmt.Sprintf("%d runs of the task and %d of its gang have failed, %d are allowed", f.Failures, f.GangFailures, f.Attempts)
 	case len(f.Crashes) > 0:
-		runs := make([]string, len(f.Crashes))
-		for i, c := range f.Crashes {
-			runs[i] = fmt.Sprintf("run %d on %s after %d ms (%s, started=%t, alone=%t)", c.Number, c.Worker, c.Age, c.Sign, c.Started, c.Separate)
+		var runs []string
+		for _, c := range f.Crashes {
+			if !c.Survived {
+				runs = append(runs, c.String())
+			}
 		}
 		return "the task crashes its workers: " + strings.Join(runs, "; ")
 	default:
@@ -32,6 +34,11 @@
 	}
 }
 
+// String describes the crash in a line for logs.
+func (c Crash) String() string {
+	return fmt.Sprintf("run %d on %s after %d ms (%s, started=%t, alone=%t, ended=%t, chance=%.2g)", c.Number, c.Worker, c.Age, c.Sign, c.Started, c.Separate, c.Ended, c.Chance)
+}
+
 // FailureOf returns why a job has failed.
 func (p *Planner) FailureOf(id string) Failure {
 	if j := p.jobs[id]; j != nil {
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -67,6 +67,7 @@
 			}
 			delete(p.workers, w.reg.ID)
 			delete(p.persisted, w.reg.ID)
+			delete(p.lastLoss, w.reg.ID)
 			w.pruned = true
 			ids, pruned = append(ids, w.reg.ID), append(pruned, w)
 		}
@@ -90,9 +91,10 @@
 	w.lastSerial, w.endsUnread, w.restarted = 0, false, true
 	w.earlierOwnersFenced = true
 	if !w.reg.Draining {
-		w.markCrash(w.orderedRuns(), signReplied, now)
+		p.noteLostWorker(w, now)
+		p.markCrash(w, w.orderedRuns(), signReplied, now)
 	}
-	w.lastAnswerAt, w.closedAt = 0, 0
+	w.lastAnswerAt, w.closedAt, w.lossNoted = 0, 0, false
 	p.forgetAdvice(w)
 	var lost []*run
 	for _, r := range w.runs {
@@ -130,7 +132,8 @@
 	}
 	runs := w.orderedRuns()
 	if !w.reg.Draining {
-		w.markCrash(runs, signReplied, now)
+		p.noteLostWorker(w, now)
+		p.markCrash(w, runs, signReplied, now)
 	}
 	p.loseRuns(runs, Lost, now)
 }
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -158,6 +158,8 @@
 	w.earlierOwnersFenced = true
 	w.endsUnread = status.MoreEnds
 	w.observeAnswer(status.SentAt)
+	w.lossNoted = false
+	p.resolveCrashes(w, status.Incarnation, now)
 	var ends []End
 	for _, e := range status.Ended {
 		if e.Serial <= w.lastSerial {
@@ -188,7 +190,7 @@
 			inherited = append(inherited, r)
 		}
 	}
-	w.markCrash(inherited, signReplied, now)
+	p.markCrash(w, inherited, signReplied, now)
 	p.loseRuns(lost, Lost, now)
 	return ends
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -140,7 +140,7 @@
 					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
 					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
 				}
-				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.crashes, t.crashes.lastRun, t.crashes.suspect
+				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.store(now, wall), t.crashes.lastRun, t.crashes.suspect
 				for _, r := range t.runs {
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
@@ -191,7 +191,7 @@
 			j.occurrences = append(j.occurrences, newOccurrence(j, k, j.dueTime(k, now, wall)))
 		}
 		for _, t := range stored.Tasks {
-			p.restoreTask(j, t, now-time.Duration(wall-t.StartedAt)*time.Millisecond)
+			p.restoreTask(j, t, now-time.Duration(wall-t.StartedAt)*time.Millisecond, now, wall)
 		}
 		for _, o := range slices.Clone(j.occurrences) {
 			for _, st := range o.steps {
@@ -204,7 +204,7 @@
 }
 
 // restoreTask restores a task whose run, if it has one, was ordered at startedAt.
-func (p *Planner) restoreTask(j *job, t storedTask, startedAt time.Duration) {
+func (p *Planner) restoreTask(j *job, t storedTask, startedAt, now time.Duration, wall int64) {
 	st := j.step(t.Occurrence, t.Step)
 	if st == nil || t.Index >= len(st.tasks) {
 		return
@@ -214,7 +214,7 @@
 	st.lastRun = max(st.lastRun, t.Number)
 	st.gangFailures = max(st.gangFailures, t.GangFailures)
 	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
-	task.crashes.crashes, task.crashes.lastRun = t.Crashes, t.LastCrashRun
+	p.restoreCrashes(st, t, now, wall)
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
 		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, startedAt)
@@ -281,7 +281,9 @@
 	}
 	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
 	for _, c := range r.Crashes {
-		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && st.applyCrash(index, c) {
+		c.at = at
+		p.noteStoredLoss(c)
+		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && p.applyCrash(st, index, c) {
 			p.failIfProven(st, index, at)
 		}
 	}
@@ -384,3 +386,23 @@
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
 	p.newlyBegun, p.newlyEnded, p.newCrashes = nil, nil, nil
 }
+
+// store returns the crashes for a snapshot.
+func (h *crashHistory) store(now time.Duration, wall int64) []Crash {
+	stored := slices.Clone(h.crashes)
+	for i := range stored {
+		stored[i].At = wall - (now - stored[i].at).Milliseconds()
+	}
+	return stored
+}
+
+// restoreCrashes restores the crashes under a task from a snapshot.
+func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
+	for _, c := range t.Crashes {
+		c.at, c.At = now-time.Duration(wall-c.At)*time.Millisecond, 0
+		p.noteStoredLoss(c)
+		p.applyCrash(s, t.Index, c)
+	}
+	h := &s.tasks[t.Index].crashes
+	h.lastRun = max(h.lastRun, t.LastCrashRun)
+}
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -24,7 +24,7 @@
 	if s.occurrence.job.suspects == 0 || s.occurrence.job.finalState != "" || !s.ready {
 		return false
 	}
-	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect && !t.done && len(t.runs) == 0 })
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect && !t.crashes.held && !t.done && len(t.runs) == 0 })
 }
 
 // keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
@@ -60,7 +60,7 @@
 	j := s.occurrence.job
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.runs) > 0 || !t.crashes.suspect {
+		if t.done || len(t.runs) > 0 || !t.crashes.suspect || t.crashes.held {
 			continue
 		}
 		if j.separateRuns > 0 && !j.cleared || !j.team.allows(s.spec.Size, 1) {
@@ -80,6 +80,9 @@
 // workers of their own, as far as the limit for these allows. Members that fit nowhere else
 // start beside the suspects of their gang.
 func (p *Planner) placeSuspectGang(s *step, c candidate, now time.Duration) {
+	if slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.held }) {
+		return
+	}
 	if s.waitingTasks < len(s.tasks) || !s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
 		return
 	}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -44,6 +44,7 @@
 	separateRuns        int           // runs beside which no others may start
 	lastAnswerAt        time.Duration // when the newest call was sent that this incarnation has answered
 	closedAt            time.Duration // when its machine first refused or closed a connection, or answered for another worker, since its last answer; else 0
+	lossNoted           bool          // the loss of its known incarnation counts towards the rate of crashes
 	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
 }
