--- a/planner/crash.go
+++ b/planner/crash.go
@@ -158,12 +158,12 @@
 			Prompt:  w.closedSoonAfter(r), Ended: sign == signReplied, Address: w.reg.Address, Incarnation: cmp.Or(r.incarnation, w.reg.Incarnation), at: now, NotedAge: max(0, now-r.startedAt).Milliseconds(),
 		}
 		crashes := append(slices.Clone(h.crashes), *c)
-		c.Chance = max(p.chanceOfCrash(crashes, age, now), p.commonCause(w, now))
+		c.Chance = max(chanceAtRate(p.rateWithout(crashes, now), age), p.commonCause(w, now))
 		if !r.separate && (recentRuns > 1 || recentRuns == 1 && !recent(r)) {
 			c.Chance = 1
 		}
 		crashes[len(crashes)-1] = *c
-		c.Proven = isProof(crashes, false)
+		c.Proven = p.isProof(crashes, false, now)
 		r.crash = c
 	}
 }
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -67,7 +67,6 @@
 			}
 			delete(p.workers, w.reg.ID)
 			delete(p.persisted, w.reg.ID)
-			delete(p.lastLoss, w.reg.ID)
 			w.pruned = true
 			ids, pruned = append(ids, w.reg.ID), append(pruned, w)
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -32,14 +32,14 @@
 	newlyBegun      []string // jobs that have begun since the last TakeBegun
 	newCrashes      []Crash  // since the last TakeCrashes
 	openCrashes     []openCrash
-	losses          []time.Duration          // when workers were lost, without draining first, in the last maxRateSpan
-	lastLoss        map[string]time.Duration // by worker id: the newest of its losses
-	separateWorkers int                      // workers that are kept for suspects, or have separate runs, in the current decision
-	maxKept         int                      // limit of separateWorkers for keeping one more worker that is not empty
-	maxSeparate     int                      // limit of separateWorkers for using one more worker that is empty
-	startLimit      int                      // most starts in a decision
-	startsLeft      int                      // of startLimit, in the current decision; below 0 after a gang
-	startsDeferred  bool                     // whether the current decision has left starts to the next one
+	losses          []time.Duration // when workers were lost, without draining first, in the last maxRateSpan
+	newLosses       int             // since the last TakeLosses
+	separateWorkers int             // workers that are kept for suspects, or have separate runs, in the current decision
+	maxKept         int             // limit of separateWorkers for keeping one more worker that is not empty
+	maxSeparate     int             // limit of separateWorkers for using one more worker that is empty
+	startLimit      int             // most starts in a decision
+	startsLeft      int             // of startLimit, in the current decision; below 0 after a gang
+	startsDeferred  bool            // whether the current decision has left starts to the next one
 }
 
 // settings holds what options set.
@@ -74,7 +74,6 @@
 		noAdviceBefore: map[bool]time.Duration{},
 		adviceBudget:   map[bool]int{},
 		waiters:        map[waiterKey][]func(error){},
-		lastLoss:       map[string]time.Duration{},
 		startLimit:     math.MaxInt,
 	}
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -55,6 +55,7 @@
 	Begun         []string `cbor:"8,keyasint,omitempty"`  // ids of jobs that have begun, as TakeBegun returned them
 	Failed        []string `cbor:"9,keyasint,omitempty"`  // ids of jobs that have failed, of those that TakeEnded returned
 	Crashes       []Crash  `cbor:"10,keyasint,omitempty"` // as TakeCrashes returned them
+	Losses        int      `cbor:"11,keyasint,omitempty"` // as TakeLosses returned them
 }
 
 // Encode returns the record in CBOR.
@@ -65,6 +66,7 @@
 	Jobs    []storedJob `cbor:"1,keyasint"`
 	Ended   []storedEnd `cbor:"2,keyasint"`
 	Workers []string    `cbor:"3,keyasint"`
+	Losses  []int64     `cbor:"4,keyasint,omitempty"` // Unix ms at which workers were lost
 }
 
 // storedEnd is a job that has ended.
@@ -113,6 +115,9 @@
 	for id := range p.persisted {
 		s.Workers = append(s.Workers, id)
 	}
+	for _, at := range p.losses[max(0, len(p.losses)-maxLossesStored):] {
+		s.Losses = append(s.Losses, wall-(now-at).Milliseconds())
+	}
 	for _, j := range p.jobs {
 		if !j.stored {
 			continue
@@ -178,6 +183,9 @@
 	for _, id := range s.Workers {
 		p.persisted[id] = true
 	}
+	for _, at := range s.Losses {
+		p.noteLoss(now - time.Duration(wall-at)*time.Millisecond)
+	}
 	for _, e := range s.Ended {
 		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team}, stored: true, finalState: e.State, endStored: true}
 		j.endedAt = now - time.Duration(wall-e.At)*time.Millisecond
@@ -280,9 +288,11 @@
 		p.restoreJob(*r.Job, now, wall)
 	}
 	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
+	for range r.Losses {
+		p.noteLoss(at)
+	}
 	for _, c := range r.Crashes {
 		c.at = at
-		p.noteStoredLoss(c)
 		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && p.applyCrash(st, index, c) {
 			p.failIfProven(st, index, at)
 		}
@@ -384,7 +394,7 @@
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
-	p.newlyBegun, p.newlyEnded, p.newCrashes = nil, nil, nil
+	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses = nil, nil, nil, 0
 }
 
 // store returns the crashes for a snapshot.
@@ -400,7 +410,6 @@
 func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
 	for _, c := range t.Crashes {
 		c.at, c.At = now-time.Duration(wall-c.At)*time.Millisecond, 0
-		p.noteStoredLoss(c)
 		p.applyCrash(s, t.Index, c)
 	}
 	h := &s.tasks[t.Index].crashes
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -17,13 +17,16 @@
 	// minCrashes is the number of workers that have certainly crashed right after they had
 	// started a task, from which it may be proven to be the cause.
 	minCrashes = 3
-	// maxCrashes is the number of workers that have certainly crashed, at any time and
-	// whether they are known to have started the task or not, from which it may be. The
-	// platform allows two starts after three crashes.
+	// maxCrashes is the number of workers that were lost, minEnded of which have certainly
+	// crashed, at any time and whether they are known to have started the task or not, from
+	// which it may be. The platform allows two starts after three crashes.
 	maxCrashes = 5
-	// maxChance is the probability of crashes by chance up to which they prove the task
-	// to be the cause.
-	maxChance = 1e-4
+	minEnded   = 4
+	// maxChance is the probability of crashes by chance up to which minCrashes prove the task
+	// to be the cause, and maxLateChance that for maxCrashes: a task that does crash its workers
+	// may not start more often.
+	maxChance     = 1e-4
+	maxLateChance = 1e-2
 	// goneTimeout is the time after its loss from which a worker counts as crashed whose
 	// machine refused connections right after the start and which the platform's list does
 	// not have any more. It is also the time for which a task may wait for what has become of
@@ -38,6 +41,8 @@
 	minCommonLosses = 3
 	commonFraction  = 0.1
 	commonWindow    = 50 * time.Millisecond
+	// maxLossesStored is the number of losses of workers that a snapshot has.
+	maxLossesStored = 512
 	// minCrashAge is the least age that the run of a crashed worker counts with.
 	minCrashAge = 10 * time.Millisecond
 )
@@ -63,22 +68,32 @@
 
 func (o openCrash) history() *crashHistory { return &o.step.tasks[o.index].crashes }
 
-// isProof reports whether crashes, the newest of which was alone with its task, prove the
-// task to be the cause. With assumeEnded, those whose fate is open count as well.
-func isProof(crashes []Crash, assumeEnded bool) bool {
+// isProof reports whether the crashes under a task, the newest of which was alone with it,
+// prove it to be the cause. With assumeEnded, those whose fate is open count as well. A rate
+// of crashes that has become known since the older ones counts for these too.
+func (p *Planner) isProof(crashes []Crash, assumeEnded bool, now time.Duration) bool {
+	if len(crashes) < minCrashes {
+		return false
+	}
 	var certain, ended []float64
-	alone := false
+	alone, lost := false, 0
+	rate := p.rateWithout(crashes, now)
 	for _, c := range crashes {
-		if c.Survived || !c.Ended && !assumeEnded {
+		if c.Survived {
+			continue
+		}
+		lost++
+		if !c.Ended && !assumeEnded {
 			continue
 		}
 		alone = c.Separate
-		ended = append(ended, c.Chance)
+		chance := max(c.Chance, chanceAtRate(rate, time.Duration(c.Age)*time.Millisecond))
+		ended = append(ended, chance)
 		if c.Started && c.Prompt {
-			certain = append(certain, c.Chance)
+			certain = append(certain, chance)
 		}
 	}
-	return alone && (len(certain) >= minCrashes && combinedChance(certain) <= maxChance || len(ended) >= maxCrashes && combinedChance(ended) <= maxChance)
+	return alone && (len(certain) >= minCrashes && combinedChance(certain) <= maxChance || lost >= maxCrashes && len(ended) >= minEnded && combinedChance(ended) <= maxLateChance)
 }
 
 // combinedChance returns the probability that crashes by chance are as unlikely together as
@@ -111,23 +126,12 @@
 		return
 	}
 	w.lossNoted = true
-	p.noteLoss(w.reg.ID, cmp.Or(w.closedAt, now))
+	p.noteLoss(cmp.Or(w.closedAt, now))
+	p.newLosses++
 }
 
-// noteStoredLoss counts the loss of a worker that the journal holds.
-func (p *Planner) noteStoredLoss(c Crash) {
-	if !c.Separate && c.Worker != "" {
-		p.noteLoss(c.Worker, c.signAt())
-	}
-}
-
-// noteLoss counts the loss of a worker at that time towards the rate of crashes. Of losses
-// of one worker within a second, as under several runs in the journal, one counts.
-func (p *Planner) noteLoss(id string, at time.Duration) {
-	if last, known := p.lastLoss[id]; known && max(at-last, last-at) < time.Second {
-		return
-	}
-	p.lastLoss[id] = at
+// noteLoss counts the loss of a worker at that time towards the rate of crashes.
+func (p *Planner) noteLoss(at time.Duration) {
 	p.losses = append(p.losses, at)
 	expired := 0
 	for expired < len(p.losses) && p.losses[expired] < at-maxRateSpan {
@@ -136,6 +140,14 @@
 	p.losses = p.losses[expired:]
 }
 
+// TakeLosses returns the number of workers that were lost since the last call. The caller
+// writes it to the journal with one of its next records.
+func (p *Planner) TakeLosses() int {
+	n := p.newLosses
+	p.newLosses = 0
+	return n
+}
+
 // explainLosses takes the losses of workers under a task that is known to be their cause out
 // of the rate of crashes.
 func (p *Planner) explainLosses(crashes []Crash) {
@@ -147,16 +159,19 @@
 	}
 }
 
-// chanceOfCrash returns the probability that a worker crashes within age of the start of a
-// run. The rate is that at which workers have crashed since the first of the crashes, which
-// are those under the task, without these, or the latest rate if that is higher.
-func (p *Planner) chanceOfCrash(crashes []Crash, age, now time.Duration) float64 {
+// chanceAtRate returns the probability that a worker crashes within age of the start of a run.
+func chanceAtRate(rate float64, age time.Duration) float64 {
+	return min(1, rate*max(age, minCrashAge).Seconds())
+}
+
+// rateWithout returns the rate at which workers have crashed since the first of the crashes,
+// which are those under a task, without these, or the latest rate if that is higher.
+func (p *Planner) rateWithout(crashes []Crash, now time.Duration) float64 {
 	first := now - minRateSpan
 	for _, c := range crashes {
 		first = min(first, c.startedAt())
 	}
-	rate := max(p.crashRate(crashes, now-minRateSpan, now), p.crashRate(crashes, first, now))
-	return min(1, rate*max(age, minCrashAge).Seconds())
+	return max(p.crashRate(crashes, now-minRateSpan, now), p.crashRate(crashes, first, now))
 }
 
 // crashRate returns the crashes a second of a worker since that time, other than these, and
@@ -232,7 +247,7 @@
 			if c.Sign == signSilent { // it may have ended at any time
 				age := now - c.startedAt()
 				resolved.Age = age.Milliseconds()
-				resolved.Chance = max(c.Chance, p.chanceOfCrash(o.history().crashes, age, now))
+				resolved.Chance = max(c.Chance, chanceAtRate(p.rateWithout(o.history().crashes, now), age))
 			}
 			p.resolveCrash(o, resolved, now)
 		}
@@ -247,7 +262,7 @@
 			crashes[i] = c
 		}
 	}
-	c.Proven = isProof(crashes, false)
+	c.Proven = p.isProof(crashes, false, now)
 	if p.applyCrash(o.step, o.index, c) {
 		p.newCrashes = append(p.newCrashes, c)
 	}
@@ -275,7 +290,7 @@
 	clear(p.openCrashes[len(kept):])
 	p.openCrashes = kept
 	for _, o := range kept {
-		if now-o.crash().at < goneTimeout && isProof(o.history().crashes, true) {
+		if now-o.crash().at < goneTimeout && p.isProof(o.history().crashes, true, now) {
 			o.history().held = true
 		}
 	}
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -162,3 +162,34 @@
 		})
 	}
 }
+
+// TestTaskIsGivenUpBesideOpenLoss checks that a task is given up with its fifth lost worker
+// although it is not known whether the first one has crashed, and none of them has answered
+// the start (BUDGET; deadly10.toml --seed 31).
+func TestTaskIsGivenUpBesideOpenLoss(t *testing.T) {
+	f := newCrashFixture(t, 8)
+	f.submit("j", newStep(1))
+	f.expire(f.startAgain().Worker)
+	s, _ := f.p.stepOf("j.0.0.0")
+	for range maxCrashes - 1 {
+		f.Assert(f.p.FinalState("j"), quicktest.Equals, State(""))
+		f.decide() // expires the leases of the first worker
+		s.setSuspect(0, true)
+		starts := f.actions
+		if len(starts) == 0 {
+			f.now += second
+			starts = f.decide()
+		}
+		f.Assert(starts, quicktest.HasLen, 1)
+		f.p.ReportStart(starts[0], Unknown, f.now)
+		f.now += 10 * time.Millisecond
+		f.p.ObserveClosed(starts[0].Worker, f.now)
+		f.restart(starts[0].Worker)
+		for _, a := range f.decide() {
+			f.p.ReportStop(a, true, f.now)
+		}
+		f.now += second
+		f.answer(starts[0].Worker)
+	}
+	f.Assert(f.p.FinalState("j"), quicktest.Equals, Failed)
+}
