conductor, platform: A worker's clock that reads 0 is known (LOST)

Cause: a clock of 0 stood for "not known". A worker that answers its first heartbeat in the first millisecond of its life tells 0; it runs nothing, so it is not called again, and each start on it is withdrawn.

Change: whether the clock is known is a field of its own, as is whether a response names it.

Test: conductor TestWorkerInFirstMillisecondIsUsable; without the fix "its clock is not known". Test fixtures name the new field; assertUsable asks for it in place of a lease above 0.

--- a/conductor/order.go
+++ b/conductor/order.go
@@ -82,12 +82,8 @@
 	c.mu.Lock()
 	s := c.sessions[a.Worker]
 	sentAt := c.now()
-	leaseUntil := int64(0) // on the worker's clock
-	if s != nil {
-		leaseUntil = s.leaseUntil(sentAt, c.leaseDuration)
-	}
 	wanted := c.planner.Wanted(a)
-	if s == nil || leaseUntil == 0 || late || !wanted || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
+	if s == nil || !s.clockKnown || late || !wanted || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
 		c.backlog.withdraw()
 		c.planner.ReportStart(a, planner.Withdrawn, sentAt)
 		c.mu.Unlock()
@@ -97,7 +93,7 @@
 	}
 	c.planner.ExtendLease(a.Worker, c.leaseExpiry(sentAt))
 	c.planner.MarkOrdered(a, sentAt)
-	address := s.address
+	address, leaseUntil := s.address, s.leaseUntil(sentAt, c.leaseDuration)
 	c.mu.Unlock()
 	result, err := c.executors.Start(c.orderCtx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
 	if c.ctx.Err() != nil {
--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -21,6 +21,7 @@
 	born      atomic.Int64 // incarnation that it names
 	calls     atomic.Int64 // that it has answered
 	now       atomic.Int64 // ns, of the conductor's clock
+	clock     atomic.Int64 // ms on its clock
 }
 
 func newFakeWorker(t *testing.T) *fakeWorker {
@@ -41,7 +42,7 @@
 		if w.idle.Load() {
 			running = ""
 		}
-		fmt.Fprintf(response, `{"clock-ms":1,"born":%d,"running":[%s]}`, w.born.Load(), running)
+		fmt.Fprintf(response, `{"clock-ms":%d,"born":%d,"running":[%s]}`, w.clock.Load(), w.born.Load(), running)
 	})
 	c.now = func() time.Duration { return time.Duration(w.now.Load()) }
 	c.planner.ExtendLease("w0", 10*time.Second)
@@ -105,7 +106,7 @@
 	defer c.mu.Unlock()
 	quicktest.Check(t, w.calls.Load() > 0, quicktest.IsTrue, quicktest.Commentf("the worker was not called"))
 	quicktest.Check(t, c.planner.Accepts("w0"), quicktest.IsTrue)
-	quicktest.Check(t, c.sessions["w0"].leaseUntil(c.now(), time.Second) > 0, quicktest.IsTrue, quicktest.Commentf("its clock is not known"))
+	quicktest.Check(t, c.sessions["w0"].clockKnown, quicktest.IsTrue, quicktest.Commentf("its clock is not known"))
 }
 
 // TestUnresponsiveWorkerIsCalledAgain checks that a worker that left a heartbeat unanswered
@@ -170,3 +171,18 @@
 		w.assertUsable(t, ended)
 	})
 }
+
+// TestWorkerInFirstMillisecondIsUsable checks that starts are ordered on a worker whose only answer
+// came in the first millisecond of its life, when its clock reads 0. It would otherwise get
+// none, and its starts would be withdrawn again and again (LOST).
+func TestWorkerInFirstMillisecondIsUsable(t *testing.T) {
+	w := newFakeWorker(t)
+	ended := w.runHeartbeats()
+	w.crash(t)
+	w.now.Store(int64(2 * time.Second))
+	w.born.Store(2)
+	w.clock.Store(0)
+	w.register()
+	w.down.Store(false)
+	w.assertUsable(t, ended)
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -40,7 +40,8 @@
 type session struct {
 	id                 string // of the worker
 	address            string
-	clock              int64         // ms on the worker's clock, as of its newest answer; 0 if unknown
+	clock              int64         // ms on the worker's clock, as of its newest answer; 0 in the first ms of an incarnation
+	clockKnown         bool          // whether the incarnation has told its clock
 	clockReadAt        time.Duration // when the call that returned clock was sent
 	incarnation        int64         // of the worker; the clock and the serials belong to it
 	persistedSerial    uint64        // serial of the newest end that the journal holds
@@ -52,17 +53,14 @@
 }
 
 // leaseUntil returns when a lease given to the worker now ends, in ms on the worker's
-// clock. It returns 0 if that clock is not known.
+// clock, which has to be known.
 func (s *session) leaseUntil(now, lease time.Duration) int64 {
-	if s.clock == 0 {
-		return 0
-	}
 	return s.clock + (now - s.clockReadAt + lease).Milliseconds()
 }
 
 // restart begins a new incarnation, whose counts start anew.
 func (s *session) restart(incarnation int64) {
-	s.incarnation, s.clock, s.persistedSerial, s.acknowledgedSerial, s.listedAt = incarnation, 0, 0, 0, 0
+	s.incarnation, s.clockKnown, s.persistedSerial, s.acknowledgedSerial, s.listedAt = incarnation, false, 0, 0, 0
 }
 
 // acknowledgeable returns the serial up to which the worker may forget ends, as of now.
@@ -83,8 +81,8 @@
 		}
 		s.restart(r.Incarnation)
 	}
-	if r.Clock != 0 && sentAt >= s.clockReadAt {
-		s.clock, s.clockReadAt = r.Clock, sentAt
+	if r.HasClock && sentAt >= s.clockReadAt {
+		s.clock, s.clockKnown, s.clockReadAt = r.Clock, true, sentAt
 	}
 }
 
@@ -141,7 +139,7 @@
 	wait := time.Duration(0)
 	// The ownership is checked after sentAt, from which the lease runs, since the VM may
 	// have been suspended before.
-	if busy && c.isOwner() && c.planner.Renewable(s.id) && s.clock != 0 {
+	if busy && c.isOwner() && c.planner.Renewable(s.id) && s.clockKnown {
 		lease.Until = s.leaseUntil(sentAt, c.leaseDuration)
 		c.planner.ExtendLease(s.id, c.leaseExpiry(sentAt))
 		wait = heartbeatWait
