--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -66,6 +66,11 @@
 
 func newCluster(t *testing.T, vms int) *cluster {
 	cl := &cluster{C: quicktest.New(t), platform: imitator.New(7), logs: &syncBuffer{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(cl.logs.text())
+		}
+	})
 	t.Cleanup(cl.platform.Close)
 	cl.Assert(cl.platform.Configure(3), quicktest.IsNil)
 	for n := range 4 {
