planner, conductor: An incarnation follows the one that was seen before the call

A worker whose machine's time of day had jumped back before it restarted was not listened to: its jobs hung, and later ones that need it never started (LOST).

Cause: Planner.HandleStatus, Planner.observeIncarnation and session.observe ordered incarnations by born, a time of day.

The incarnations of a worker never overlap. An answer to a call sent before may be a late one of an earlier incarnation and does not count; the next call tells. An entry with a lower born is a doubt: nothing starts on the worker until it has answered a later call. An entry of an incarnation that another one has followed counts as nothing. One place decides, the planner; sessions follow it.

Planner.ObserveIncarnation has become ObserveAnswer, which needs the time of sending; TestAdviceAfterWorkersWereReplaced gives it a time after that of the worker's entry.

--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -102,11 +102,11 @@
 		c.sessions[id] = s
 	}
 	s.address = registration.Address
-	if registration.Incarnation > s.incarnation {
-		s.restart(registration.Incarnation)
+	if registration.Incarnation != s.incarnation {
 		s.heartbeatNow()
 	}
 	changed := c.planner.Register(registration, c.now())
+	s.follow(c.planner.Incarnation(id))
 	if reconnect || c.planner.NeedsHeartbeat(id) {
 		c.startHeartbeats(s) // to learn the worker's clock and its runs
 	}
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -106,8 +106,7 @@
 	c.mu.Lock()
 	c.backlog.finish(c.now())
 	c.wakeForBacklog()
-	s.observe(result, sentAt)
-	c.planner.ObserveIncarnation(a.Worker, result.Incarnation, c.now())
+	c.observe(s, result, sentAt)
 	if result.Outcome != planner.Unknown {
 		// An order without an answer tells of its worker, not of this VM.
 		c.observeLatency(c.now()-sentAt, inFlight)
--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -9,6 +9,7 @@
 
 	"filberthaven.example/placer"
 	"filberthaven.example/planner"
+	"filberthaven.example/platform"
 	"github.com/frankban/quicktest"
 )
 
@@ -170,3 +171,50 @@
 		w.assertUsable(t, ended)
 	})
 }
+
+// TestTimeOfDayJumpsBack checks that a worker is used whose time of day has jumped back before
+// it restarted, so that its new incarnation seems to be earlier than the known one. Its ends
+// are acknowledged.
+func TestTimeOfDayJumpsBack(t *testing.T) {
+	restart := func(t *testing.T) (*fakeWorker, *session) {
+		w := newFakeWorker(t)
+		s := w.conductor.sessions["w0"]
+		w.born.Store(9)
+		w.register()
+		w.now.Add(int64(time.Second))
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(9))
+		s.persistedSerial, s.acknowledgedSerial, s.clock = 57, 57, 1000
+		w.now.Add(int64(time.Second))
+		w.born.Store(5)
+		w.idle.Store(true)
+		return w, s
+	}
+	t.Run("it answers first", func(t *testing.T) {
+		w, s := restart(t)
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
+		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
+		quicktest.Assert(t, s.persistedSerial, quicktest.Equals, uint64(0))
+		quicktest.Assert(t, w.conductor.planner.Busy("w0"), quicktest.IsFalse)
+		w.assertUsable(t, w.runHeartbeats())
+	})
+	t.Run("its entry is read first", func(t *testing.T) {
+		w, s := restart(t)
+		applyEntry(w.conductor, s.address, 5, 2)
+		quicktest.Assert(t, w.conductor.planner.NeedsHeartbeat("w0"), quicktest.IsTrue)
+		w.now.Add(int64(time.Second))
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
+		w.assertUsable(t, w.runHeartbeats())
+	})
+	t.Run("its earlier incarnation answers late", func(t *testing.T) {
+		w, s := restart(t)
+		sentAt := w.conductor.now()
+		w.now.Add(int64(time.Second))
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		w.conductor.observe(s, platform.ExecutorResult{Incarnation: 9, Clock: 2000}, sentAt)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
+		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
+	})
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -70,17 +70,20 @@
 	return s.persistedSerial
 }
 
+// follow begins the incarnation that the planner knows, unless it is the current one already.
+func (s *session) follow(incarnation int64) {
+	if incarnation != 0 && incarnation != s.incarnation {
+		s.restart(incarnation)
+	}
+}
+
 // observe records the worker's clock and incarnation from the answer to a call sent at
 // sentAt. The worker reads its clock after sentAt, so the estimate of its clock may be
-// ahead by as much as the call took. The worker limits the lease itself.
-func (s *session) observe(r platform.ExecutorResult, sentAt time.Duration) {
-	if r.Incarnation != 0 && r.Incarnation != s.incarnation {
-		if r.Incarnation < s.incarnation {
-			return
-		}
-		s.restart(r.Incarnation)
-	}
-	if r.Clock != 0 && sentAt >= s.clockReadAt {
+// ahead by as much as the call took. The worker limits the lease itself. The caller holds c.mu.
+func (c *Conductor) observe(s *session, r platform.ExecutorResult, sentAt time.Duration) {
+	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, c.now())
+	s.follow(c.planner.Incarnation(s.id))
+	if counts && r.Clock != 0 && sentAt >= s.clockReadAt {
 		s.clock, s.clockReadAt = r.Clock, sentAt
 	}
 }
@@ -155,7 +158,7 @@
 		return false
 	}
 	c.mu.Lock()
-	s.observe(result, sentAt)
+	c.observe(s, result, sentAt)
 	if s.incarnation == incarnation {
 		s.acknowledgedSerial = max(s.acknowledgedSerial, acknowledged)
 	}
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -33,6 +33,6 @@
 	second := request()
 	f.Assert(second.Workers, quicktest.DeepEquals, []string{"w2", "w3"})
 	f.p.ReportAdvice(AdviceResult{Step: second.Step, Workers: second.Workers})
-	f.p.ObserveIncarnation("w2", 2, f.now)
+	f.p.ObserveAnswer("w2", 2, f.now+1, f.now+1)
 	f.Assert(request().Workers, quicktest.DeepEquals, []string{"w2"})
 }
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -23,8 +23,8 @@
 func (p *Planner) Register(r Registration, now time.Duration) (changed bool) {
 	w := p.worker(r.ID)
 	known := w.reg
-	p.observeIncarnation(w, r.Incarnation, now)
-	r.Incarnation = max(r.Incarnation, w.reg.Incarnation)
+	p.observeEntry(w, r.Incarnation, now)
+	r.Incarnation = w.reg.Incarnation
 	changed = !w.listed || !known.equal(r)
 	w.reg = r
 	w.listed = true
@@ -135,31 +135,82 @@
 	p.loseRuns(runs, Lost, now)
 }
 
-// ObserveIncarnation applies the incarnation that the answer to a start names. The worker
-// may have restarted since the order was sent, before the platform's list shows it.
-func (p *Planner) ObserveIncarnation(id string, incarnation int64, now time.Duration) {
+// Incarnation returns the known incarnation of a worker, 0 if none is known.
+func (p *Planner) Incarnation(id string) int64 {
 	w := p.workers[id]
 	if w == nil {
-		return
+		return 0
+	}
+	return w.reg.Incarnation
+}
+
+// ObserveAnswer applies the incarnation that the answer to a call sent at sentAt names, 0 if
+// it names none, and reports whether the answer counts. The worker may have restarted since
+// the platform's list was read.
+func (p *Planner) ObserveAnswer(id string, incarnation int64, sentAt, now time.Duration) bool {
+	w := p.workers[id]
+	return w != nil && p.observeAnswer(w, incarnation, sentAt, now)
+}
+
+// observeAnswer is ObserveAnswer for a known worker. The incarnations of a worker follow one
+// another. So an answer to a call that was sent after the known one was seen is by that one or
+// by a later one, whatever the time of day at their starts. An answer to an earlier call
+// that names another one may be by an earlier one. It does not count, and the next call tells.
+func (p *Planner) observeAnswer(w *worker, incarnation int64, sentAt, now time.Duration) bool {
+	if incarnation == 0 {
+		return true
+	}
+	if incarnation != w.reg.Incarnation {
+		if w.reg.Incarnation != 0 && sentAt <= w.incarnationSeenAt {
+			return false
+		}
+		p.setIncarnation(w, incarnation, now)
 	}
-	p.observeIncarnation(w, incarnation, now)
-	if incarnation == w.reg.Incarnation {
-		w.restarted = false
+	if w.doubted != 0 {
+		if sentAt <= w.doubtedAt {
+			return true // the incarnation that the entry names may have followed since
+		}
+		w.addEarlier(w.doubted)
+		w.doubted = 0
 	}
+	w.restarted = false
+	return true
 }
 
-// observeIncarnation applies the incarnation of a worker if it is newer than the known one.
-func (p *Planner) observeIncarnation(w *worker, incarnation int64, now time.Duration) {
-	known := w.reg.Incarnation
-	if incarnation <= known {
-		return
+// observeEntry applies the incarnation that an entry of the platform's list names. One that
+// started earlier than the known one may be the next one all the same, if the time of day of its
+// machine has jumped back. So nothing starts on the worker until it has answered.
+func (p *Planner) observeEntry(w *worker, incarnation int64, now time.Duration) {
+	switch known := w.reg.Incarnation; {
+	case incarnation == 0 || incarnation == known || slices.Contains(w.earlier, incarnation):
+	case incarnation > known:
+		p.setIncarnation(w, incarnation, now)
+	default:
+		w.doubted, w.doubtedAt, w.restarted = incarnation, now, true
 	}
-	w.reg.Incarnation = incarnation
+}
+
+// setIncarnation replaces the known incarnation of a worker.
+func (p *Planner) setIncarnation(w *worker, incarnation int64, now time.Duration) {
+	known := w.reg.Incarnation
+	w.reg.Incarnation, w.incarnationSeenAt, w.doubted = incarnation, now, 0
+	w.earlier = slices.DeleteFunc(w.earlier, func(i int64) bool { return i == incarnation })
 	if known != 0 {
+		w.addEarlier(known)
 		p.workerRestarted(w, now)
 	}
 }
 
+// addEarlier notes an incarnation that the known one has followed.
+func (w *worker) addEarlier(incarnation int64) {
+	w.earlier = append(w.earlier, incarnation)
+	w.earlier = w.earlier[max(0, len(w.earlier)-maxEarlier):]
+}
+
+// maxEarlier is the number of earlier incarnations kept of a worker, so that a late entry of
+// one does not count as a restart.
+const maxEarlier = 16
+
 // Busy reports whether the worker may be running tasks. After a takeover, any worker may
 // be until it answers or its leases expire.
 func (p *Planner) Busy(id string) bool {
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -150,11 +150,10 @@
 	if w == nil {
 		return nil
 	}
-	if status.Incarnation != 0 && status.Incarnation < w.reg.Incarnation {
-		return nil // from an earlier incarnation
+	if !p.observeAnswer(w, status.Incarnation, status.SentAt, now) {
+		return nil
 	}
-	p.observeIncarnation(w, status.Incarnation, now)
-	w.unansweredCalls, w.heartbeatTried, w.restarted = 0, true, false
+	w.unansweredCalls, w.heartbeatTried, w.restarted = 0, true, w.restarted && w.doubted != 0
 	w.earlierOwnersFenced = true
 	w.endsUnread = status.MoreEnds
 	w.observeAnswer(status.SentAt)
@@ -184,7 +183,7 @@
 		// it, or it is inherited and the order never arrived. The worker now refuses that
 		// order, since it has the fence of this owner.
 		lost = append(lost, r)
-		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation < w.reg.Incarnation {
+		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation != w.reg.Incarnation {
 			inherited = append(inherited, r)
 		}
 	}
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"filberthaven.example/placer"
 	"github.com/frankban/quicktest"
@@ -88,3 +89,111 @@
 	f.Assert(f.starts(), quicktest.HasLen, 1)
 	f.Assert(f.actions[0].Worker, quicktest.Equals, "w0")
 }
+
+// answer passes a list of worker w0 that names the incarnation, to a heartbeat sent at sentAt.
+func (f *fixture) answer(incarnation int64, sentAt time.Duration, running ...RunningEntry) {
+	f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: incarnation, SentAt: sentAt, Running: running}, f.now)
+}
+
+// TestTimeOfDayJumpsBack checks a worker that restarts after the time of day of its machine
+// has jumped back, so that its new incarnation seems to be earlier than the known one. Not
+// listened to, it would keep the runs of the earlier one for ever (LOST). A late answer
+// or entry of the earlier one must not end what the new one runs (TWICE).
+func TestTimeOfDayJumpsBack(t *testing.T) {
+	const earlier, next = 9000, 5000
+	// setUp returns a fixture with a run on incarnation earlier.
+	setUp := func(t *testing.T) (*fixture, RunningEntry) {
+		f := newFixture(t, 1)
+		f.restartWorker("w0", earlier)
+		f.now += second
+		f.answer(earlier, f.now)
+		f.submit("j", newStep(1))
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, 1)
+		f.now += second
+		entry := RunningEntry{Task: starts[0].Task, Number: starts[0].Number}
+		f.answer(earlier, f.now, entry)
+		f.now += second
+		return f, entry
+	}
+	// restart makes the next incarnation known, with the task started on it.
+	restart := func(t *testing.T) (*fixture, RunningEntry) {
+		f, _ := setUp(t)
+		f.restartWorker("w0", next)
+		f.now += second
+		f.answer(next, f.now)
+		f.now += second
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, 1)
+		entry := RunningEntry{Task: starts[0].Task, Number: starts[0].Number}
+		f.answer(next, f.now+1, entry)
+		f.now += second
+		f.addWorker("w1")
+		return f, entry
+	}
+	t.Run("its entry is read first", func(t *testing.T) {
+		f, _ := setUp(t)
+		f.restartWorker("w0", next)
+		f.Assert(f.p.NeedsHeartbeat("w0"), quicktest.IsTrue)
+		f.submit("k", newStep(1))
+		f.assertNoStart()
+		f.now += second
+		f.answer(next, f.now)
+		f.Assert(f.starts(), quicktest.HasLen, 2)
+	})
+	t.Run("it answers first", func(t *testing.T) {
+		f, _ := setUp(t)
+		f.answer(next, f.now)
+		f.Assert(f.starts(), quicktest.HasLen, 1)
+		f.restartWorker("w0", next)
+		f.Assert(f.p.Busy("w0"), quicktest.IsTrue)
+	})
+	t.Run("the entry is old", func(t *testing.T) {
+		f, entry := setUp(t)
+		f.restartWorker("w0", next)
+		f.now += second
+		f.answer(earlier, f.now, entry)
+		f.assertNoStart()
+		f.Assert(f.p.Busy("w0"), quicktest.IsTrue)
+		f.restartWorker("w0", next)
+		f.Assert(f.p.acceptsTasks("w0", f.now), quicktest.IsTrue)
+	})
+	t.Run("a call was sent before the entry was read", func(t *testing.T) {
+		f, entry := setUp(t)
+		sentAt := f.now - second/2
+		f.restartWorker("w0", next)
+		f.answer(earlier, sentAt, entry)
+		f.Assert(f.p.NeedsHeartbeat("w0"), quicktest.IsTrue)
+		f.submit("k", newStep(1))
+		f.assertNoStart()
+		f.now += second
+		f.answer(next, f.now)
+		f.Assert(f.starts(), quicktest.HasLen, 2)
+	})
+	t.Run("the earlier incarnation answers late", func(t *testing.T) {
+		f, entry := restart(t)
+		f.answer(earlier, 2*second+second/2)
+		f.assertNoStart()
+		f.answer(next, f.now, entry)
+		f.assertNoStart()
+	})
+	t.Run("the earlier incarnation's entry comes late", func(t *testing.T) {
+		f, entry := restart(t)
+		f.restartWorker("w0", earlier)
+		f.assertNoStart()
+		f.answer(next, f.now, entry)
+		f.assertNoStart()
+	})
+	t.Run("it restarts again", func(t *testing.T) {
+		f, _ := restart(t)
+		f.restartWorker("w0", next+1)
+		f.now += second
+		f.answer(next+1, f.now)
+		f.Assert(f.starts(), quicktest.HasLen, 1)
+	})
+}
+
+// acceptsTasks reports whether the worker's own state lets tasks start on it.
+func (p *Planner) acceptsTasks(id string, now time.Duration) bool {
+	return p.workers[id].acceptsTasks(now)
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -36,7 +36,11 @@
 	leaseExpiry         time.Duration // when every lease given to the worker has certainly expired; 0 before the first
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
-	restarted           bool          // its known incarnation, not the first one, has not answered yet
+	restarted           bool          // its known incarnation, not the first one, has not answered yet, or the doubted one may have followed
+	incarnationSeenAt   time.Duration // when its known incarnation became known
+	earlier             []int64       // incarnations that the known one has followed, the newest ones last
+	doubted             int64         // incarnation that an entry has named, and that is the known one's predecessor or successor; else 0
+	doubtedAt           time.Duration // when that entry was read
 	health              health
 	pruned              bool          // it was removed from the planner
 	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
