platform, conductor: Ends are acknowledged on a connection of their incarnation

A worker that crashed and was restarted within 20 ms got, with its next heartbeat, the last-seen of its earlier incarnation. It forgot ends of its own that nobody had read, and their tasks ran again (TWICE).

Cause: session.acknowledgeable took a worker for the same for 1.25 s after a list.

No call names the incarnation that it is for. A connection does: it ends with the process. So a heartbeat carries last-seen only if it goes out on a connection on which the incarnation that listed these ends has answered. The bound of 1.25 s stays beside it.

TestNoAckAcrossRestart fails before.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -138,7 +138,8 @@
 			wait = planner.Probation
 		}
 	}
-	address, acknowledged, incarnation := s.address, s.acknowledgeable(sentAt), s.incarnation
+	address, incarnation := s.address, s.incarnation
+	ack := platform.Acknowledgement{Incarnation: incarnation, Serial: s.acknowledgeable(sentAt)}
 	c.mu.Unlock()
 	if wait == 0 {
 		select {
@@ -149,7 +150,7 @@
 		}
 	}
 	c.metrics.heartbeats.Inc(1)
-	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, acknowledged, wait)
+	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, ack, wait)
 	if c.ctx.Err() != nil {
 		return false
 	}
@@ -160,7 +161,7 @@
 	c.mu.Lock()
 	c.observe(s, result, sentAt)
 	if s.incarnation == incarnation {
-		s.acknowledgedSerial = max(s.acknowledgedSerial, acknowledged)
+		s.acknowledgedSerial = max(s.acknowledgedSerial, result.Acknowledged)
 	}
 	if s.incarnation == result.Incarnation || result.Incarnation == 0 {
 		s.listedAt = c.now()
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +39,44 @@
 	}
 }
 
+// TestNoAckAcrossRestart checks that the heartbeat after a restart that is not known yet, a few
+// ms after the last list, acknowledges no ends: the new incarnation would forget its own
+// (TWICE).
+func TestNoAckAcrossRestart(t *testing.T) {
+	var born, acknowledged atomic.Uint64
+	born.Store(1)
+	c, _ := newOrderer(t, 1, nil)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request struct {
+			Acknowledged uint64 `json:"last-seen"`
+		}
+		quicktest.Check(t, json.NewDecoder(r.Body).Decode(&request), quicktest.IsNil)
+		acknowledged.Store(request.Acknowledged)
+		fmt.Fprintf(w, `{"clock-ms":1,"born":%d}`, born.Load())
+	}))
+	t.Cleanup(server.Close)
+	now := time.Second
+	c.now = func() time.Duration { return now }
+	s := c.sessions["w0"]
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	assertHeartbeat := func(want uint64) {
+		t.Helper()
+		now += heartbeatDelay
+		quicktest.Assert(t, c.heartbeat(s, false), quicktest.IsTrue)
+		quicktest.Assert(t, acknowledged.Load(), quicktest.Equals, want)
+	}
+	assertHeartbeat(0)
+	s.persistedSerial = 57
+	assertHeartbeat(57)
+	quicktest.Assert(t, s.acknowledgedSerial, quicktest.Equals, uint64(57))
+	server.CloseClientConnections()
+	born.Store(2)
+	time.Sleep(10 * time.Millisecond)
+	assertHeartbeat(0)
+	quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(2))
+	quicktest.Assert(t, s.acknowledgedSerial, quicktest.Equals, uint64(0))
+}
+
 // TestHeartbeatsOfRemovedWorkerEnd checks that heartbeats to a worker that is gone end once it
 // is removed, although ends of it are not acknowledged.
 func TestHeartbeatsOfRemovedWorkerEnd(t *testing.T) {
