planner: A start without an answer is held until no incarnation can carry it out

Cause: Planner.HandleStatus took the answer to the stop for final, and Planner.expireLeases the end of the lease. Both bind one incarnation; the next one knows no stop and no fence, and its clock starts anew.

Decision: only time rules it out, and no task may run in two places, so such a start is held for 15 s after it was ordered, and for the lease that one carried out last gets if the worker does not answer after that. Its task starts nowhere else, its room stays taken, and its stop is ordered anew at each new incarnation. The cost elsewhere is a wait of 15 s, at most 21, for a task whose start got no answer; for tasks that last, LOST allows 9 s while the fleet is calm.

A held run that the known incarnation certainly does not have counts under no crash of it.

Changed tests: TestUnansweredStart wanted the task to start again right after the answered stop, which is the fault. It checks now that it does not, and that it does after the 15 s.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -112,8 +112,8 @@
 // have started.
 func (p *Planner) StartsDeferred() bool { return p.startsDeferred }
 
-// maxOrderDelay is how long an unanswered start may still reach a worker after the
-// worker has restarted. The platform may take 12 s to carry out an order. The new
+// maxOrderDelay is how long an unanswered start may still reach a worker after it was
+// ordered, or after the worker has restarted. The platform may take 12 s to carry out an order. The new
 // incarnation doesn't notice that the order's lease has expired, since the lease ends
 // at a time on the clock of the earlier incarnation.
 const maxOrderDelay = 15 * time.Second
@@ -135,16 +135,16 @@
 		w.earlierOwnersFenced = true
 		var expired []*run
 		for _, r := range w.runs {
-			if r.phase != phaseDecided && (r.workerRestartedAt == 0 || now-r.workerRestartedAt > maxOrderDelay) {
+			if r.phase != phaseDecided && now >= r.lateLeaseExpiry && (r.workerRestartedAt == 0 || now-r.workerRestartedAt > maxOrderDelay) {
 				expired = append(expired, r)
 			}
 		}
 		switch {
 		case w.reg.Draining:
 		case w.closedAt != 0:
-			w.markCrash(expired, signClosed, now)
+			w.markCrash(withoutAbsent(expired), signClosed, now)
 		case !w.listed:
-			w.markCrash(expired, signSilent, now)
+			w.markCrash(withoutAbsent(expired), signSilent, now)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
 	}
--- a/planner/doc.go
+++ b/planner/doc.go
@@ -14,7 +14,8 @@
 //     the end of a job only once the journal holds it.
 //   - A run keeps its capacity, and its task starts nowhere else, until the run has
 //     certainly ended: the worker says so, the worker no longer has it, or its lease
-//     has expired. This also holds for starts that got no answer.
+//     has expired. This also holds for starts that got no answer. Without a ticket, the
+//     worker's next incarnation may carry them out.
 //   - After a takeover, runs that an earlier owner may have started stay allocated
 //     until their worker answers or all older leases have expired.
 //   - What a call shows of a worker holds for the incarnation that has answered it. Only
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -102,7 +102,7 @@
 				r.phase = phaseUnanswered // the new incarnation may not know of the stop
 			}
 			r.workerRestartedAt = now
-			r.stopOrdered = false
+			r.stopOrdered, r.absent = false, false
 			r.obsolete = true
 			p.stopIfObsolete(r)
 		case r.phase == phaseInherited:
--- a/planner/job.go
+++ b/planner/job.go
@@ -124,6 +124,9 @@
 	checkpoint        string        // as last listed by the worker
 	team              *team         // team to which its size is allocated; nil if none or once released
 	workerRestartedAt time.Duration // when its worker restarted without having answered the start; else 0
+	lateUntil         time.Duration // until when an incarnation of its worker may still carry its start out; 0 if none may but the known one
+	lateLeaseExpiry   time.Duration // when the lease of a start that was carried out at lateUntil has certainly expired; else 0
+	absent            bool          // the known incarnation of the worker has answered its stop, and did not list it afterwards
 	startedAt         time.Duration // when its start was ordered, or written to the journal if inherited
 	incarnation       int64         // of the worker, as known when the start was decided; 0 if unknown
 	listed            bool          // the known incarnation of the worker has listed it
@@ -132,6 +135,18 @@
 	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
 }
 
+// holdLateStart holds a run whose start got no answer until no incarnation of its worker can
+// carry the start out any more. A stop that was answered binds the incarnation that has
+// answered it only. A ticket is valid for one incarnation, so a start with one needs no hold.
+func (r *run) holdLateStart() {
+	r.lateUntil = r.startedAt + maxOrderDelay
+	r.lateLeaseExpiry = r.lateUntil + max(0, r.worker.leaseExpiry-r.startedAt)
+}
+
+// mayComeLate reports whether the start, which its worker is not known to have carried out,
+// may have come after a call to the worker that was sent at sentAt.
+func (r *run) mayComeLate(sentAt time.Duration) bool { return !r.started && sentAt < r.lateUntil }
+
 func (r *run) key() runKey { return runKey{r.step.taskName(r.taskIndex), r.number} }
 
 // taskPrefix returns ID.K.STEP, the part of a task's name that names its step.
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -55,8 +55,12 @@
 		w.unansweredCalls = 0
 		p.stopIfObsolete(r)
 	case Unknown:
-		// The order may still be carried out later. The answer to a stop prevents that.
+		// The order may still be carried out later. The answer to a stop prevents that, but
+		// for the worker's next incarnation.
 		w.unansweredCalls++
+		if a.Ticket == "" {
+			r.holdLateStart()
+		}
 		r.phase = phaseUnanswered
 		p.abandon(r)
 		p.stopIfObsolete(r)
@@ -97,8 +101,8 @@
 }
 
 // ReportStop reports whether the worker answered a Stop. Without an answer, the next
-// Decide returns the Stop again. An answer also resolves an unanswered start, since the
-// worker refuses to start the run from then on.
+// Decide returns the Stop again. An answer also resolves an unanswered start with a ticket,
+// since the worker refuses to start the run from then on; without one, see holdLateStart.
 func (p *Planner) ReportStop(a Action, answered bool, now time.Duration) {
 	w := p.workers[a.Worker]
 	if w == nil {
@@ -179,6 +183,10 @@
 		if present[key] || r.confirmedAt >= status.SentAt || r.phase == phaseDecided || r.phase == phaseUnanswered {
 			continue
 		}
+		if r.mayComeLate(status.SentAt) {
+			r.absent = true
+			continue
+		}
 		// Either the run was confirmed before the heartbeat and the worker no longer has
 		// it, or it is inherited and the order never arrived. The worker now refuses that
 		// order, since it has the fence of this owner.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -28,8 +28,8 @@
 }
 
 // TestUnansweredStart checks a start that got no answer and may be carried out late. The
-// task must not start again until the worker has answered the stop of that run and no
-// longer lists it.
+// task must not start again until the worker has answered the stop of that run, does not
+// list it, and none of its incarnations can carry the start out any more.
 func TestUnansweredStart(t *testing.T) {
 	f := newFixture(t, 2)
 	f.submit("j", newStep(1))
@@ -43,6 +43,9 @@
 	f.Assert(f.starts(), quicktest.HasLen, 0)
 	f.now += second / 10
 	f.p.HandleStatus(WorkerStatus{Worker: start.Worker, Incarnation: 1, SentAt: f.now}, f.now)
+	f.Assert(f.starts(), quicktest.HasLen, 0) // the worker's next incarnation may still carry it out
+	f.now = maxOrderDelay
+	f.p.HandleStatus(WorkerStatus{Worker: start.Worker, Incarnation: 1, SentAt: f.now}, f.now)
 	restarts := f.starts()
 	f.Assert(restarts, quicktest.HasLen, 1)
 	f.Assert(restarts[0].Number, quicktest.Equals, 2)
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -72,11 +72,12 @@
 
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.reg.Labels, label) }
 
-// orderedRuns returns the runs that may be on the worker, sorted by task and number.
+// orderedRuns returns the runs that the known incarnation of the worker may have, sorted by
+// task and number.
 func (w *worker) orderedRuns() []*run {
 	var runs []*run
 	for _, r := range w.runs {
-		if r.phase != phaseDecided {
+		if r.phase != phaseDecided && !r.absent {
 			runs = append(runs, r)
 		}
 	}
@@ -84,6 +85,11 @@
 	return runs
 }
 
+// withoutAbsent returns those of the runs that the known incarnation of their worker may have.
+func withoutAbsent(runs []*run) []*run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.absent })
+}
+
 // allocate adds a run and takes its capacity.
 func (w *worker) allocate(r *run) {
 	w.runs[r.key()] = r
