conductor: The answer of another worker shows nothing of the one that was called

The answer 421 of another worker at the address set the clock of the worker, and its incarnation if the answer names one: later starts would get a lease by that clock. TestClockOfAnotherWorker fails before.

--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -218,3 +218,17 @@
 		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
 	})
 }
+
+// TestClockOfAnotherWorker checks that the clock and the incarnation of another worker at the
+// address do not count as those of the worker.
+func TestClockOfAnotherWorker(t *testing.T) {
+	c, starts := newOrderer(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		fmt.Fprint(w, `{"clock-ms":99000,"born":9}`)
+	})
+	c.start(starts[0])
+	s := c.sessions["w0"]
+	quicktest.Check(t, s.clock, quicktest.Equals, int64(1))
+	quicktest.Check(t, s.incarnation, quicktest.Equals, int64(1))
+	quicktest.Check(t, c.planner.Incarnation("w0"), quicktest.Equals, int64(1))
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -79,8 +79,12 @@
 
 // observe records the worker's clock and incarnation from the answer to a call sent at
 // sentAt. The worker reads its clock after sentAt, so the estimate of its clock may be
-// ahead by as much as the call took. The worker limits the lease itself. The caller holds c.mu.
+// ahead by as much as the call took. The worker limits the lease itself. An answer by another
+// worker at its address shows nothing of it. The caller holds c.mu.
 func (c *Conductor) observe(s *session, r platform.ExecutorResult, sentAt time.Duration) {
+	if r.Outcome == planner.Replaced {
+		return
+	}
 	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, c.now())
 	s.follow(c.planner.Incarnation(s.id))
 	if counts && r.Clock != 0 && sentAt >= s.clockReadAt {
