--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -9,6 +9,7 @@
 
 	"filberthaven.example/placer"
 	"filberthaven.example/planner"
+	"filberthaven.example/platform"
 	"github.com/frankban/quicktest"
 )
 
@@ -28,6 +29,7 @@
 	t.Helper()
 	w := &fakeWorker{}
 	w.born.Store(1)
+	w.clock.Store(1)
 	w.now.Store(int64(time.Second))
 	c, starts := newOrderer(t, 1, func(response http.ResponseWriter, _ *http.Request) {
 		if w.down.Load() {
@@ -186,3 +188,64 @@
 	w.down.Store(false)
 	w.assertUsable(t, ended)
 }
+
+// TestTimeOfDayJumpsBack checks that a worker is used whose time of day has jumped back before
+// it restarted, so that its new incarnation seems to be earlier than the known one. Its ends
+// are acknowledged.
+func TestTimeOfDayJumpsBack(t *testing.T) {
+	restart := func(t *testing.T) (*fakeWorker, *session) {
+		w := newFakeWorker(t)
+		s := w.conductor.sessions["w0"]
+		w.born.Store(9)
+		w.register()
+		w.now.Add(int64(time.Second))
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(9))
+		s.persistedSerial, s.acknowledgedSerial, s.clock = 57, 57, 1000
+		w.now.Add(int64(time.Second))
+		w.born.Store(5)
+		w.idle.Store(true)
+		return w, s
+	}
+	t.Run("it answers first", func(t *testing.T) {
+		w, s := restart(t)
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
+		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
+		quicktest.Assert(t, s.persistedSerial, quicktest.Equals, uint64(0))
+		quicktest.Assert(t, w.conductor.planner.Busy("w0"), quicktest.IsFalse)
+		w.assertUsable(t, w.runHeartbeats())
+	})
+	t.Run("its entry is read first", func(t *testing.T) {
+		w, s := restart(t)
+		applyEntry(w.conductor, s.address, 5, 2)
+		quicktest.Assert(t, w.conductor.planner.NeedsHeartbeat("w0"), quicktest.IsTrue)
+		w.now.Add(int64(time.Second))
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
+		w.assertUsable(t, w.runHeartbeats())
+	})
+	t.Run("its earlier incarnation answers late", func(t *testing.T) {
+		w, s := restart(t)
+		sentAt := w.conductor.now()
+		w.now.Add(int64(time.Second))
+		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
+		w.conductor.observe(s, platform.ExecutorResult{Incarnation: 9, Clock: 2000, HasClock: true}, sentAt)
+		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
+		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
+	})
+}
+
+// TestClockOfAnotherWorker checks that the clock and the incarnation of another worker at the
+// address do not count as those of the worker.
+func TestClockOfAnotherWorker(t *testing.T) {
+	c, starts := newOrderer(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		fmt.Fprint(w, `{"clock-ms":99000,"born":9}`)
+	})
+	c.start(starts[0])
+	s := c.sessions["w0"]
+	quicktest.Check(t, s.clock, quicktest.Equals, int64(1))
+	quicktest.Check(t, s.incarnation, quicktest.Equals, int64(1))
+	quicktest.Check(t, c.planner.Incarnation("w0"), quicktest.Equals, int64(1))
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -71,17 +71,24 @@
 	return s.persistedSerial
 }
 
+// follow begins the incarnation that the planner knows, unless it is the current one already.
+func (s *session) follow(incarnation int64) {
+	if incarnation != 0 && incarnation != s.incarnation {
+		s.restart(incarnation)
+	}
+}
+
 // observe records the worker's clock and incarnation from the answer to a call sent at
 // sentAt. The worker reads its clock after sentAt, so the estimate of its clock may be
-// ahead by as much as the call took. The worker limits the lease itself.
-func (s *session) observe(r platform.ExecutorResult, sentAt time.Duration) {
-	if r.Incarnation != 0 && r.Incarnation != s.incarnation {
-		if r.Incarnation < s.incarnation {
-			return
-		}
-		s.restart(r.Incarnation)
+// ahead by as much as the call took. The worker limits the lease itself. An answer by another
+// worker at its address shows nothing of it. The caller holds c.mu.
+func (c *Conductor) observe(s *session, r platform.ExecutorResult, sentAt time.Duration) {
+	if r.Outcome == planner.Replaced {
+		return
 	}
-	if r.HasClock && sentAt >= s.clockReadAt {
+	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, c.now())
+	s.follow(c.planner.Incarnation(s.id))
+	if counts && r.HasClock && sentAt >= s.clockReadAt {
 		s.clock, s.clockKnown, s.clockReadAt = r.Clock, true, sentAt
 	}
 }
@@ -147,7 +154,8 @@
 			wait = planner.Probation
 		}
 	}
-	address, acknowledged, incarnation := s.address, s.acknowledgeable(sentAt), s.incarnation
+	address, incarnation := s.address, s.incarnation
+	ack := platform.Acknowledgement{Incarnation: incarnation, Serial: s.acknowledgeable(sentAt)}
 	c.mu.Unlock()
 	if wait == 0 {
 		select {
@@ -158,7 +166,7 @@
 		}
 	}
 	c.metrics.heartbeats.Inc(1)
-	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, acknowledged, wait)
+	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, ack, wait)
 	if c.ctx.Err() != nil {
 		return false
 	}
@@ -167,9 +175,9 @@
 		return false
 	}
 	c.mu.Lock()
-	s.observe(result, sentAt)
+	c.observe(s, result, sentAt)
 	if s.incarnation == incarnation {
-		s.acknowledgedSerial = max(s.acknowledgedSerial, acknowledged)
+		s.acknowledgedSerial = max(s.acknowledgedSerial, result.Acknowledged)
 	}
 	if s.incarnation == result.Incarnation || result.Incarnation == 0 {
 		s.listedAt = c.now()
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -241,7 +241,7 @@
 			resolved := *c
 			resolved.Survived = true
 			p.resolveCrash(o, resolved, now)
-		case c.Worker == w.reg.ID && c.Incarnation != 0 && incarnation > c.Incarnation, c.Worker != w.reg.ID && c.Address != "" && c.Address == w.reg.Address:
+		case c.Worker == w.reg.ID && c.Incarnation != 0 && incarnation != 0, c.Worker != w.reg.ID && c.Address != "" && c.Address == w.reg.Address:
 			resolved := *c
 			resolved.Ended = true
 			if c.Sign == signSilent { // it may have ended at any time
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -181,6 +181,7 @@
 			starts = f.decide()
 		}
 		f.Assert(starts, quicktest.HasLen, 1)
+		starts[0].Ticket = "t" // without one, the start is held for maxOrderDelay
 		f.p.ReportStart(starts[0], Unknown, f.now)
 		f.now += 10 * time.Millisecond
 		f.p.ObserveClosed(starts[0].Worker, f.now)
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -36,7 +36,11 @@
 	leaseExpiry         time.Duration // when every lease given to the worker has certainly expired; 0 before the first
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
-	restarted           bool          // its known incarnation, not the first one, has not answered yet
+	restarted           bool          // its known incarnation, not the first one, has not answered yet, or the doubted one may have followed
+	incarnationSeenAt   time.Duration // when its known incarnation became known
+	earlier             []int64       // incarnations that the known one has followed, the newest ones last
+	doubted             int64         // incarnation that an entry has named, and that is the known one's predecessor or successor; else 0
+	doubtedAt           time.Duration // when that entry was read
 	health              health
 	pruned              bool          // it was removed from the planner
 	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
@@ -69,11 +73,12 @@
 
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.reg.Labels, label) }
 
-// orderedRuns returns the runs that may be on the worker, sorted by task and number.
+// orderedRuns returns the runs that the known incarnation of the worker may have, sorted by
+// task and number.
 func (w *worker) orderedRuns() []*run {
 	var runs []*run
 	for _, r := range w.runs {
-		if r.phase != phaseDecided {
+		if r.phase != phaseDecided && !r.absent {
 			runs = append(runs, r)
 		}
 	}
@@ -81,6 +86,11 @@
 	return runs
 }
 
+// withoutAbsent returns those of the runs that the known incarnation of their worker may have.
+func withoutAbsent(runs []*run) []*run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.absent })
+}
+
 // allocate adds a run and takes its capacity.
 func (w *worker) allocate(r *run) {
 	w.runs[r.key()] = r
