--- a/conductor/session.go
+++ b/conductor/session.go
@@ -165,11 +165,11 @@
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended, MoreEnds: result.MoreEnds,
 	}, c.now())
-	c.storeWorker(s)
 	c.reportBegun(s.id)
 	if len(ends) > 0 {
 		c.persistEnds(s, ends, result.Ended[len(result.Ended)-1].Serial)
 	}
+	c.storeWorker(s) // last, since the jobs that the ends complete are shown with the next record
 	c.mu.Unlock()
 	c.wake()
 	return true
--- /dev/null
+++ b/conductor/shown_test.go
@@ -0,0 +1,88 @@
+package conductor
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"filberthaven.example/emulator"
+	"filberthaven.example/journaler"
+	"filberthaven.example/keeper"
+	"filberthaven.example/placer"
+	"filberthaven.example/planner"
+	"github.com/frankban/quicktest"
+)
+
+// heldWrites makes the writes to a store wait, while it is on, until the test lets them pass.
+type heldWrites struct {
+	on     atomic.Bool
+	waits  chan struct{} // gets an element for each write that waits
+	passes chan struct{} // lets a write pass
+}
+
+// store returns the store with held writes.
+func (h *heldWrites) store(store keeper.Store) keeper.Store {
+	put := store.Put
+	store.Put = func(ctx context.Context, key string, value []byte, expect uint64, lease keeper.LeaseID) (uint64, error) {
+		if h.on.Load() {
+			h.waits <- struct{}{}
+			<-h.passes
+			ctx = context.WithoutCancel(ctx)
+		}
+		return put(ctx, key, value, expect, lease)
+	}
+	return store
+}
+
+// enqueueFiller queues a record of that size, above 64 KiB, without effect.
+func enqueueFiller(t *testing.T, owner *Conductor, size int) {
+	t.Helper()
+	const head = 8 // bytes before the text
+	filler, err := planner.Record{Begun: []string{strings.Repeat("x", size-head)}}.Encode()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, filler, quicktest.HasLen, size)
+	quicktest.Assert(t, owner.journal.EnqueueMandatory(filler, func(error) {}), quicktest.IsNil)
+}
+
+// TestCompletedIsShownOnceItsEndIsStored checks that an owner that is deposed while it writes
+// shows no job as completed that the next owner does not: the journal may take the record that
+// adds a worker, and not that of the ends which the same answer lists.
+func TestCompletedIsShownOnceItsEndIsStored(t *testing.T) {
+	store := emulator.NewStore().KV()
+	held := &heldWrites{waits: make(chan struct{}), passes: make(chan struct{})}
+	c := newBusyOwner(t, held.store(store), 1)
+	// The worker has been away for so long that the journal does not name it any more.
+	c.mu.Lock()
+	c.planner.ExtendLease("w0", c.now())
+	c.planner.Deregister("w0")
+	c.planner.HeartbeatMissed("w0")
+	c.planner.Decide(c.now(), wallClock())
+	removed, _ := c.planner.PruneWorkers(c.now())
+	quicktest.Assert(t, removed, quicktest.HasLen, 1)
+	c.flush()
+	c.planner.Register(planner.Registration{ID: "w0", Centre: "c", Service: "s", Incarnation: 1, Capacity: placer.NewResources(1000, 1000, 0)}, c.now())
+	c.mu.Unlock()
+	flush(t, c)
+	held.on.Store(true)
+	enqueueFiller(t, c, journaler.RecordLimit)
+	<-held.waits
+	// The next segment has room for the record of the worker, and not for that of the end.
+	added, err := planner.Record{AddedWorker: "w0", At: wallClock()}.Encode()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	enqueueFiller(t, c, journaler.RecordLimit)
+	enqueueFiller(t, c, journaler.RecordLimit-len(added))
+	quicktest.Assert(t, c.heartbeat(c.sessions["w0"], false), quicktest.IsTrue)
+	held.passes <- struct{}{}
+	<-held.waits
+	held.passes <- struct{}{}
+	<-held.waits
+	next := openOwner(t, store, 2)
+	state, _ := next.planner.State("j0", "q", "")
+	c.mu.Lock()
+	shown, _ := c.planner.State("j0", "q", "")
+	c.mu.Unlock()
+	held.passes <- struct{}{}
+	<-c.journal.Done()
+	quicktest.Check(t, shown == planner.Completed, quicktest.Equals, state == planner.Completed, quicktest.Commentf("shown as %s, then as %s", shown, state))
+}
