--- a/planner/failure.go
+++ b/planner/failure.go
@@ -50,7 +50,7 @@
 // used up its attempts.
 func (s *step) exhaustion(index int) Failure {
 	return Failure{
-		Task: s.taskName(index), Failures: s.tasks[index].failures, GangFailures: s.gangFailures,
+		Task: s.taskName(index), Failures: len(s.tasks[index].failedRuns), GangFailures: len(s.failedRuns),
 		Attempts: s.occurrence.job.queue.Attempts,
 	}
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -76,23 +76,21 @@
 	tasks             []task
 	waitingTasks      int // tasks that are not done and have no run
 	doneTasks         int
-	ready             bool // all steps named in After are finished; not maintained once this step is finished
-	openPrerequisites int  // number of steps named in After that are not finished; -1 once this step is finished
-	gangFailures      int  // failed gang runs that were counted; 0 if the step is no gang
-	lastRun           int  // newest run number of any task
-	lastFailedGangRun int  // newest run number that gangFailures counts
+	ready             bool  // all steps named in After are finished; not maintained once this step is finished
+	openPrerequisites int   // number of steps named in After that are not finished; -1 once this step is finished
+	lastRun           int   // newest run number of any task
+	failedRuns        []int // numbers of the failed runs of a gang; empty if the step is none
 	advice            advice
 }
 
 // task is one task of a step.
 type task struct {
-	lastRun       int // newest run number, 0 before the first
-	failures      int // failed runs that were counted
-	lastFailedRun int // newest run number that failures counts
-	done          bool
-	checkpoint    string
-	crashes       crashHistory
-	runs          []*run // those that may not have ended yet
+	lastRun    int   // newest run number, 0 before the first
+	failedRuns []int // numbers of its failed runs
+	done       bool
+	checkpoint string
+	crashes    crashHistory
+	runs       []*run // those that may not have ended yet
 }
 
 // phase is what is known of a run that has not ended.
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Outcome is the result of an order to a worker, most often to start a run.
 type Outcome int
@@ -428,24 +431,29 @@
 		return
 	}
 	t := &s.tasks[index]
-	if number > t.lastFailedRun {
-		t.lastFailedRun = number
-		t.failures++
-	}
-	if s.spec.Gang && number > s.lastFailedGangRun {
-		s.lastFailedGangRun = number
-		s.gangFailures++
+	t.failedRuns = addRun(t.failedRuns, number)
+	if s.spec.Gang {
+		s.failedRuns = addRun(s.failedRuns, number)
 	}
 	if s.exhausted(index) {
 		p.fail(s.occurrence.job, s.exhaustion(index), now)
 	}
 }
 
+// addRun adds a run number unless the list has it. The ends of runs do not come in the order
+// of their numbers, and may come again.
+func addRun(numbers []int, number int) []int {
+	if slices.Contains(numbers, number) {
+		return numbers
+	}
+	return append(numbers, number)
+}
+
 // exhausted reports whether the task with that index, or its gang, has used up its
 // attempts.
 func (s *step) exhausted(index int) bool {
 	attempts := s.occurrence.job.queue.Attempts
-	return attempts > 0 && !s.spec.LongRunning && max(s.tasks[index].failures, s.gangFailures) >= attempts
+	return attempts > 0 && !s.spec.LongRunning && max(len(s.tasks[index].failedRuns), len(s.failedRuns)) >= attempts
 }
 
 // failIfExhausted fails a job that has used up its attempts. It is called after a
--- a/planner/record.go
+++ b/planner/record.go
@@ -88,23 +88,21 @@
 
 // storedTask is the state of a task.
 type storedTask struct {
-	Occurrence        int     `cbor:"1,keyasint,omitempty"` // index of the occurrence
-	Step              int     `cbor:"2,keyasint,omitempty"`
-	Index             int     `cbor:"3,keyasint,omitempty"`
-	Number            int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
-	Failures          int     `cbor:"5,keyasint,omitempty"` // failed runs of the task that were counted
-	Done              bool    `cbor:"6,keyasint,omitempty"`
-	Checkpoint        string  `cbor:"7,keyasint,omitempty"`
-	LastFailedRun     int     `cbor:"9,keyasint,omitempty"`  // newest run number that Failures counts
-	GangFailures      int     `cbor:"8,keyasint,omitempty"`  // failed runs of its gang that were counted
-	Worker            string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
-	LastFailedGangRun int     `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
-	Crashes           []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
-	LastCrashRun      int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
-	Suspect           bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
-	Incarnation       int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
-	Separate          bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
-	StartedAt         int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
+	Occurrence     int     `cbor:"1,keyasint,omitempty"` // index of the occurrence
+	Step           int     `cbor:"2,keyasint,omitempty"`
+	Index          int     `cbor:"3,keyasint,omitempty"`
+	Number         int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
+	Done           bool    `cbor:"6,keyasint,omitempty"`
+	Checkpoint     string  `cbor:"7,keyasint,omitempty"`
+	FailedRuns     []int   `cbor:"20,keyasint,omitempty"` // numbers of its failed runs
+	FailedGangRuns []int   `cbor:"21,keyasint,omitempty"` // numbers of the failed runs of its gang
+	Worker         string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
+	Crashes        []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
+	LastCrashRun   int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
+	Suspect        bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
+	Incarnation    int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
+	Separate       bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
+	StartedAt      int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -137,8 +135,8 @@
 					continue
 				}
 				entry := storedTask{
-					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
-					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
+					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun,
+					Done: t.done, Checkpoint: t.checkpoint, FailedRuns: t.failedRuns, FailedGangRuns: st.failedRuns,
 				}
 				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.crashes, t.crashes.lastRun, t.crashes.suspect
 				for _, r := range t.runs {
@@ -210,10 +208,11 @@
 		return
 	}
 	task := &st.tasks[t.Index]
-	task.lastRun, task.failures, task.checkpoint = t.Number, t.Failures, t.Checkpoint
+	task.lastRun, task.failedRuns, task.checkpoint = t.Number, t.FailedRuns, t.Checkpoint
 	st.lastRun = max(st.lastRun, t.Number)
-	st.gangFailures = max(st.gangFailures, t.GangFailures)
-	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
+	if len(t.FailedGangRuns) > 0 {
+		st.failedRuns = t.FailedGangRuns
+	}
 	task.crashes.crashes, task.crashes.lastRun = t.Crashes, t.LastCrashRun
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
