--- a/conductor/request.go
+++ b/conductor/request.go
@@ -134,11 +134,16 @@
 	return Response{Status: http.StatusOK, Body: platform.StateBody(state)}
 }
 
-// storedState returns the response that tells the state of a job that the journal holds.
+// storedState returns the response that tells the state of a job, or that the journal does not
+// hold the job, since its submission was refused.
 func (c *Conductor) storedState(id string) Response {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return Response{Status: http.StatusOK, Body: platform.StateBody(c.planner.StateOf(id))}
+	state, known := c.planner.StateOf(id)
+	c.mu.Unlock()
+	if !known {
+		return errorResponse(http.StatusGone, "no such job")
+	}
+	return Response{Status: http.StatusOK, Body: platform.StateBody(state)}
 }
 
 // submit admits a job and acknowledges it once the journal holds it. A repeated
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -218,19 +218,8 @@
 func (c *Conductor) reportEnded(jobs []string) {
 	for _, id := range jobs {
 		c.planner.MarkEndStored(id)
-		state := c.planner.FinalState(id)
-		fields := []any{"job", id, "state", string(state)}
-		if failure := c.planner.FailureOf(id); failure.Task != "" {
-			fields = append(fields, "task", failure.Task, "reason", failure.String())
-		}
-		c.log.Info("job ended", fields...)
-		switch state {
-		case planner.Completed:
-			c.metrics.completed.Inc(1)
-		case planner.Failed:
-			c.metrics.failed.Inc(1)
-		case planner.Cancelled:
-			c.metrics.cancelled.Inc(1)
+		if state := c.planner.FinalState(id); state != "" { // else its submission was refused
+			c.recordEnd(id, state)
 		}
 		for _, notify := range c.planner.TakeWaiters(id, planner.JobEndStored) {
 			notify(nil)
@@ -238,6 +227,23 @@
 	}
 }
 
+// recordEnd counts and logs the end of a job. The caller holds c.mu.
+func (c *Conductor) recordEnd(id string, state planner.State) {
+	fields := []any{"job", id, "state", string(state)}
+	if failure := c.planner.FailureOf(id); failure.Task != "" {
+		fields = append(fields, "task", failure.Task, "reason", failure.String())
+	}
+	c.log.Info("job ended", fields...)
+	switch state {
+	case planner.Completed:
+		c.metrics.completed.Inc(1)
+	case planner.Failed:
+		c.metrics.failed.Inc(1)
+	case planner.Cancelled:
+		c.metrics.cancelled.Inc(1)
+	}
+}
+
 // heartbeatFailed reports a failed heartbeat to the planner, or resigns if the worker
 // knows a newer owner.
 func (c *Conductor) heartbeatFailed(s *session, address string, result platform.ExecutorResult, err error) {
--- a/conductor/shown_test.go
+++ b/conductor/shown_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"filberthaven.example/emulator"
 	"filberthaven.example/journaler"
 	"filberthaven.example/keeper"
 	"filberthaven.example/placer"
 	"filberthaven.example/planner"
+	"filberthaven.example/platform"
+	"filberthaven.example/platform/imitator"
 	"github.com/frankban/quicktest"
 )
 
@@ -86,3 +90,34 @@
 	<-c.journal.Done()
 	quicktest.Check(t, shown == planner.Completed, quicktest.Equals, state == planner.Completed, quicktest.Commentf("shown as %s, then as %s", shown, state))
 }
+
+// TestCancelOfRefusedJob checks that a cancel does not tell a state of a job whose submission was
+// refused meanwhile, since the store did not take it.
+func TestCancelOfRefusedJob(t *testing.T) {
+	store := emulator.NewStore()
+	c, err := New(store.KV(), platform.NewExecutorClient(platform.DefaultIdle), "vm", 1)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	c.ctx = t.Context()
+	_, err = c.journal.Open(t.Context(), 1)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(c.journal.Abort)
+	store.SetFaults(emulator.Down())
+	const id = "00000000000000aa"
+	submitted, cancelled := make(chan Response, 1), make(chan Response, 1)
+	go func() {
+		submitted <- c.submit(t.Context(), planner.Queue{Name: "q"}, "", id, []byte(imitator.JobBody))
+	}()
+	isKnown := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.planner.Known(id, "")
+	}
+	for !isKnown() {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { cancelled <- c.cancel(t.Context(), "", id) }()
+	quicktest.Assert(t, (<-submitted).Status, quicktest.Equals, http.StatusServiceUnavailable)
+	store.SetFaults()
+	response := <-cancelled
+	quicktest.Assert(t, response.Status, quicktest.Equals, http.StatusGone, quicktest.Commentf("%s", response.Body))
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -206,9 +206,9 @@
 func (p *Planner) Known(id, team string) bool { return p.find(id, team) != nil }
 
 // MarkEndStored lets State report the end of a job. The caller calls it once the
-// journal holds the end.
+// journal holds the end. A job that has not ended was submitted again under that id.
 func (p *Planner) MarkEndStored(id string) {
-	if j := p.jobs[id]; j != nil {
+	if j := p.jobs[id]; j != nil && j.finalState != "" {
 		j.endStored = true
 	}
 }
@@ -224,12 +224,13 @@
 	return j.state(), true
 }
 
-// StateOf returns the state of a job, and Queued if it is not known.
-func (p *Planner) StateOf(id string) State {
-	if j := p.jobs[id]; j != nil {
-		return j.state()
+// StateOf returns the state of a job, and whether the journal holds the job.
+func (p *Planner) StateOf(id string) (State, bool) {
+	j := p.jobs[id]
+	if j == nil || !j.stored {
+		return "", false
 	}
-	return Queued
+	return j.state(), true
 }
 
 func (j *job) state() State {
