receiver: A refusal after an attempt of unknown outcome is told as unknown

What callers saw: by the test, a submission that is answered 429 or 503, "not accepted, never runs", although an earlier attempt of the same request broke off after it was sent. The owner that refuses the second attempt may yet read the first and accept it: it submits a job whether the caller still waits or not.

Cause: an attempt without an answer counted only if no later one got any. A refusal by the same owner is 504 now.

Evidence: TestRefusalAfterUnknownAttempt fails before (429 and 503 in place of 504) and passes, and checks that the next owner's refusal is passed on.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -167,12 +167,18 @@
 func (r *Receiver) forward(ctx context.Context, request conductor.Request) conductor.Response {
 	start := r.now()
 	mayHaveRun := false // whether an attempt failed with an unknown outcome
+	unknownAt := ""     // id of the owner that the newest such attempt was sent to, and that may yet read it
 	for {
-		response, err := r.attempt(ctx, request)
+		response, owner, err := r.attempt(ctx, request)
 		if err == nil && !response.Retryable {
+			if owner == unknownAt && isRefusal(request, response) {
+				return r.failureResponse(request, response, mayHaveRun, err)
+			}
 			return response
 		}
-		mayHaveRun = mayHaveRun || err != nil && !errors.Is(err, errNotRun)
+		if err != nil && !errors.Is(err, errNotRun) {
+			mayHaveRun, unknownAt = true, owner
+		}
 		if ctx.Err() != nil || r.now()-start > ownerWait || errors.Is(err, errOwnerStalled) {
 			return r.failureResponse(request, response, mayHaveRun, err)
 		}
@@ -180,6 +186,12 @@
 	}
 }
 
+// isRefusal reports whether a response says that a submitted job was not accepted and never
+// runs. The next owner knows whether an earlier one has accepted it.
+func isRefusal(request conductor.Request, response conductor.Response) bool {
+	return request.Method == http.MethodPost && (response.Status == http.StatusTooManyRequests || response.Status == http.StatusServiceUnavailable)
+}
+
 // failureResponse returns the response to a request that no owner has served. mayHaveRun
 // tells whether any attempt may have run it; response and err come from the last attempt.
 func (r *Receiver) failureResponse(request conductor.Request, response conductor.Response, mayHaveRun bool, err error) conductor.Response {
@@ -204,17 +216,24 @@
 	errOwnerStalled = fmt.Errorf("%w: the owner has been unavailable for too long", errNotRun)
 )
 
-// attempt sends a request to the owner once, or serves the request if this VM is the owner.
-// The error wraps errNotRun if the request is known not to have run.
-func (r *Receiver) attempt(ctx context.Context, request conductor.Request) (conductor.Response, error) {
+// attempt sends a request to the owner once, or serves the request if this VM is the owner. It
+// returns the id of that VM, if one is known. The error wraps errNotRun if the request is known
+// not to have run.
+func (r *Receiver) attempt(ctx context.Context, request conductor.Request) (conductor.Response, string, error) {
 	if c := r.localConductor.Load(); c != nil {
 		r.unreachableSince.Store(0)
-		return c.Serve(ctx, request), nil
+		return c.Serve(ctx, request), r.self, nil
 	}
 	owner, term, known := r.owner()
 	if !known || owner.ID() == r.self {
-		return conductor.Response{}, errNoOwner
+		return conductor.Response{}, "", errNoOwner
 	}
+	response, err := r.call(ctx, request, owner, term)
+	return response, owner.ID(), err
+}
+
+// call sends a request to the owner of that term once. Its errors are those of attempt.
+func (r *Receiver) call(ctx context.Context, request conductor.Request, owner claimer.Member, term uint64) (conductor.Response, error) {
 	if !r.breaker.allow(term, r.now()) {
 		if r.breaker.openFor(term, r.now()) > ownerWait {
 			return conductor.Response{}, errOwnerStalled
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,11 @@
 	c.Assert(err, quicktest.IsNil)
 	owner := func() (claimer.Member, uint64, bool) { return claimer.NewMember("owner", address, "c"), 1, true }
 	r := New(m, "self", owner, hclog.NewNullLogger(), metrics.NewRegistry())
+	return serveJob(r)
+}
+
+// serveJob submits a job to a receiver and returns the status of the response.
+func serveJob(r *Receiver) int {
 	recorder := httptest.NewRecorder()
 	r.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/q/00000000000000aa", strings.NewReader("{}")))
 	return recorder.Code
@@ -40,6 +46,37 @@
 	quicktest.Assert(t, postJob(t, strings.TrimPrefix(server.URL, "http://")), quicktest.Equals, http.StatusGatewayTimeout)
 }
 
+// TestRefusalAfterUnknownAttempt guards against a response that says that a job was not
+// accepted, although the owner that has refused it may yet read an earlier attempt.
+func TestRefusalAfterUnknownAttempt(t *testing.T) {
+	m, err := messenger.New()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			mux := http.NewServeMux()
+			var calls atomic.Int64
+			messenger.Handle(m, mux, procedure, func(context.Context, *conductor.Request) (*conductor.Response, error) {
+				if calls.Add(1) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				return &conductor.Response{Status: status}, nil
+			})
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			address := strings.TrimPrefix(server.URL, "http://")
+			quicktest.Check(t, postJob(t, address), quicktest.Equals, http.StatusGatewayTimeout)
+			quicktest.Check(t, postJob(t, address), quicktest.Equals, status)
+			// The next owner knows what the last one has accepted.
+			calls.Store(0)
+			next := func() (claimer.Member, uint64, bool) {
+				term := uint64(calls.Load() + 1)
+				return claimer.NewMember(fmt.Sprint("owner", term), address, "c"), term, true
+			}
+			quicktest.Check(t, serveJob(New(m, "self", next, hclog.NewNullLogger(), metrics.NewRegistry())), quicktest.Equals, status)
+		})
+	}
+}
+
 // TestOwnerUnreachable checks that a request that reached no owner is reported as not run.
 func TestOwnerUnreachable(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
