planner, conductor: A job belongs to the queue at the host and prefix that callers know

A queue that is gone keeps its last attempts until the owner changes.

Evidence: TestAttemptsOfChangedQueue fails before in "replaced by one with fewer attempts" (at the next owner) and in both of "another queue has its name", TestRenamedQueueAtNextOwner without the change of conductor; all pass.

--- a/conductor/request.go
+++ b/conductor/request.go
@@ -154,7 +154,8 @@
 	if err != nil {
 		return errorResponse(http.StatusBadRequest, err.Error())
 	}
-	spec.ID, spec.Queue, spec.Team, spec.AcceptedAt = id, queue.Name, team, wallClock()
+	spec.ID, spec.Team, spec.AcceptedAt = id, team, wallClock()
+	spec.Queue, spec.Host, spec.Prefix = queue.Name, queue.Host, queue.Prefix
 	record, err := planner.Record{Job: &spec, At: spec.AcceptedAt}.Encode()
 	if err != nil {
 		return errorResponse(http.StatusBadRequest, err.Error())
--- a/conductor/shown_test.go
+++ b/conductor/shown_test.go
@@ -121,3 +121,19 @@
 	response := <-cancelled
 	quicktest.Assert(t, response.Status, quicktest.Equals, http.StatusGone, quicktest.Commentf("%s", response.Body))
 }
+
+// TestRenamedQueueAtNextOwner checks that the next owner finds a job in the queue that has taken
+// over the host and prefix at which the job was submitted.
+func TestRenamedQueueAtNextOwner(t *testing.T) {
+	store := emulator.NewStore().KV()
+	owner := openOwner(t, store, 1)
+	queue := planner.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Stretch: 2, Objective: time.Second}
+	response := owner.submit(t.Context(), queue, "", "00000000000000aa", []byte(imitator.JobBody))
+	quicktest.Assert(t, response.Status, quicktest.Equals, http.StatusOK)
+	owner.journal.Abort()
+	next := openOwner(t, store, 2)
+	t.Cleanup(next.journal.Abort)
+	queue.Name = "renamed"
+	next.planner.Configure(planner.Config{Version: 2, Queues: []planner.Queue{queue}}, next.now())
+	quicktest.Assert(t, next.planner.Pending("renamed"), quicktest.Equals, 1)
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -11,7 +11,8 @@
 	settings settings
 
 	config          Config
-	queues          map[string]Queue
+	queues          map[string]Queue // by name
+	queuesAt        map[place]Queue
 	teams           map[string]*team
 	cordoned        map[string]bool // data centres taken out of service
 	workers         map[string]*worker
@@ -85,9 +86,9 @@
 		return false
 	}
 	p.config = c
-	p.queues = map[string]Queue{}
+	p.queues, p.queuesAt = map[string]Queue{}, map[place]Queue{}
 	for _, q := range c.Queues {
-		p.queues[q.Name] = q
+		p.queues[q.Name], p.queuesAt[place{q.Host, q.Prefix}] = q, q
 	}
 	for _, t := range p.teams {
 		t.spec.Keys = nil
@@ -104,18 +105,21 @@
 	return true
 }
 
-// queueOf returns the queue of a job in the configuration: that of its name or, if there is
-// none, the one that has taken over the host and the prefix of its last one.
+// place is where callers find a queue.
+type place struct{ host, prefix string }
+
+// queueOf returns the queue of a job in the configuration: the one at the host and the prefix
+// at which callers know the job, whatever its name, or else that of its name.
 func (p *Planner) queueOf(j *job) (Queue, bool) {
-	if q, known := p.queues[j.spec.Queue]; known {
-		return q, true
+	at := place{j.spec.Host, j.spec.Prefix}
+	if at == (place{}) { // an earlier version has accepted the job
+		at = place{j.queue.Host, j.queue.Prefix}
 	}
-	for _, q := range p.config.Queues {
-		if j.queue.Name != "" && q.Host == j.queue.Host && q.Prefix == j.queue.Prefix {
-			return q, true
-		}
+	q, known := p.queuesAt[at]
+	if !known || at == (place{}) {
+		q, known = p.queues[j.spec.Queue]
 	}
-	return Queue{}, false
+	return q, known
 }
 
 // isOf reports whether callers find the job in the queue with that name. A job whose queue is
--- a/planner/record.go
+++ b/planner/record.go
@@ -74,6 +74,9 @@
 	Team  string `cbor:"3,keyasint,omitempty"`
 	State State  `cbor:"4,keyasint"`
 	At    int64  `cbor:"5,keyasint"` // Unix ms at which it ended
+
+	Host   string `cbor:"6,keyasint,omitempty"`
+	Prefix string `cbor:"7,keyasint,omitempty"`
 }
 
 // storedJob is a job that has not ended, with the state of its tasks.
@@ -116,7 +119,7 @@
 			continue
 		}
 		if j.finalState != "" {
-			s.Ended = append(s.Ended, storedEnd{j.spec.ID, j.spec.Queue, j.spec.Team, j.finalState, wall - (now - j.endedAt).Milliseconds()})
+			s.Ended = append(s.Ended, storedEnd{j.spec.ID, j.spec.Queue, j.spec.Team, j.finalState, wall - (now - j.endedAt).Milliseconds(), j.spec.Host, j.spec.Prefix})
 			continue
 		}
 		s.Jobs = append(s.Jobs, storeJob(j, now, wall))
@@ -177,7 +180,7 @@
 		p.persisted[id] = true
 	}
 	for _, e := range s.Ended {
-		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team}, stored: true, finalState: e.State, endStored: true}
+		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team, Host: e.Host, Prefix: e.Prefix}, stored: true, finalState: e.State, endStored: true}
 		j.endedAt = now - time.Duration(wall-e.At)*time.Millisecond
 		p.jobs[e.ID] = j
 	}
--- a/planner/spec.go
+++ b/planner/spec.go
@@ -89,10 +89,12 @@
 	Team        string     `cbor:"3,keyasint,omitempty"` // empty on a queue open to all
 	Payload     string     `cbor:"4,keyasint,omitempty"`
 	Steps       []StepSpec `cbor:"5,keyasint"`
-	Occurrences int        `cbor:"6,keyasint,omitempty"` // number of occurrences of a repeating job; 0 if the job is due once, on acceptance
-	First       int64      `cbor:"7,keyasint,omitempty"` // Unix ms at which occurrence 0 is due
-	Interval    int64      `cbor:"8,keyasint,omitempty"` // ms between occurrences
-	AcceptedAt  int64      `cbor:"9,keyasint"`           // Unix ms at which it was accepted
+	Occurrences int        `cbor:"6,keyasint,omitempty"`  // number of occurrences of a repeating job; 0 if the job is due once, on acceptance
+	First       int64      `cbor:"7,keyasint,omitempty"`  // Unix ms at which occurrence 0 is due
+	Interval    int64      `cbor:"8,keyasint,omitempty"`  // ms between occurrences
+	AcceptedAt  int64      `cbor:"9,keyasint"`            // Unix ms at which it was accepted
+	Host        string     `cbor:"10,keyasint,omitempty"` // of the queue when the job was submitted
+	Prefix      string     `cbor:"11,keyasint,omitempty"` // of the queue when the job was submitted
 }
 
 // check validates the job and fills in the sizes of its steps. Its error wraps
