planner: A run that fails after another run of its task is done fails no job

What callers saw: by the test, a job shown as failed although the task in question is done, and the next step may run.

Cause: the end of a run that is allocated counted as an attempt whatever the state of its task; a change of the configuration, and the end of a run that is not allocated, leave out tasks that are done. All do so now.

Evidence: TestFailureAfterDoneFailsNoJob fails before (failed in place of running) and passes.

--- a/planner/attempts_test.go
+++ b/planner/attempts_test.go
@@ -405,3 +405,25 @@
 		}
 	}
 }
+
+// TestFailureAfterDoneFailsNoJob checks that a job goes on with its next step although a run that
+// was given up fails after another run of its task is done.
+func TestFailureAfterDoneFailsNoJob(t *testing.T) {
+	f := newFixture(t, 2)
+	next := newStep(1)
+	next.After = []int{0}
+	f.submit("j", newStep(1), next)
+	f.listEnd(f.starts()[0], 1, RunFailed)
+	lost := f.starts()[0]
+	f.p.ExtendLease(lost.Worker, f.now+second)
+	f.p.HeartbeatMissed(lost.Worker)
+	f.now += 2 * second
+	done := f.starts()[0]
+	f.Assert(done.Worker, quicktest.Not(quicktest.Equals), lost.Worker)
+	f.p.HandleStatus(WorkerStatus{Worker: lost.Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: lost.Task, Number: lost.Number}}}, f.now)
+	f.listEnd(done, 2, Done)
+	f.listEnd(lost, 3, RunFailed)
+	f.assertState("j", Running)
+	f.takeOver(f.now)
+	f.assertState("j", Running)
+}
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -424,13 +424,13 @@
 }
 
 // countFailure counts a failed run unless it is counted already, and fails the job when
-// the task or its gang has used up the queue's attempts. Failures of long-running tasks
-// don't count.
+// the task or its gang has used up the queue's attempts. Failures of long-running tasks, and
+// of those that another run has done, don't count.
 func (p *Planner) countFailure(s *step, index, number int, now time.Duration) {
-	if s.spec.LongRunning {
+	t := &s.tasks[index]
+	if s.spec.LongRunning || t.done {
 		return
 	}
-	t := &s.tasks[index]
 	t.failedRuns = addRun(t.failedRuns, number)
 	if s.spec.Gang {
 		s.failedRuns = addRun(s.failedRuns, number)
