--- a/planner/record.go
+++ b/planner/record.go
@@ -97,6 +97,7 @@
 	Number         int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
 	Done           bool    `cbor:"6,keyasint,omitempty"`
 	Checkpoint     string  `cbor:"7,keyasint,omitempty"`
+	LastRun        int     `cbor:"22,keyasint,omitempty"` // newest run number, if that of the run on Worker is lower
 	FailedRuns     []int   `cbor:"20,keyasint,omitempty"` // numbers of its failed runs
 	FailedGangRuns []int   `cbor:"21,keyasint,omitempty"` // numbers of the failed runs of its gang
 	Worker         string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
@@ -142,10 +143,18 @@
 					Done: t.done, Checkpoint: t.checkpoint, FailedRuns: t.failedRuns, FailedGangRuns: st.failedRuns,
 				}
 				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.crashes, t.crashes.lastRun, t.crashes.suspect
+				newest := 0
 				for _, r := range t.runs {
+					if r.number < newest {
+						continue // it was given up
+					}
+					newest = r.number
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
 				}
+				if entry.Number < t.lastRun {
+					entry.LastRun = t.lastRun
+				}
 				stored.Tasks = append(stored.Tasks, entry)
 			}
 		}
@@ -211,8 +220,8 @@
 		return
 	}
 	task := &st.tasks[t.Index]
-	task.lastRun, task.failedRuns, task.checkpoint = t.Number, t.FailedRuns, t.Checkpoint
-	st.lastRun = max(st.lastRun, t.Number)
+	task.lastRun, task.failedRuns, task.checkpoint = max(t.Number, t.LastRun), t.FailedRuns, t.Checkpoint
+	st.lastRun = max(st.lastRun, task.lastRun)
 	if len(t.FailedGangRuns) > 0 {
 		st.failedRuns = t.FailedGangRuns
 	}
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -46,6 +46,44 @@
 	f.Assert(starts[0].Task, quicktest.Equals, "j.0.1.0")
 }
 
+// TestSnapshotKeepsNewestRun checks that the next owner neither starts a task beside its newest
+// run (TWICE) nor gives a run number again, although an earlier run, which was given up, has been
+// listed again.
+func TestSnapshotKeepsNewestRun(t *testing.T) {
+	for _, newestEnds := range []bool{false, true} {
+		t.Run("newest run ends "+strconv.FormatBool(newestEnds), func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.submit("j", newStep(1))
+			first := f.starts()[0]
+			f.p.ExtendLease(first.Worker, f.now+second)
+			f.p.HeartbeatMissed(first.Worker)
+			f.now += 2 * second
+			newest := f.starts()[0]
+			f.Assert(newest.Worker, quicktest.Not(quicktest.Equals), first.Worker)
+			f.p.HandleStatus(WorkerStatus{Worker: first.Worker, Incarnation: 1, SentAt: f.now, Running: []RunningEntry{{Task: first.Task, Number: 1}}}, f.now)
+			if newestEnds {
+				f.listEnd(newest, 1, RunFailed)
+			}
+			state, err := f.p.Snapshot(f.now, wall+f.now.Milliseconds())
+			f.Assert(err, quicktest.IsNil)
+			config := f.p.config
+			f.p = New()
+			f.Assert(f.p.Restore(state, nil, f.now, wall+f.now.Milliseconds(), f.now+6*second), quicktest.IsNil)
+			f.p.Configure(config, f.now)
+			f.addWorker("w0")
+			f.addWorker("w1")
+			f.listEnd(first, 1, Stopped)
+			starts := f.starts()
+			if newestEnds {
+				f.Assert(starts, quicktest.HasLen, 1)
+				f.Assert(starts[0].Number, quicktest.Equals, 3)
+			} else {
+				f.Assert(starts, quicktest.HasLen, 0)
+			}
+		})
+	}
+}
+
 // TestTakeover checks that a new owner starts nothing twice. A task whose start the
 // journal holds waits while its worker doesn't answer, until the lease has expired.
 // Other tasks start at once.
