planner, conductor: The log tells why a job waits

For a step that has started none of its waiting tasks for 5 s, the owner logs a line "job waits" with its rank and what the newest decision met: runs of an earlier try, limits, suspects, advice, and what keeps it from each worker.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -79,6 +79,7 @@
 	routing        routingTable
 	tookOverAt     time.Duration // when the journal had been read
 	orderLatency   latencyWindow
+	waitsAt        time.Duration // when decide last looked for jobs that wait
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
 	runQueue       runQueue
@@ -305,6 +306,11 @@
 		c.flush() // jobs that have failed, so that callers see it at once
 	}
 	c.decisionTime = c.now() - now
+	var waits []planner.Wait
+	if now-c.waitsAt >= sweepInterval {
+		c.waitsAt = now
+		waits = c.planner.TakeWaits(now)
+	}
 	if partitioned && saturated {
 		if repeats, due := c.partitionLog.Next(now); due {
 			c.log.Warn("most workers do not respond, and the processor has no spare time; keeping the ownership", "repeats", repeats)
@@ -315,6 +321,10 @@
 		c.log.Warn("most workers do not respond; resigning")
 		c.resign()
 	}
+	for _, w := range waits {
+		c.log.Info("job waits", "job", w.Job, "step", w.Step, "since", w.Since.Round(time.Millisecond), "rank", w.Rank, "tasks", w.Tasks, "gang", w.Gang,
+			"reason", w.Reason)
+	}
 	var starts []planner.Action
 	for _, a := range actions {
 		switch a.Kind {
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -96,7 +96,7 @@
 // eligibility is unknown.
 func (p *Planner) requestAdvice(s *step, c candidate, now time.Duration) {
 	cost := s.occurrence.job.queue.AdviceCost
-	urgent := c.rank == urgentRank || c.rank == lateUrgentRank
+	urgent := c.isUrgent()
 	if cost == nil || now < p.noAdviceBefore[urgent] {
 		return
 	}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -53,6 +53,10 @@
 	expiredRank            // worth nothing to its caller any more
 )
 
+// isUrgent reports whether the occurrence belongs to a queue of priority 0 and is worth
+// something to its caller.
+func (c candidate) isUrgent() bool { return c.rank == urgentRank || c.rank == lateUrgentRank }
+
 // expiredFactor times the objective is the expected age at completion from which an
 // occurrence is worth nothing to its caller.
 const expiredFactor = 3
@@ -346,6 +350,7 @@
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
+	s.startedAt = now
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
--- a/planner/job.go
+++ b/planner/job.go
@@ -82,6 +82,8 @@
 	lastRun           int  // newest run number of any task
 	lastFailedGangRun int  // newest run number that gangFailures counts
 	advice            advice
+	startedAt         time.Duration // when the newest start of a task was decided by this owner, else 0
+	reportedAt        time.Duration // when TakeWaits last returned it, else 0
 }
 
 // task is one task of a step.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -28,15 +28,16 @@
 	adviceBudget    map[bool]int           // advice requests left in the current decision, for urgent steps (true) and others
 	actions         []Action               // to be returned by the next Decide
 	waiters         map[waiterKey][]func(error)
-	newlyEnded      []string // jobs that ended since the last TakeEnded
-	newlyBegun      []string // jobs that have begun since the last TakeBegun
-	newCrashes      []Crash  // since the last TakeCrashes
-	separateWorkers int      // workers that are kept for suspects, or have separate runs, in the current decision
-	maxKept         int      // limit of separateWorkers for keeping one more worker that is not empty
-	maxSeparate     int      // limit of separateWorkers for using one more worker that is empty
-	startLimit      int      // most starts in a decision
-	startsLeft      int      // of startLimit, in the current decision; below 0 after a gang
-	startsDeferred  bool     // whether the current decision has left starts to the next one
+	newlyEnded      []string      // jobs that ended since the last TakeEnded
+	newlyBegun      []string      // jobs that have begun since the last TakeBegun
+	newCrashes      []Crash       // since the last TakeCrashes
+	separateWorkers int           // workers that are kept for suspects, or have separate runs, in the current decision
+	maxKept         int           // limit of separateWorkers for keeping one more worker that is not empty
+	maxSeparate     int           // limit of separateWorkers for using one more worker that is empty
+	startLimit      int           // most starts in a decision
+	startsLeft      int           // of startLimit, in the current decision; below 0 after a gang
+	restoredAt      time.Duration // when the state of earlier owners was restored, else 0
+	startsDeferred  bool          // whether the current decision has left starts to the next one
 }
 
 // settings holds what options set.
--- a/planner/record.go
+++ b/planner/record.go
@@ -171,6 +171,7 @@
 		p.replay(r, now, wall)
 	}
 	p.inherit(leaseExpiry)
+	p.restoredAt = now
 	return nil
 }
 
--- /dev/null
+++ b/planner/wait.go
@@ -0,0 +1,206 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// longWait is how long a step has had waiting tasks and started none when it is reported.
+	longWait = 5 * time.Second
+	// waitReportInterval is the least time between two reports of a step.
+	waitReportInterval = 5 * time.Second
+	// maxWaitReports is the most reports that one call of TakeWaits returns.
+	maxWaitReports = 10
+	// maxWaitRuns is the most earlier runs that a report names.
+	maxWaitRuns = 3
+)
+
+// Wait tells why a step has started no task for long.
+type Wait struct {
+	Job    string
+	Step   string
+	Since  time.Duration // how long it has started none
+	Rank   string
+	Tasks  int // waiting tasks
+	Gang   bool
+	Reason string
+}
+
+// rankNames are the ranks of candidates for logs.
+var rankNames = [...]string{"long-running", "urgent", "late urgent", "timely", "late", "expired"}
+
+// TakeWaits returns steps that have started no task for long, those that have waited longest
+// first. The reasons are those of the newest decision, so the caller calls it right after that.
+func (p *Planner) TakeWaits(now time.Duration) []Wait {
+	var waiting []*step
+	since := func(s *step) time.Duration { return max(s.startedAt, s.occurrence.due, p.restoredAt) }
+	for _, j := range p.live {
+		if j.finalState != "" {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.ready && s.waitingTasks > 0 && now-since(s) >= longWait && (s.reportedAt == 0 || now-s.reportedAt >= waitReportInterval) {
+					waiting = append(waiting, s)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.reportedAt, b.reportedAt), cmp.Compare(since(a), since(b)))
+	})
+	var waits []Wait
+	for _, s := range waiting[:min(len(waiting), maxWaitReports)] {
+		s.reportedAt = now
+		c := p.rank(s.occurrence, now)
+		waits = append(waits, Wait{
+			Job: s.occurrence.job.spec.ID, Step: s.name, Since: now - since(s), Rank: rankNames[c.rank],
+			Tasks: s.waitingTasks, Gang: s.spec.Gang, Reason: p.waitReason(s, c, now),
+		})
+	}
+	return waits
+}
+
+// waitReason returns why the newest decision has started no more tasks of a step.
+func (p *Planner) waitReason(s *step, c candidate, now time.Duration) string {
+	j := s.occurrence.job
+	tasks := 1
+	if s.spec.Gang {
+		tasks = len(s.tasks)
+	}
+	switch {
+	case s.spec.Gang && s.waitingTasks < len(s.tasks):
+		return "runs of an earlier try have not ended: " + s.describeRuns(now)
+	case !j.team.allows(s.spec.Size, int64(tasks)):
+		return "limit of the team"
+	case j.holdsBack() && !s.hasWaitingSuspect():
+		return fmt.Sprintf("held back by %d suspects, %d of which run alone", j.suspects, j.separateRuns)
+	}
+	workers, room := p.describeWorkers(s, now)
+	reason := "no room"
+	switch {
+	case s.hasWaitingSuspect() && room >= tasks:
+		reason = fmt.Sprintf("no worker for a suspect, %d of at most %d are used for suspects", p.separateWorkers, p.maxSeparate)
+	case room >= tasks && p.startsLeft <= 0:
+		reason = "limit of starts"
+	case room >= tasks:
+		reason = "room for the next decision"
+	case j.queue.AdviceCost != nil:
+		urgent := c.isUrgent()
+		reason = fmt.Sprintf("no room on workers with tickets; requests for advice: %d in flight, %d left in the decision, back-off %v",
+			s.advice.requests, p.adviceBudget[urgent], max(0, p.noAdviceBefore[urgent]-now).Round(time.Millisecond))
+	}
+	return reason + "; workers: " + workers
+}
+
+// describeRuns names runs of a step that may not have ended.
+func (s *step) describeRuns(now time.Duration) string {
+	var runs []string
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
+			if w := r.worker; len(runs) < maxWaitRuns {
+				runs = append(runs, fmt.Sprintf("run %d of task %d on %s is %s (listed %t, unanswered calls %d, fenced %t, ends unread %t, restarted %t, lease %v)",
+					r.number, i, w.reg.ID, phaseNames[r.phase], w.listed, w.unansweredCalls, w.earlierOwnersFenced, w.endsUnread, w.restarted,
+					(w.leaseExpiry-now).Round(time.Millisecond)))
+			}
+		}
+	}
+	return strings.Join(runs, ", ")
+}
+
+// phaseNames are the phases of runs for logs.
+var phaseNames = [...]string{"decided", "running", "unanswered", "stopped", "inherited"}
+
+// describeWorkers counts the workers on which a task of the step fits when they are empty, by
+// what has kept the newest decision from starting tasks there. It also returns how many
+// tasks fit on those where nothing has.
+func (p *Planner) describeWorkers(s *step, now time.Duration) (counts string, room int) {
+	n := map[obstacle]int{}
+	for _, w := range p.fleet {
+		if !w.listed || w.reg.Service != s.occurrence.job.queue.Service || !s.spec.Size.Fits(w.reg.Capacity) || s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
+			continue
+		}
+		o := p.adviceObstacle(s, w, now, p.workerObstacle(s, w))
+		n[o]++
+		if o == noObstacle {
+			room += s.fitCount(w)
+		}
+	}
+	var list []string
+	for o, name := range obstacleNames {
+		if n[obstacle(o)] > 0 {
+			list = append(list, fmt.Sprintf("%d %s", n[obstacle(o)], name))
+		}
+	}
+	return strings.Join(list, ", "), room
+}
+
+// obstacle is what keeps the tasks of a step from starting on a worker.
+type obstacle int
+
+const (
+	noObstacle obstacle = iota
+	isFull
+	lacksTicket
+	isNotKnown
+	isNotAllowed
+	isRequested
+	isReserved
+	isKept
+	hasSuspect
+	isSilent
+	isDraining
+)
+
+// obstacleNames are the obstacles for logs.
+var obstacleNames = [...]string{
+	"room", "full", "no ticket", "not known", "not allowed", "requested", "reserved for a gang", "kept for a suspect", "with a suspect",
+	"no answer", "draining",
+}
+
+// workerObstacle returns what keeps the tasks of a step from starting on a worker, apart from
+// advice.
+func (p *Planner) workerObstacle(s *step, w *worker) obstacle {
+	switch {
+	case w.reg.Draining || p.cordoned[w.reg.Centre]:
+		return isDraining
+	case w.separateRuns > 0:
+		return hasSuspect
+	case !w.open:
+		return isSilent
+	case w.keptFor != nil && w.keptFor != s:
+		return isKept
+	case !s.mayUse(w):
+		return isReserved
+	case !s.spec.Size.Fits(w.free()) || !s.belowMaxPerWorker(w, 0):
+		return isFull
+	default:
+		return noObstacle
+	}
+}
+
+// adviceObstacle returns what keeps the tasks of a step from starting on a worker, where o does
+// apart from advice.
+func (p *Planner) adviceObstacle(s *step, w *worker, now time.Duration, o obstacle) obstacle {
+	e := s.advice.known[w]
+	switch {
+	case s.occurrence.job.queue.AdviceCost == nil:
+		return o
+	case e == nil && s.advice.knows(w):
+		return isNotAllowed
+	case o != noObstacle && o != isFull:
+		return o
+	case s.advice.queried[w]:
+		return isRequested
+	case e == nil:
+		return isNotKnown
+	case o == noObstacle && !e.hasTicket(now):
+		return lacksTicket
+	default:
+		return o
+	}
+}
