planner: Work that has waited long has a share of the advice

Requests for advice were made in the order of rank only. The entry VMs can send few at a time, and where steps need more than that, newer work took all of it for as long as there was any: late work is behind what can be in time, and expired work behind all.

A step that has lacked advice for 1.5 s is overdue. One part in four of the time of requests is for overdue steps that would fit now, those first that have waited longest as a multiple of what a request takes: short requests do not wait behind long ones, and each has its turn.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -15,6 +15,9 @@
 	eligible []*eligibleWorker           // those of known that may run it, each once
 	queried  map[*worker]bool            // workers in requests in flight
 	requests int                         // number of requests in flight
+	// lackingSince is when the step first lacked advice since the last answer, 0 if it doesn't.
+	lackingSince time.Duration
+	overdueIn    uint64 // newest decision in which it was overdue
 }
 
 // eligibleWorker is a worker that may run a step, with the newest ticket, which lets tasks
@@ -95,9 +98,19 @@
 // have free capacity and no valid ticket or, if there are none, for workers whose
 // eligibility is unknown.
 func (p *Planner) requestAdvice(s *step, c candidate, now time.Duration) {
+	p.requestAdviceFor(s, c, s.fitCount, now)
+}
+
+// requestAdviceFor is requestAdvice for tasks of which each worker takes as many as room
+// returns.
+func (p *Planner) requestAdviceFor(s *step, c candidate, room func(*worker) int, now time.Duration) {
 	cost := s.occurrence.job.queue.AdviceCost
 	urgent := c.isUrgent()
-	if cost == nil || now < p.noAdviceBefore[urgent] {
+	if cost == nil {
+		return
+	}
+	p.observeLack(s, urgent, room, now)
+	if now < p.noAdviceBefore[urgent] {
 		return
 	}
 	limit := 1
@@ -105,28 +118,42 @@
 		limit = maxParallelRequests
 	}
 	for s.advice.requests < limit && p.adviceBudget[urgent] > 0 {
-		workers, reason := s.renewableTickets(now), "tickets have run out"
-		if len(workers) == 0 && !p.requestsSuffice(s) {
-			workers, reason = p.unqueried(s, cost), "not known which workers are allowed"
-		}
-		if len(workers) == 0 {
+		a, found := p.newRequest(s, urgent, room, now)
+		if !found {
 			return
 		}
 		p.adviceBudget[urgent]--
-		s.advice.requests++
-		if s.advice.queried == nil {
-			s.advice.queried = map[*worker]bool{}
-		}
-		ids := make([]string, 0, len(workers))
-		for _, w := range workers {
-			s.advice.queried[w] = true
-			ids = append(ids, w.reg.ID)
+		if !urgent {
+			p.overdueCredit += a.Cost / overdueRatio
 		}
-		p.actions = append(p.actions, Action{
-			Kind: RequestAdvice, Step: s.name, Workers: ids, Queue: s.occurrence.job.spec.Queue, Urgent: urgent,
-			Cost: cost.Base + time.Duration(len(ids))*cost.PerWorker, Reason: reason,
-		})
+		p.actions = append(p.actions, a)
+	}
+}
+
+// newRequest returns a request for advice for a step, which then counts as in flight. There is
+// none if the step knows enough.
+func (p *Planner) newRequest(s *step, urgent bool, room func(*worker) int, now time.Duration) (request Action, found bool) {
+	cost := s.occurrence.job.queue.AdviceCost
+	workers, reason := s.renewableTickets(room, now), "tickets have run out"
+	if len(workers) == 0 && !p.requestsSuffice(s) {
+		workers, reason = p.unqueried(s, cost), "not known which workers are allowed"
+	}
+	if len(workers) == 0 {
+		return Action{}, false
+	}
+	s.advice.requests++
+	if s.advice.queried == nil {
+		s.advice.queried = map[*worker]bool{}
+	}
+	ids := make([]string, 0, len(workers))
+	for _, w := range workers {
+		s.advice.queried[w] = true
+		ids = append(ids, w.reg.ID)
 	}
+	return Action{
+		Kind: RequestAdvice, Step: s.name, Workers: ids, Queue: s.occurrence.job.spec.Queue, Urgent: urgent,
+		Cost: cost.duration(len(ids)), Reason: reason,
+	}, true
 }
 
 const (
@@ -175,7 +202,7 @@
 // renewableTickets returns the eligible workers with free capacity and without a valid
 // ticket, sorted by id. For a gang it returns none unless all of its tasks fit on
 // eligible workers.
-func (s *step) renewableTickets(now time.Duration) []*worker {
+func (s *step) renewableTickets(room func(*worker) int, now time.Duration) []*worker {
 	var renewable []*worker
 	fitting := 0
 	for _, e := range s.advice.eligible {
@@ -183,7 +210,7 @@
 		if !s.mayUse(w) || s.advice.queried[w] {
 			continue
 		}
-		n := s.fitCount(w)
+		n := room(w)
 		if n == 0 {
 			continue
 		}
@@ -231,8 +258,14 @@
 // take it. Steps of the same urgency then back off. Without that, a backlog without
 // advice would repeat all its requests at each decision.
 func (p *Planner) ReportAdviceSkipped(a Action, now time.Duration) {
-	p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Failed: true})
+	p.endRequest(a.Step, a.Workers)
 	p.noAdviceBefore[a.Urgent] = now + adviceBackoff
+	switch {
+	case a.Overdue:
+		p.overdueCredit += a.Cost
+	case !a.Urgent:
+		p.overdueCredit -= a.Cost / overdueRatio
+	}
 }
 
 // AdviceResult is the result of an advice request.
@@ -244,16 +277,27 @@
 	Until   time.Duration     // when the tickets expire
 }
 
-// ReportAdvice applies the result of an advice request.
-func (p *Planner) ReportAdvice(a AdviceResult) {
-	s, _ := p.stepOf(a.Step + ".0")
+// endRequest notes that a request for advice about these workers is over, and returns its
+// step, nil if that is not known any more.
+func (p *Planner) endRequest(name string, workers []string) *step {
+	s, _ := p.stepOf(name + ".0")
 	if s == nil {
-		return
+		return nil
 	}
 	s.advice.requests--
-	for _, id := range a.Workers {
+	for _, id := range workers {
 		delete(s.advice.queried, p.workers[id])
 	}
+	return s
+}
+
+// ReportAdvice applies the result of an advice request.
+func (p *Planner) ReportAdvice(a AdviceResult) {
+	s := p.endRequest(a.Step, a.Workers)
+	if s == nil {
+		return
+	}
+	s.advice.lackingSince = 0
 	if a.Failed {
 		return
 	}
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -36,3 +37,93 @@
 	f.p.ObserveIncarnation("w2", 2, f.now)
 	f.Assert(request().Workers, quicktest.DeepEquals, []string{"w2"})
 }
+
+// adviceService answers requests of a planner as entry VMs do that can take few at a time.
+type adviceService struct {
+	*fixture
+	capacity int
+	inFlight []request
+	sent     map[string]int // requests taken, by step
+}
+
+// request is a request for advice with the time of its answer.
+type request struct {
+	action   Action
+	answerAt time.Duration
+}
+
+// step makes one decision, and answers the requests that are due.
+func (s *adviceService) step() (starts []Action) {
+	s.Helper()
+	var left []request
+	for _, r := range s.inFlight {
+		if s.now < r.answerAt {
+			left = append(left, r)
+			continue
+		}
+		result := AdviceResult{Step: r.action.Step, Workers: r.action.Workers, Tickets: map[string]string{}, Until: s.now + 1500*time.Millisecond}
+		for _, id := range r.action.Workers {
+			result.Tickets[id] = "ticket"
+		}
+		s.p.ReportAdvice(result)
+	}
+	s.inFlight = left
+	for _, a := range s.decide() {
+		switch {
+		case a.Kind == Start:
+			s.p.ReportStart(a, Accepted, s.now)
+			starts = append(starts, a)
+		case a.Kind != RequestAdvice:
+		case len(s.inFlight) < s.capacity:
+			s.inFlight = append(s.inFlight, request{a, s.now + a.Cost})
+			s.sent[a.Step]++
+		default:
+			s.p.ReportAdviceSkipped(a, s.now)
+		}
+	}
+	return starts
+}
+
+// newAdviceService returns a fleet whose advice takes 100 ms a request.
+func newAdviceService(t *testing.T, workers, capacity int) *adviceService {
+	cost := &AdviceCost{Base: 100 * time.Millisecond, TicketValidity: 1500 * time.Millisecond}
+	queues := []Queue{{Name: "q", Service: "s", Priority: 1, Attempts: 2, Stretch: 2, Objective: second, AdviceCost: cost}}
+	return &adviceService{fixture: newFixture(t, workers, queues...), capacity: capacity, sent: map[string]int{}}
+}
+
+// TestAdviceForWorkThatWaits checks that late and expired work gets advice although there is
+// always newer work that takes all the advice that the entry VMs can request. It would never
+// start otherwise, with room for it (LOST).
+func TestAdviceForWorkThatWaits(t *testing.T) {
+	for name, age := range map[string]time.Duration{"late": 5 * second, "expired": 20 * second} {
+		t.Run(name, func(t *testing.T) {
+			s := newAdviceService(t, 40, 4)
+			gang := newWideGang()
+			gang.Tasks = 3
+			s.submit("old", gang)
+			s.submit("other", newStep(1))
+			s.now = age
+			running, startedAt, serial, n := map[string]Action{}, map[string]time.Duration{}, uint64(0), 0
+			for begin := s.now; s.now < begin+20*second; s.now += 20 * time.Millisecond {
+				for ; s.p.LiveJobs() < 60; n++ {
+					s.submit("new"+strconv.Itoa(n), newStep(1))
+				}
+				for _, a := range s.step() {
+					id, _, _, _, _ := parseTask(a.Task)
+					startedAt[id] = s.now - begin
+					running[a.Task] = a
+				}
+				for task, a := range running {
+					serial++
+					s.listEnd(a, serial, Done)
+					delete(running, task)
+				}
+			}
+			for _, id := range []string{"old", "other"} {
+				at, started := startedAt[id]
+				s.Check(started && at <= 5*second, quicktest.IsTrue, quicktest.Commentf("%s started: %t, after %v; %d requests", id, started, at, s.sent[id+".0.0"]))
+			}
+			s.Check(n >= 600, quicktest.IsTrue, quicktest.Commentf("newer work got too little advice: %d jobs", n))
+		})
+	}
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -30,6 +30,7 @@
 	Workers     []string // of an advice request: ids of the workers it names
 	Queue       string
 	Urgent      bool          // of an advice request
+	Overdue     bool          // of an advice request: its step has waited for it for long
 	Cost        time.Duration // of an advice request: its expected time at the service
 	Reason      string        // for logs
 	Incarnation int64         // of a start: of the worker, as known now
@@ -103,6 +104,7 @@
 			}
 		}
 	}
+	p.requestOverdue(now)
 	actions := p.actions
 	p.actions = nil
 	return actions
@@ -351,6 +353,7 @@
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
 	s.startedAt = now
+	s.advice.lackingSince = 0
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -26,6 +26,8 @@
 	decisions       uint64                 // number of the current decision, from 1
 	noAdviceBefore  map[bool]time.Duration // earliest time of the next advice request, for urgent steps (true) and others
 	adviceBudget    map[bool]int           // advice requests left in the current decision, for urgent steps (true) and others
+	overdue         []overdueStep          // steps that have lacked advice for long, in the current decision
+	overdueCredit   time.Duration          // time of requests that overdue steps have left; below 0 after one that took more
 	actions         []Action               // to be returned by the next Decide
 	waiters         map[waiterKey][]func(error)
 	newlyEnded      []string      // jobs that ended since the last TakeEnded
