planner: Suspects ask for advice about workers of their own only

They asked for tickets for each worker with room, though a suspect needs one that runs nothing else, and asked again when the tickets ran out. The requests of others waited meanwhile (LOST).

A suspect asks for tickets for workers that it may use now, and about unknown workers if one of these is such or if it knows none that could be emptied for it.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -137,6 +137,9 @@
 	workers, reason := s.renewableTickets(room, now), "tickets have run out"
 	if len(workers) == 0 && !p.requestsSuffice(s) {
 		workers, reason = p.unqueried(s, cost), "not known which workers are allowed"
+		if !s.spec.Gang && s.hasWaitingSuspect() && s.knowsEligible() && !slices.ContainsFunc(workers, func(w *worker) bool { return room(w) > 0 }) {
+			workers = nil // a suspect knows a worker to be emptied for it, and could not use these
+		}
 	}
 	if len(workers) == 0 {
 		return Action{}, false
@@ -226,6 +229,11 @@
 	return renewable[:min(len(renewable), maxQueried)]
 }
 
+// knowsEligible reports whether the step knows a listed worker that may run it.
+func (s *step) knowsEligible() bool {
+	return slices.ContainsFunc(s.advice.eligible, func(e *eligibleWorker) bool { return e.worker.listed })
+}
+
 // unqueried returns workers about which the step has no advice and no request in
 // flight, those with the most free CPU first.
 func (p *Planner) unqueried(s *step, cost *AdviceCost) []*worker {
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -127,3 +127,38 @@
 		})
 	}
 }
+
+// TestSuspectAsksForWorkersOfItsOwn checks that a suspect for which no worker is empty does not
+// ask for tickets that it could not use, while others lack advice.
+func TestSuspectAsksForWorkersOfItsOwn(t *testing.T) {
+	const workers = 12
+	s := newAdviceService(t, workers, 4)
+	filler := newStep(workers)
+	filler.MaxPerWorker, filler.Estimate = 1, 100_000
+	s.submit("filler", filler)
+	var fillers []Action
+	for ; s.now < 2*second; s.now += 20 * time.Millisecond {
+		fillers = append(fillers, s.step()...)
+	}
+	s.Assert(fillers, quicktest.HasLen, workers)
+	s.submit("j", newStep(1))
+	s.p.jobs["j"].occurrences[0].steps[0].setSuspect(0, true)
+	// assertRequests plays 10 s and checks the number of requests.
+	assertRequests := func(want int) (starts []Action) {
+		s.Helper()
+		s.sent = map[string]int{}
+		for end := s.now + 10*second; s.now < end; s.now += 20 * time.Millisecond {
+			starts = append(starts, s.step()...)
+		}
+		s.Check(s.sent["j.0.0"], quicktest.Equals, want)
+		return starts
+	}
+	s.Check(assertRequests(1), quicktest.HasLen, 0) // of which nothing is known
+	s.addWorker("busy")
+	s.p.HandleStatus(WorkerStatus{Worker: "busy", Incarnation: 1, SentAt: s.now, Running: []RunningEntry{{Task: "filler.0.0.0", Number: 1}}}, s.now)
+	s.Check(assertRequests(0), quicktest.HasLen, 0)
+	s.listEnd(fillers[0], 1, Done)
+	starts := assertRequests(1)
+	s.Assert(starts, quicktest.HasLen, 1)
+	s.Check(starts[0].Task, quicktest.Equals, "j.0.0.0")
+}
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -68,7 +68,7 @@
 		}
 		empty := p.emptyWorkers(s, now)
 		if len(empty) == 0 {
-			p.requestAdvice(s, c, now)
+			p.requestAdviceFor(s, c, func(w *worker) int { return p.roomForSuspect(s, w) }, now)
 			p.keepWorker(s, now)
 			return
 		}
@@ -147,7 +147,7 @@
 func (p *Planner) emptyWorkers(s *step, now time.Duration) []*worker {
 	var empty []*worker
 	for w := range p.usableWorkers(s, now) {
-		if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+		if p.roomForSuspect(s, w) > 0 {
 			empty = append(empty, w)
 		}
 	}
@@ -164,6 +164,15 @@
 	return empty
 }
 
+// roomForSuspect returns how many suspects of the step may start on a worker by itself: one, if
+// it runs only services and the limit allows one more for suspects.
+func (p *Planner) roomForSuspect(s *step, w *worker) int {
+	if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+		return 1
+	}
+	return 0
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
