--- a/planner/decide.go
+++ b/planner/decide.go
@@ -30,6 +30,7 @@
 	Workers     []string // of an advice request: ids of the workers it names
 	Queue       string
 	Urgent      bool          // of an advice request
+	Overdue     bool          // of an advice request: its step has waited for it for long
 	Cost        time.Duration // of an advice request: its expected time at the service
 	Reason      string        // for logs
 	Incarnation int64         // of a start: of the worker, as known now
@@ -53,6 +54,10 @@
 	expiredRank            // worth nothing to its caller any more
 )
 
+// isUrgent reports whether the occurrence belongs to a queue of priority 0 and is worth
+// something to its caller.
+func (c candidate) isUrgent() bool { return c.rank == urgentRank || c.rank == lateUrgentRank }
+
 // expiredFactor times the objective is the expected age at completion from which an
 // occurrence is worth nothing to its caller.
 const expiredFactor = 3
@@ -77,7 +82,7 @@
 		}
 	}
 	p.startsLeft, p.startsDeferred = p.startLimit, false
-	p.keepSeparate()
+	p.keepSeparate(now)
 	candidates := p.candidates(now)
 	for _, c := range candidates {
 		for _, s := range c.occurrence.steps {
@@ -100,6 +105,7 @@
 			}
 		}
 	}
+	p.requestOverdue(now)
 	actions := p.actions
 	p.actions = nil
 	return actions
@@ -347,6 +353,8 @@
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
+	s.startedAt = now
+	s.advice.lackingSince = 0
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -34,10 +34,13 @@
 
 // keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
 // suspects of their steps wait.
-func (p *Planner) keepSeparate() {
+func (p *Planner) keepSeparate(now time.Duration) {
 	p.separateWorkers = 0
-	empty := 0
+	empty, usable := 0, 0
 	for _, w := range p.fleet {
+		if w.open || w.separateRuns > 0 && w.acceptsTasks(now) {
+			usable++
+		}
 		if w.open && w.runsOnlyServices() {
 			empty++
 		}
@@ -51,7 +54,7 @@
 			p.separateWorkers++
 		}
 	}
-	p.maxKept = max(1, int(maxSeparateFraction*float64(len(p.fleet))))
+	p.maxKept = max(1, int(maxSeparateFraction*float64(usable)))
 	p.maxSeparate = max(p.maxKept, p.separateWorkers+int(maxEmptyFraction*float64(empty)))
 }
 
@@ -73,7 +76,7 @@
 		}
 		empty := p.emptyWorkers(s, now)
 		if len(empty) == 0 {
-			p.requestAdvice(s, c, now)
+			p.requestAdviceFor(s, c, func(w *worker) int { return p.roomForSuspect(s, w) }, now)
 			p.keepWorker(s, now)
 			return
 		}
@@ -156,7 +159,7 @@
 func (p *Planner) emptyWorkers(s *step, now time.Duration) []*worker {
 	var empty []*worker
 	for w := range p.usableWorkers(s, now) {
-		if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+		if p.roomForSuspect(s, w) > 0 {
 			empty = append(empty, w)
 		}
 	}
@@ -173,6 +176,15 @@
 	return empty
 }
 
+// roomForSuspect returns how many suspects of the step may start on a worker by itself: one, if
+// it runs only services and the limit allows one more for suspects.
+func (p *Planner) roomForSuspect(s *step, w *worker) int {
+	if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+		return 1
+	}
+	return 0
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
