--- a/planner/crash.go
+++ b/planner/crash.go
@@ -52,6 +52,7 @@
 	Address     string    `cbor:"15,keyasint,omitempty"` // of the worker
 	NotedAge    int64     `cbor:"17,keyasint,omitempty"` // ms from the start of the run until it was noted
 	Gone        bool      `cbor:"18,keyasint,omitempty"` // it counts as ended until it answers, since it has been gone for long
+	LongestRun  int64     `cbor:"19,keyasint,omitempty"` // ms for which a run of the task is known to have gone on, when it was noted
 	At          int64     `cbor:"16,keyasint,omitempty"` // Unix ms at which it was noted; set in snapshots only
 
 	at time.Duration // when it was noted
@@ -97,6 +98,8 @@
 	suspect bool    // the task starts only on a worker of its own
 	held    bool    // the task does not start in the current decision, as the fate of workers is open
 	proven  bool    // the task is the cause, so its job fails
+	// longest is how long a run of the task is known to have gone on without a crash.
+	longest time.Duration
 }
 
 // count returns the number of workers that may have crashed while they may have run the task.
@@ -172,6 +175,7 @@
 			Task: s.taskName(r.taskIndex), Number: r.number, Worker: w.reg.ID, Sign: sign, Age: age.Milliseconds(), Started: r.started, Separate: r.separate,
 			Suspect: sign != signSilent && recent(r) || r.separate || h.count()+1 >= minExposures,
 			Prompt:  w.closedSoonAfter(r), Ended: sign == signReplied, Address: w.reg.Address, Incarnation: cmp.Or(r.incarnation, w.reg.Incarnation), at: now, NotedAge: max(0, now-r.startedAt).Milliseconds(),
+			LongestRun: h.longest.Milliseconds(),
 		}
 		crashes := append(slices.Clone(h.crashes), *c)
 		c.Chance = max(chanceAtRate(p.rateWithout(crashes, now), age), p.commonCause(w, now))
@@ -179,7 +183,7 @@
 			c.Chance = 1
 		}
 		crashes[len(crashes)-1] = *c
-		c.Proven = p.isProof(crashes, false, now)
+		c.Proven = p.isProof(crashes, h.longest, false, now)
 		r.crash = c
 	}
 }
@@ -218,7 +222,7 @@
 // applyCrash counts a crash under the task with that index, or what has become known of it
 // since, and reports whether that is new.
 func (p *Planner) applyCrash(s *step, index int, c Crash) bool {
-	if s.unknown || s.occurrence.job.finalState != "" {
+	if s.unknown || s.occurrence.job.finalState != "" || s.tasks[index].done {
 		return false
 	}
 	h := &s.tasks[index].crashes
@@ -248,6 +252,7 @@
 		}
 	}
 	h.proven = h.proven || c.Proven
+	h.longest = max(h.longest, time.Duration(c.LongestRun)*time.Millisecond)
 	return true
 }
 
@@ -267,7 +272,7 @@
 
 // failIfProven fails the job of a task that is known to crash its workers.
 func (p *Planner) failIfProven(s *step, index int, now time.Duration) {
-	if !s.unknown && s.tasks[index].crashes.proven && s.occurrence.job.finalState == "" {
+	if !s.unknown && s.tasks[index].crashes.proven && !s.tasks[index].done && s.occurrence.job.finalState == "" {
 		p.explainLosses(s.tasks[index].crashes.crashes)
 		p.fail(s.occurrence.job, Failure{Task: s.taskName(index), Crashes: s.tasks[index].crashes.crashes}, now)
 	}
@@ -334,6 +339,15 @@
 	return d
 }
 
+// observeRun notes that a run was still there when the call was sent whose answer lists it. Its
+// age counts from the answer to its start.
+func (r *run) observeRun(sentAt time.Duration) {
+	if !r.step.unknown && r.started && r.phase == phaseRunning {
+		h := &r.step.tasks[r.taskIndex].crashes
+		h.longest = max(h.longest, sentAt-r.confirmedAt)
+	}
+}
+
 // observeSurvival clears the task of a separate run that has gone on, or has ended by
 // itself, without a crash.
 func (p *Planner) observeSurvival(r *run, ended bool, now time.Duration) {
@@ -344,6 +358,9 @@
 	if age >= crashMemory {
 		h.crashes = nil
 	}
+	if ended {
+		h.longest = max(h.longest, crashMemory) // it has ended by itself
+	}
 	if !r.separate || !ended && age < probationAfter(h.count()) {
 		return
 	}
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -178,7 +178,7 @@
 	present := map[runKey]bool{}
 	for _, e := range status.Running {
 		present[runKey{e.Task, e.Number}] = true
-		p.applyRunning(w, e, status.Incarnation != 0, now)
+		p.applyRunning(w, e, status.SentAt, status.Incarnation != 0, now)
 	}
 	if status.MoreEnds {
 		return ends // a run that is not listed may have ended
@@ -244,12 +244,13 @@
 }
 
 // applyRunning applies a run that the worker lists as running, in a list that names its
-// incarnation or not. This confirms the start of a run allocated on the worker. Any other
+// incarnation or not and answers a call sent at sentAt. This confirms the start of a run allocated on the worker. Any other
 // run is allocated now and stopped.
-func (p *Planner) applyRunning(w *worker, e RunningEntry, named bool, now time.Duration) {
+func (p *Planner) applyRunning(w *worker, e RunningEntry, sentAt time.Duration, named bool, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
 		r.crash, r.started, r.listed = nil, true, named
+		r.observeRun(sentAt)
 		p.observeSurvival(r, false, now)
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -69,9 +69,11 @@
 func (o openCrash) history() *crashHistory { return &o.step.tasks[o.index].crashes }
 
 // isProof reports whether the crashes under a task, the newest of which was alone with it,
-// prove it to be the cause. With assumeEnded, those whose fate is open count as well. A rate
-// of crashes that has become known since the older ones counts for these too.
-func (p *Planner) isProof(crashes []Crash, assumeEnded bool, now time.Duration) bool {
+// prove it to be the cause. A run that is known to have gone on for longest shows that the task
+// does not crash its workers at a lower age; such crashes say nothing. With assumeEnded, those
+// whose fate is open count as well. A rate of crashes that has become known since the older
+// ones counts for these too.
+func (p *Planner) isProof(crashes []Crash, longest time.Duration, assumeEnded bool, now time.Duration) bool {
 	if len(crashes) < minCrashes {
 		return false
 	}
@@ -87,7 +89,11 @@
 			continue
 		}
 		alone = c.Separate
-		chance := max(c.Chance, chanceAtRate(rate, time.Duration(c.Age)*time.Millisecond))
+		age := time.Duration(c.Age) * time.Millisecond
+		chance := max(c.Chance, chanceAtRate(rate, age))
+		if age < longest {
+			chance = 1
+		}
 		ended = append(ended, chance)
 		if c.Started && c.Prompt {
 			certain = append(certain, chance)
@@ -262,7 +268,7 @@
 			crashes[i] = c
 		}
 	}
-	c.Proven = p.isProof(crashes, false, now)
+	c.Proven = p.isProof(crashes, o.history().longest, false, now)
 	if p.applyCrash(o.step, o.index, c) {
 		p.newCrashes = append(p.newCrashes, c)
 	}
@@ -290,7 +296,7 @@
 	clear(p.openCrashes[len(kept):])
 	p.openCrashes = kept
 	for _, o := range kept {
-		if now-o.crash().at < goneTimeout && p.isProof(o.history().crashes, true, now) {
+		if now-o.crash().at < goneTimeout && p.isProof(o.history().crashes, o.history().longest, true, now) {
 			o.history().held = true
 		}
 	}
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -243,3 +243,66 @@
 	f.now += second
 	f.assertNoStart()
 }
+
+// TestLongerRunRefutesCrashes checks that crashes right after starts of a task do not fail its
+// job if a run of it is known to have gone on for longer (LOST; crashloop.toml, seeds 1 and 3),
+// also under the next owner.
+func TestLongerRunRefutesCrashes(t *testing.T) {
+	for name, test := range map[string]struct {
+		longer, takeOver bool
+		want             State
+	}{"no longer run": {false, false, Failed}, "a longer run": {true, false, ""}, "a longer run, next owner": {true, true, ""}} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFixture(t, 8)
+			f.submit("j", newStep(1))
+			crash := func() {
+				a := f.startAgain()
+				f.running[a.Worker] = []Action{a}
+				if test.longer && a.Number == 1 {
+					f.now += second
+					f.answer(a.Worker)
+				}
+				f.running[a.Worker] = nil
+				f.now += 10 * time.Millisecond
+				f.p.ObserveClosed(a.Worker, f.now)
+				f.now += second / 10
+				f.restart(a.Worker)
+			}
+			crash()
+			if test.takeOver {
+				f.record(Record{})
+				f.takeOver(f.now)
+				for id := range f.incarnation {
+					f.addWorker(id)
+				}
+				f.now += second
+				for id := range f.incarnation {
+					f.answer(id)
+				}
+			}
+			for range minCrashes {
+				if f.p.FinalState("j") == "" {
+					crash()
+				}
+			}
+			f.Assert(f.p.FinalState("j"), quicktest.Equals, test.want)
+		})
+	}
+}
+
+// TestCrashAfterGangIsDoneFailsNoJob checks that a crash under a member of a gang that is done
+// fails no job, whatever was noted before (LOST).
+func TestCrashAfterGangIsDoneFailsNoJob(t *testing.T) {
+	f := newCrashFixture(t, 4)
+	next := newStep(1)
+	next.After = []int{0}
+	f.submit("j", newWideGang(), next)
+	members := f.starts()
+	f.Assert(members, quicktest.HasLen, 2)
+	r := f.p.workers[members[1].Worker].runs[runKey{members[1].Task, 1}]
+	r.crash = &Crash{Task: members[1].Task, Number: 1, Suspect: true, Proven: true}
+	f.now += second
+	f.apply(WorkerStatus{Worker: members[0].Worker, Incarnation: 1, SentAt: f.now, Ended: []EndEntry{{1, End{Task: members[0].Task, Number: 1, Result: Done}}}})
+	f.p.loseRuns([]*run{r}, Lost, f.now)
+	f.Assert(f.p.FinalState("j"), quicktest.Equals, State(""))
+}
