--- a/planner/attempts_test.go
+++ b/planner/attempts_test.go
@@ -427,3 +427,32 @@
 	f.takeOver(f.now)
 	f.assertState("j", Running)
 }
+
+// TestSnapshotOfEarlierVersion checks that attempts count that a snapshot of an earlier version
+// has as numbers of failures only (BUDGET).
+func TestSnapshotOfEarlierVersion(t *testing.T) {
+	f := newFixture(t, 1, Queue{Name: "q", Service: "s", Attempts: 3, Stretch: 2, Objective: second})
+	f.submit("j", newStep(1))
+	for serial := uint64(1); serial <= 2; serial++ {
+		f.now += 4 * second
+		f.listEnd(f.starts()[0], serial, RunFailed)
+	}
+	state, err := f.p.Snapshot(f.now, wall)
+	f.Assert(err, quicktest.IsNil)
+	var s snapshot
+	f.Assert(cbor.Unmarshal(state, &s), quicktest.IsNil)
+	task := &s.Jobs[0].Tasks[0]
+	f.Assert([]int{task.Failures, task.LastFailedRun}, quicktest.DeepEquals, []int{2, 2})
+	task.FailedRuns = nil
+	state, err = cbor.Marshal(s)
+	f.Assert(err, quicktest.IsNil)
+	config := f.p.config
+	f.p = New()
+	f.Assert(f.p.Restore(state, nil, f.now, wall, f.now), quicktest.IsNil)
+	f.p.Configure(config, f.now)
+	f.addWorker("w0")
+	f.now += 4 * second
+	f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: 1, SentAt: f.now}, f.now)
+	f.listEnd(f.starts()[0], 3, RunFailed)
+	f.assertState("j", Failed)
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -93,22 +93,28 @@
 
 // storedTask is the state of a task.
 type storedTask struct {
-	Occurrence     int     `cbor:"1,keyasint,omitempty"` // index of the occurrence
-	Step           int     `cbor:"2,keyasint,omitempty"`
-	Index          int     `cbor:"3,keyasint,omitempty"`
-	Number         int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
-	Done           bool    `cbor:"6,keyasint,omitempty"`
-	Checkpoint     string  `cbor:"7,keyasint,omitempty"`
-	LastRun        int     `cbor:"22,keyasint,omitempty"` // newest run number, if that of the run on Worker is lower
-	FailedRuns     []int   `cbor:"20,keyasint,omitempty"` // numbers of its failed runs
-	FailedGangRuns []int   `cbor:"21,keyasint,omitempty"` // numbers of the failed runs of its gang
-	Worker         string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
-	Crashes        []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
-	LastCrashRun   int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
-	Suspect        bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
-	Incarnation    int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
-	Separate       bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
-	StartedAt      int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
+	Occurrence     int    `cbor:"1,keyasint,omitempty"` // index of the occurrence
+	Step           int    `cbor:"2,keyasint,omitempty"`
+	Index          int    `cbor:"3,keyasint,omitempty"`
+	Number         int    `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
+	Done           bool   `cbor:"6,keyasint,omitempty"`
+	Checkpoint     string `cbor:"7,keyasint,omitempty"`
+	LastRun        int    `cbor:"22,keyasint,omitempty"` // newest run number, if that of the run on Worker is lower
+	FailedRuns     []int  `cbor:"20,keyasint,omitempty"` // numbers of its failed runs
+	FailedGangRuns []int  `cbor:"21,keyasint,omitempty"` // numbers of the failed runs of its gang
+	// Counts in place of the numbers, for owners of an earlier version and from them.
+	Failures          int `cbor:"5,keyasint,omitempty"`
+	LastFailedRun     int `cbor:"9,keyasint,omitempty"`
+	GangFailures      int `cbor:"8,keyasint,omitempty"`
+	LastFailedGangRun int `cbor:"10,keyasint,omitempty"`
+
+	Worker       string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
+	Crashes      []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
+	LastCrashRun int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
+	Suspect      bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
+	Incarnation  int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
+	Separate     bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
+	StartedAt    int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -147,6 +153,8 @@
 					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun,
 					Done: t.done, Checkpoint: t.checkpoint, FailedRuns: t.failedRuns, FailedGangRuns: st.failedRuns,
 				}
+				entry.Failures, entry.LastFailedRun = countRuns(t.failedRuns)
+				entry.GangFailures, entry.LastFailedGangRun = countRuns(st.failedRuns)
 				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.store(now, wall), t.crashes.lastRun, t.crashes.suspect
 				newest := 0
 				for _, r := range t.runs {
@@ -229,10 +237,10 @@
 		return
 	}
 	task := &st.tasks[t.Index]
-	task.lastRun, task.failedRuns, task.checkpoint = max(t.Number, t.LastRun), t.FailedRuns, t.Checkpoint
+	task.lastRun, task.failedRuns, task.checkpoint = max(t.Number, t.LastRun), failedRuns(t.FailedRuns, t.Failures, t.LastFailedRun), t.Checkpoint
 	st.lastRun = max(st.lastRun, task.lastRun)
-	if len(t.FailedGangRuns) > 0 {
-		st.failedRuns = t.FailedGangRuns
+	if runs := failedRuns(t.FailedGangRuns, t.GangFailures, t.LastFailedGangRun); len(runs) > 0 {
+		st.failedRuns = runs
 	}
 	p.restoreCrashes(st, t, now, wall)
 	st.setSuspect(t.Index, t.Suspect)
@@ -244,6 +252,26 @@
 	}
 }
 
+// countRuns returns how many runs there are and the highest of their numbers.
+func countRuns(runs []int) (n, last int) {
+	for _, number := range runs {
+		last = max(last, number)
+	}
+	return len(runs), last
+}
+
+// failedRuns returns the numbers of failed runs in a snapshot. An earlier version has only their
+// count and the highest of them, below which the others are.
+func failedRuns(runs []int, n, last int) []int {
+	if len(runs) > 0 {
+		return runs
+	}
+	for i := range n {
+		runs = append(runs, last-i)
+	}
+	return runs
+}
+
 // addInheritedRun allocates a run that an earlier owner may have ordered. Whether it
 // runs is unknown until its worker answers or all leases of the worker have expired. It was
 // ordered, or its start written to the journal, at startedAt.
