--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -91,7 +91,13 @@
 	cl.Assert(err, quicktest.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{runner: runner, address: settings.callers, stop: stop, done: make(chan error, 1)}
-	go func() { v.done <- runner.Run(ctx) }()
+	go func() {
+		err := runner.Run(ctx)
+		if err != nil {
+			fmt.Fprintf(cl.logs, "%s has ended: %v\n", settings.id, err)
+		}
+		v.done <- err
+	}()
 	cl.vms = append(cl.vms, v)
 	cl.Cleanup(func() { stop(); <-v.done })
 }
