planner: Workers that are gone don't count where a quarter may be kept

A quarter of the workers at most is kept for suspects. In the test all of the 8 that are left are kept.

The quarter is of the workers on which tasks may start.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -81,7 +81,7 @@
 		}
 	}
 	p.startsLeft, p.startsDeferred = p.startLimit, false
-	p.keepSeparate()
+	p.keepSeparate(now)
 	candidates := p.candidates(now)
 	for _, c := range candidates {
 		for _, s := range c.occurrence.steps {
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -29,10 +29,13 @@
 
 // keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
 // suspects of their steps wait.
-func (p *Planner) keepSeparate() {
+func (p *Planner) keepSeparate(now time.Duration) {
 	p.separateWorkers = 0
-	empty := 0
+	empty, usable := 0, 0
 	for _, w := range p.fleet {
+		if w.open || w.separateRuns > 0 && w.acceptsTasks(now) {
+			usable++
+		}
 		if w.open && w.runsOnlyServices() {
 			empty++
 		}
@@ -46,7 +49,7 @@
 			p.separateWorkers++
 		}
 	}
-	p.maxKept = max(1, int(maxSeparateFraction*float64(len(p.fleet))))
+	p.maxKept = max(1, int(maxSeparateFraction*float64(usable)))
 	p.maxSeparate = max(p.maxKept, p.separateWorkers+int(maxEmptyFraction*float64(empty)))
 }
 
--- a/planner/suspect_test.go
+++ b/planner/suspect_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"strconv"
 	"testing"
 
 	"filberthaven.example/placer"
@@ -127,3 +128,36 @@
 	f.now += second / 10
 	f.Assert(f.starts(), quicktest.HasLen, 2)
 }
+
+// TestKeptWorkersAreAQuarterOfThoseThatAnswer checks that workers that are gone do not count where
+// a quarter of the workers may be kept for suspects. In a crash loop half of those that were left
+// were kept, and others waited for room.
+func TestKeptWorkersAreAQuarterOfThoseThatAnswer(t *testing.T) {
+	f := newFixture(t, 32)
+	filler := newStep(32)
+	filler.MaxPerWorker, filler.Estimate = 1, 100_000
+	f.submit("filler", filler)
+	fillers := f.starts()
+	f.Assert(fillers, quicktest.HasLen, 32)
+	for _, a := range fillers[8:] {
+		f.p.ExtendLease(a.Worker, f.now+6*second)
+		f.p.HeartbeatMissed(a.Worker)
+		f.p.Deregister(a.Worker)
+	}
+	for n := range 8 {
+		id := "s" + strconv.Itoa(n)
+		f.submit(id, newStep(1))
+		f.p.jobs[id].occurrences[0].steps[0].setSuspect(0, true)
+	}
+	f.now += second
+	for range 10 {
+		f.decide()
+	}
+	kept := 0
+	for _, w := range f.p.fleet {
+		if w.keptFor != nil {
+			kept++
+		}
+	}
+	f.Check(kept > 0 && kept <= 2, quicktest.IsTrue, quicktest.Commentf("%d of 8 workers are kept", kept))
+}
