conductor: Short requests for advice go to idle VMs of urgent queues

A quarter of the entry VMs send only requests of urgent queues. In a crash loop these were used for a third of the time, and not at all once the traffic was over, while the others were busy all the time (4.5 to 5 s of 5 s) and hundreds of steps lacked advice.

A request of another queue goes to an idle one of these VMs if all others have full queues, if it is short enough for an urgent request to join it, and if one more of them is idle. So an urgent request still finds a VM.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -96,25 +96,49 @@
 		}
 		return cmp.Compare(x.ID(), y.ID())
 	})
-	if reserved := (len(usable) + urgentVMRatio - 1) / urgentVMRatio; !a.Urgent && len(usable) > reserved {
-		usable = usable[reserved:]
+	var reserved []claimer.Member
+	if n := (len(usable) + urgentVMRatio - 1) / urgentVMRatio; !a.Urgent && len(usable) > n {
+		reserved, usable = usable[:n], usable[n:]
 	}
 	best := slices.MinFunc(usable, func(x, y claimer.Member) int {
 		return cmp.Compare(max(now, b.vm(x.ID()).idleAt), max(now, b.vm(y.ID()).idleAt))
 	})
-	v := b.vm(best.ID())
-	start, limit := max(now, v.idleAt), maxNormalQueue
+	limit := maxNormalQueue
 	if a.Urgent {
 		limit = maxUrgentQueue
 	}
-	if start-now > limit {
-		return claimer.Member{}, 0, false
+	if b.vm(best.ID()).idleAt-now > limit {
+		var found bool
+		if best, found = b.idleReserved(reserved, a, now); !found {
+			return claimer.Member{}, 0, false
+		}
 	}
+	v := b.vm(best.ID())
+	start := max(now, v.idleAt)
 	v.idleAt = start + a.Cost + adviceOverhead
 	v.retrying = v.failures > 0
 	return best, v.idleAt, true
 }
 
+// idleReserved returns a VM of those for urgent queues that may take a request of another
+// queue: the request is so short that an urgent one could still join it, and one more of these
+// VMs is idle. The caller holds b.mu.
+func (b *adviceBalancer) idleReserved(reserved []claimer.Member, a planner.Action, now time.Duration) (claimer.Member, bool) {
+	if a.Cost+adviceOverhead > maxUrgentQueue {
+		return claimer.Member{}, false
+	}
+	var idle []claimer.Member
+	for _, m := range reserved {
+		if b.vm(m.ID()).idleAt <= now {
+			idle = append(idle, m)
+		}
+	}
+	if len(idle) < 2 {
+		return claimer.Member{}, false
+	}
+	return idle[len(idle)-1], true
+}
+
 // recordFailure records that a request through the VM, sent at sentAt, has failed. The
 // VM then backs off.
 func (b *adviceBalancer) recordFailure(id string, sentAt, now time.Duration) {
--- a/conductor/advice_test.go
+++ b/conductor/advice_test.go
@@ -75,3 +75,33 @@
 	b.recordSuccess("gone")
 	c.Assert(b.vm("gone").usable(6*time.Second), quicktest.IsTrue)
 }
+
+// TestShortAdviceOnIdleVMs checks that short requests of other queues go to VMs for urgent queues
+// when their own are busy, and that one of these VMs is left to urgent requests.
+func TestShortAdviceOnIdleVMs(t *testing.T) {
+	c := quicktest.New(t)
+	var members []claimer.Member
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "self"} {
+		members = append(members, claimer.NewMember(id, "", ""))
+	}
+	b := newAdviceBalancer()
+	slow := planner.Action{Kind: planner.RequestAdvice, Cost: 750 * time.Millisecond}
+	short := planner.Action{Kind: planner.RequestAdvice, Cost: 75 * time.Millisecond}
+	urgent := planner.Action{Kind: planner.RequestAdvice, Cost: 11 * time.Millisecond, Urgent: true}
+	taken := 0
+	for range 20 {
+		if _, _, found := b.assign(members, "self", slow, 0); found {
+			taken++
+		}
+	}
+	c.Assert(taken, quicktest.Equals, 6)
+	member, expectedAt, found := b.assign(members, "self", short, 0)
+	c.Assert(found, quicktest.IsTrue)
+	c.Assert(member.ID() == "a" || member.ID() == "b", quicktest.IsTrue)
+	c.Assert(expectedAt, quicktest.Equals, short.Cost+adviceOverhead)
+	_, _, found = b.assign(members, "self", short, 0)
+	c.Assert(found, quicktest.IsFalse)
+	_, expectedAt, found = b.assign(members, "self", urgent, 0)
+	c.Assert(found, quicktest.IsTrue)
+	c.Assert(expectedAt, quicktest.Equals, urgent.Cost+adviceOverhead)
+}
