planner: A task is no suspect by crashes that a longer run of it refutes

Most of these losses came at lower ages than a run of the task had reached.

Change: such losses don't count towards the three, nor for the time alone. A task that has begun shortly before the loss is a suspect as before.

Tests: TestTaskWithLongRunIsNoSuspect, TestTaskThatHasChangedIsGivenUp.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -25,7 +25,7 @@
 	// count any more. A service would otherwise collect those of years.
 	crashMemory = 10 * time.Minute
 	// minExposures is the number of crashes from which a task is a suspect although it had
-	// never begun shortly before.
+	// never begun shortly before. Crashes at a lower age than a run of it has reached don't count.
 	minExposures = 3
 	// maxCrashesKept is the number of crashes kept of a task.
 	maxCrashesKept = 16
@@ -98,8 +98,10 @@
 	suspect bool    // the task starts only on a worker of its own
 	held    bool    // the task does not start in the current decision, as the fate of workers is open
 	proven  bool    // the task is the cause, so its job fails
-	// longest is how long a run of the task is known to have gone on without a crash.
+	// longest is how long a run of the task is known to have gone on without a crash. It is
+	// forgotten after maxCrashes crashes in a row at a lower age: the task may have changed.
 	longest time.Duration
+	below   int // crashes in a row at a lower age than longest
 }
 
 // count returns the number of workers that may have crashed while they may have run the task.
@@ -113,6 +115,18 @@
 	return n
 }
 
+// suspicious returns how many of these may have crashed because of the task: no run of it is
+// known to have gone on for longer.
+func (h *crashHistory) suspicious() int {
+	n := 0
+	for _, c := range h.crashes {
+		if !c.Survived && time.Duration(c.Age)*time.Millisecond >= h.longest {
+			n++
+		}
+	}
+	return n
+}
+
 // countOn returns how many of the crashes are of that worker, or of another one at its address.
 // A suspect starts elsewhere if it can, as the worker may be the cause.
 func (h *crashHistory) countOn(w *worker) int {
@@ -174,7 +188,7 @@
 		age := w.ageAtCrash(r, now)
 		c := &Crash{
 			Task: s.taskName(r.taskIndex), Number: r.number, Worker: w.reg.ID, Sign: sign, Age: age.Milliseconds(), Started: r.started, Separate: r.separate,
-			Suspect: sign != signSilent && recent(r) || r.separate || h.count()+1 >= minExposures,
+			Suspect: sign != signSilent && recent(r) || r.separate || age >= h.longest && h.suspicious()+1 >= minExposures,
 			Prompt:  w.closedSoonAfter(r), Ended: sign == signReplied, Address: w.reg.Address, Incarnation: cmp.Or(r.incarnation, w.reg.Incarnation), at: now, NotedAge: max(0, now-r.startedAt).Milliseconds(),
 			LongestRun: h.longest.Milliseconds(),
 		}
@@ -245,6 +259,13 @@
 			h.crashes = h.crashes[1:]
 		}
 		h.lastRun = c.Number
+		h.longest = max(h.longest, time.Duration(c.LongestRun)*time.Millisecond)
+		if h.below++; time.Duration(c.Age)*time.Millisecond >= h.longest {
+			h.below = 0
+		}
+		if h.below >= maxCrashes {
+			h.longest, h.below = 0, 0
+		}
 		if c.isOpen() {
 			p.openCrashes = append(p.openCrashes, openCrash{s, index, c.Number})
 			p.await(&c)
@@ -254,7 +275,6 @@
 		}
 	}
 	h.proven = h.proven || c.Proven
-	h.longest = max(h.longest, time.Duration(c.LongestRun)*time.Millisecond)
 	return true
 }
 
@@ -346,7 +366,11 @@
 func (r *run) observeRun(sentAt time.Duration) {
 	if !r.step.unknown && r.started && r.phase == phaseRunning {
 		h := &r.step.tasks[r.taskIndex].crashes
-		h.longest = max(h.longest, sentAt-r.confirmedAt)
+		age := sentAt - r.confirmedAt
+		h.longest = max(h.longest, age)
+		if age >= Probation {
+			h.below = 0
+		}
 	}
 }
 
@@ -363,7 +387,7 @@
 	if ended {
 		h.longest = max(h.longest, crashMemory) // it has ended by itself
 	}
-	if !r.separate || !ended && age < probationAfter(h.count()) {
+	if !r.separate || !ended && age < probationAfter(h.suspicious()) {
 		return
 	}
 	r.endSeparation()
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -325,3 +325,53 @@
 	f.takeOver(f.now)
 	f.Assert(f.p.losses, quicktest.HasLen, 1)
 }
+
+// crashAt starts the task of a job and crashes its worker at that age of the run. The worker lists
+// the run half-way.
+func crashAt(f *crashFixture, age time.Duration) {
+	f.Helper()
+	a := f.startAgain()
+	f.running[a.Worker] = []Action{a}
+	f.now += age / 2
+	f.answer(a.Worker)
+	f.running[a.Worker] = nil
+	f.now += age - age/2
+	f.p.ObserveClosed(a.Worker, f.now)
+	f.now += second / 10
+	f.restart(a.Worker)
+}
+
+// TestTaskWithLongRunIsNoSuspect checks that a task does not wait for a worker of its own after
+// crashes at ages which a run of it has passed, and that it does after as many at one age.
+func TestTaskWithLongRunIsNoSuspect(t *testing.T) {
+	for name, test := range map[string]struct {
+		ages []time.Duration
+		want bool
+	}{
+		"one age":      {[]time.Duration{2 * second, 2 * second, 2 * second}, true},
+		"a longer run": {[]time.Duration{4 * second, second, second}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFixture(t, 8)
+			f.submit("j", newStep(1))
+			for _, age := range test.ages {
+				crashAt(f, age)
+			}
+			f.Assert(f.startAgain().Separate, quicktest.Equals, test.want)
+		})
+	}
+}
+
+// TestTaskThatHasChangedIsGivenUp checks that a task is given up that has gone on for long once, and
+// crashes each worker since (BUDGET).
+func TestTaskThatHasChangedIsGivenUp(t *testing.T) {
+	f := newCrashFixture(t, 8)
+	f.submit("j", newStep(1))
+	crashAt(f, 20*second)
+	for range 2 * maxCrashes {
+		if f.p.FinalState("j") == "" {
+			crashAt(f, 10*time.Millisecond)
+		}
+	}
+	f.Assert(f.p.FinalState("j"), quicktest.Equals, Failed)
+}
