--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -85,7 +85,7 @@
 	runQueue       runQueue
 	begun          []string        // ids of jobs that have begun, for the next record in the journal
 	crashes        []planner.Crash // for the next record in the journal
-	losses         int             // of workers, that a record which was not stored had
+	losses         []planner.Loss  // that a record which was not stored had
 	backlog        startBacklog
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
@@ -413,8 +413,8 @@
 // record. The caller holds c.mu.
 func (c *Conductor) takeFacts(r *planner.Record) {
 	c.collectCrashes()
-	r.Begun, r.Crashes, r.Losses = c.begun, c.crashes, c.losses+c.planner.TakeLosses()
-	c.begun, c.crashes, c.losses = nil, nil, 0
+	r.Begun, r.Crashes, r.Losses = c.begun, c.crashes, append(c.losses, c.planner.TakeLosses()...)
+	c.begun, c.crashes, c.losses = nil, nil, nil
 }
 
 // returnFacts leaves what takeFacts has moved into a record that was not stored to the next
@@ -422,7 +422,7 @@
 func (c *Conductor) returnFacts(r planner.Record) {
 	c.begun = append(r.Begun, c.begun...)
 	c.crashes = append(r.Crashes, c.crashes...)
-	c.losses += r.Losses
+	c.losses = append(r.Losses, c.losses...)
 }
 
 // persist queues a record of an event that has already happened, and with it the jobs that
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -36,8 +36,8 @@
 	newCrashes      []Crash  // since the last TakeCrashes
 	openCrashes     []openCrash
 	awaited         map[string]bool // ids and addresses of workers whose answers may decide openCrashes
-	losses          []time.Duration // when workers were lost, without draining first, in the last maxRateSpan
-	newLosses       int             // since the last TakeLosses
+	losses          []Loss          // of workers in the last maxRateSpan
+	newLosses       []Loss          // since the last TakeLosses
 	separateWorkers int             // workers that are kept for suspects, or have separate runs, in the current decision
 	maxKept         int             // limit of separateWorkers for keeping one more worker that is not empty
 	maxSeparate     int             // limit of separateWorkers for using one more worker that is empty
--- a/planner/record.go
+++ b/planner/record.go
@@ -55,7 +55,7 @@
 	Begun         []string `cbor:"8,keyasint,omitempty"`  // ids of jobs that have begun, as TakeBegun returned them
 	Failed        []string `cbor:"9,keyasint,omitempty"`  // ids of jobs that have failed, of those that TakeEnded returned
 	Crashes       []Crash  `cbor:"10,keyasint,omitempty"` // as TakeCrashes returned them
-	Losses        int      `cbor:"11,keyasint,omitempty"` // as TakeLosses returned them
+	Losses        []Loss   `cbor:"11,keyasint,omitempty"` // as TakeLosses returned them
 }
 
 // Encode returns the record in CBOR.
@@ -66,7 +66,7 @@
 	Jobs    []storedJob `cbor:"1,keyasint"`
 	Ended   []storedEnd `cbor:"2,keyasint"`
 	Workers []string    `cbor:"3,keyasint"`
-	Losses  []int64     `cbor:"4,keyasint,omitempty"` // Unix ms at which workers were lost
+	Losses  []Loss      `cbor:"4,keyasint,omitempty"` // of workers
 }
 
 // storedEnd is a job that has ended.
@@ -123,8 +123,9 @@
 	for id := range p.persisted {
 		s.Workers = append(s.Workers, id)
 	}
-	for _, at := range p.losses[max(0, len(p.losses)-maxLossesStored):] {
-		s.Losses = append(s.Losses, wall-(now-at).Milliseconds())
+	for _, l := range p.losses[max(0, len(p.losses)-maxLossesStored):] {
+		l.At = wall - (now - l.at).Milliseconds()
+		s.Losses = append(s.Losses, l)
 	}
 	for _, j := range p.jobs {
 		if !j.stored {
@@ -202,8 +203,9 @@
 	for _, id := range s.Workers {
 		p.persisted[id] = true
 	}
-	for _, at := range s.Losses {
-		p.noteLoss(now - time.Duration(wall-at)*time.Millisecond)
+	for _, l := range s.Losses {
+		l.at, l.At = now-time.Duration(wall-l.At)*time.Millisecond, 0
+		p.noteLoss(l)
 	}
 	for _, e := range s.Ended {
 		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team, Host: e.Host, Prefix: e.Prefix}, stored: true, finalState: e.State, endStored: true}
@@ -328,8 +330,9 @@
 		p.restoreJob(*r.Job, now, wall)
 	}
 	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
-	for range r.Losses {
-		p.noteLoss(at)
+	for _, l := range r.Losses {
+		l.at = at
+		p.noteLoss(l)
 	}
 	for _, c := range r.Crashes {
 		c.at = at
@@ -434,7 +437,7 @@
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
-	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses = nil, nil, nil, 0
+	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses = nil, nil, nil, nil
 }
 
 // store returns the crashes for a snapshot.
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -135,33 +135,45 @@
 		return
 	}
 	w.lossNoted = true
-	p.noteLoss(cmp.Or(w.closedAt, now))
-	p.newLosses++
+	l := Loss{at: cmp.Or(w.closedAt, now)}
+	for _, r := range w.runs {
+		l.Prompt = l.Prompt || r.phase != phaseDecided && l.at-r.startedAt <= crashWindow
+	}
+	p.noteLoss(l)
+	p.newLosses = append(p.newLosses, l)
+}
+
+// Loss is the loss of a worker, without draining first. The caller writes it to the journal.
+type Loss struct {
+	Prompt bool  `cbor:"1,keyasint,omitempty"` // a run had begun there within crashWindow, and may be the cause
+	At     int64 `cbor:"2,keyasint,omitempty"` // Unix ms; set in snapshots only
+
+	at time.Duration
 }
 
-// noteLoss counts the loss of a worker at that time towards the rate of crashes.
-func (p *Planner) noteLoss(at time.Duration) {
-	p.losses = append(p.losses, at)
+// noteLoss counts a loss towards the rate of crashes.
+func (p *Planner) noteLoss(l Loss) {
+	p.losses = append(p.losses, l)
 	expired := 0
-	for expired < len(p.losses) && p.losses[expired] < at-maxRateSpan {
+	for expired < len(p.losses) && p.losses[expired].at < l.at-maxRateSpan {
 		expired++
 	}
 	p.losses = p.losses[expired:]
 }
 
-// TakeLosses returns the number of workers that were lost since the last call. The caller
-// writes it to the journal with one of its next records.
-func (p *Planner) TakeLosses() int {
-	n := p.newLosses
-	p.newLosses = 0
-	return n
+// TakeLosses returns the losses of workers since the last call. The caller writes them to the
+// journal with one of its next records.
+func (p *Planner) TakeLosses() []Loss {
+	losses := p.newLosses
+	p.newLosses = nil
+	return losses
 }
 
 // explainLosses takes the losses of workers under a task that is known to be their cause out
 // of the rate of crashes.
 func (p *Planner) explainLosses(crashes []Crash) {
 	for _, c := range crashes {
-		isOf := func(at time.Duration) bool { return max(at-c.signAt(), c.signAt()-at) <= 2*time.Millisecond }
+		isOf := func(l Loss) bool { return max(l.at-c.signAt(), c.signAt()-l.at) <= 2*time.Millisecond }
 		if i := slices.IndexFunc(p.losses, isOf); i >= 0 && !c.Separate && !c.Survived {
 			p.losses = slices.Delete(p.losses, i, i+1)
 		}
@@ -184,21 +196,31 @@
 }
 
 // crashRate returns the crashes a second of a worker since that time, other than these, and
-// that many more.
+// that many more. Crashes by chance come at any time, so of those right after a start at most as
+// many count as of the others.
 func (p *Planner) crashRate(except []Crash, since time.Duration, more int, now time.Duration) float64 {
 	since = max(since, now-maxRateSpan)
-	crashes := 0
-	for _, at := range p.losses {
-		if at >= since {
-			crashes++
+	prompt, others := 0, 0
+	count := func(isPrompt bool, n int) {
+		if isPrompt {
+			prompt += n
+		} else {
+			others += n
+		}
+	}
+	for _, l := range p.losses {
+		if l.at >= since {
+			count(l.Prompt, 1)
 		}
 	}
 	for _, c := range except {
 		if c.signAt() >= since && !c.Separate {
-			crashes--
+			count(c.Age <= crashWindow.Milliseconds(), -1)
 		}
 	}
-	return float64(max(0, crashes)+more) / (float64(p.listedWorkers()) * (now - since).Seconds())
+	others = max(0, others)
+	crashes := others + min(max(0, prompt), others)
+	return float64(crashes+more) / (float64(p.listedWorkers()) * (now - since).Seconds())
 }
 
 // commonCause returns the fraction of the workers that were lost within commonWindow of the
@@ -211,8 +233,8 @@
 	if lost.separateRuns > 0 {
 		others = 0
 	}
-	for _, t := range p.losses {
-		if near(t) {
+	for _, l := range p.losses {
+		if near(l.at) {
 			others++
 		}
 	}
--- a/planner/verdict_benchmark_test.go
+++ b/planner/verdict_benchmark_test.go
@@ -39,7 +39,7 @@
 		w := p.workers["w0"]
 		w.lossNoted = true
 		for range 20_000 {
-			p.losses = append(p.losses, now)
+			p.losses = append(p.losses, Loss{at: now})
 		}
 		for b.Loop() {
 			var runs []*run
