--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -85,6 +85,7 @@
 	runQueue       runQueue
 	begun          []string        // ids of jobs that have begun, for the next record in the journal
 	crashes        []planner.Crash // for the next record in the journal
+	losses         int             // of workers, that a record which was not stored had
 	backlog        startBacklog
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
@@ -396,10 +397,15 @@
 // record. The caller holds c.mu.
 func (c *Conductor) collectCrashes() {
 	for _, crash := range c.planner.TakeCrashes() {
+		c.crashes = append(c.crashes, crash)
+		if crash.Resolved() {
+			c.log.Info("crash decided", "task", crash.Task, "run", crash.Number, "worker", crash.Worker, "crashed", crash.Ended, "gone", crash.Gone, "proven", crash.Proven, "chance", crash.Chance)
+			continue
+		}
 		c.metrics.crashes.Inc(1)
 		c.log.Info("worker crashed", "task", crash.Task, "run", crash.Number, "suspect", crash.Suspect, "proven", crash.Proven,
-			"worker", crash.Worker, "sign", crash.Sign.String(), "age_ms", crash.Age, "started", crash.Started, "alone", crash.Separate)
-		c.crashes = append(c.crashes, crash)
+			"worker", crash.Worker, "sign", crash.Sign.String(), "age_ms", crash.Age, "started", crash.Started, "alone", crash.Separate,
+			"ended", crash.Ended, "chance", crash.Chance)
 	}
 }
 
@@ -407,8 +413,8 @@
 // record. The caller holds c.mu.
 func (c *Conductor) takeFacts(r *planner.Record) {
 	c.collectCrashes()
-	r.Begun, r.Crashes = c.begun, c.crashes
-	c.begun, c.crashes = nil, nil
+	r.Begun, r.Crashes, r.Losses = c.begun, c.crashes, c.losses+c.planner.TakeLosses()
+	c.begun, c.crashes, c.losses = nil, nil, 0
 }
 
 // returnFacts leaves what takeFacts has moved into a record that was not stored to the next
@@ -416,6 +422,7 @@
 func (c *Conductor) returnFacts(r planner.Record) {
 	c.begun = append(r.Begun, c.begun...)
 	c.crashes = append(r.Crashes, c.crashes...)
+	c.losses += r.Losses
 }
 
 // persist queues a record of an event that has already happened, and with it the jobs that
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -69,6 +69,7 @@
 // ReportAdviceSkipped.
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.expireLeases(now)
+	p.decideOpenCrashes(now)
 	p.beginDueOccurrences(now, wall)
 	p.decisions++
 	p.maxFreeCPU = 0
@@ -118,8 +119,8 @@
 // have started.
 func (p *Planner) StartsDeferred() bool { return p.startsDeferred }
 
-// maxOrderDelay is how long an unanswered start may still reach a worker after the
-// worker has restarted. The platform may take 12 s to carry out an order. The new
+// maxOrderDelay is how long an unanswered start may still reach a worker after it was
+// ordered, or after the worker has restarted. The platform may take 12 s to carry out an order. The new
 // incarnation doesn't notice that the order's lease has expired, since the lease ends
 // at a time on the clock of the earlier incarnation.
 const maxOrderDelay = 15 * time.Second
@@ -141,16 +142,16 @@
 		w.earlierOwnersFenced = true
 		var expired []*run
 		for _, r := range w.runs {
-			if r.phase != phaseDecided && (r.workerRestartedAt == 0 || now-r.workerRestartedAt > maxOrderDelay) {
+			if r.phase != phaseDecided && now >= r.lateLeaseExpiry && (r.workerRestartedAt == 0 || now-r.workerRestartedAt > maxOrderDelay) {
 				expired = append(expired, r)
 			}
 		}
 		switch {
 		case w.reg.Draining:
 		case w.closedAt != 0:
-			w.markCrash(expired, signClosed, now)
+			p.markCrash(w, withoutAbsent(expired), signClosed, now)
 		case !w.listed:
-			w.markCrash(expired, signSilent, now)
+			p.markCrash(w, withoutAbsent(expired), signSilent, now)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
 	}
@@ -240,7 +241,7 @@
 // requests advice and, for a long-running step, reserves workers.
 func (p *Planner) place(s *step, c candidate, now time.Duration) {
 	if s.spec.Gang {
-		if !s.hasWaitingSuspect() {
+		if !s.hasSuspect() { // placeSuspects starts it otherwise
 			p.placeGang(s, c, now)
 		}
 		return
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Outcome is the result of an order to a worker, most often to start a run.
 type Outcome int
@@ -55,8 +58,12 @@
 		w.unansweredCalls = 0
 		p.stopIfObsolete(r)
 	case Unknown:
-		// The order may still be carried out later. The answer to a stop prevents that.
+		// The order may still be carried out later. The answer to a stop prevents that, but
+		// for the worker's next incarnation.
 		w.unansweredCalls++
+		if a.Ticket == "" {
+			r.holdLateStart()
+		}
 		r.phase = phaseUnanswered
 		p.abandon(r)
 		p.stopIfObsolete(r)
@@ -97,8 +104,8 @@
 }
 
 // ReportStop reports whether the worker answered a Stop. Without an answer, the next
-// Decide returns the Stop again. An answer also resolves an unanswered start, since the
-// worker refuses to start the run from then on.
+// Decide returns the Stop again. An answer also resolves an unanswered start with a ticket,
+// since the worker refuses to start the run from then on; without one, see holdLateStart.
 func (p *Planner) ReportStop(a Action, answered bool, now time.Duration) {
 	w := p.workers[a.Worker]
 	if w == nil {
@@ -150,14 +157,15 @@
 	if w == nil {
 		return nil
 	}
-	if status.Incarnation != 0 && status.Incarnation < w.reg.Incarnation {
-		return nil // from an earlier incarnation
+	if !p.observeAnswer(w, status.Incarnation, status.SentAt, now) {
+		return nil
 	}
-	p.observeIncarnation(w, status.Incarnation, now)
-	w.unansweredCalls, w.heartbeatTried, w.restarted = 0, true, false
+	w.unansweredCalls, w.heartbeatTried, w.restarted = 0, true, w.restarted && w.doubted != 0
 	w.earlierOwnersFenced = true
 	w.endsUnread = status.MoreEnds
 	w.observeAnswer(status.SentAt)
+	w.lossNoted = false
+	p.resolveCrashes(w, status.Incarnation, now)
 	var ends []End
 	for _, e := range status.Ended {
 		if e.Serial <= w.lastSerial {
@@ -170,7 +178,7 @@
 	present := map[runKey]bool{}
 	for _, e := range status.Running {
 		present[runKey{e.Task, e.Number}] = true
-		p.applyRunning(w, e, status.Incarnation != 0, now)
+		p.applyRunning(w, e, status.SentAt, status.Incarnation != 0, now)
 	}
 	if status.MoreEnds {
 		return ends // a run that is not listed may have ended
@@ -180,15 +188,19 @@
 		if present[key] || r.confirmedAt >= status.SentAt || r.phase == phaseDecided || r.phase == phaseUnanswered {
 			continue
 		}
+		if r.mayComeLate(status.SentAt) {
+			r.absent = true
+			continue
+		}
 		// Either the run was confirmed before the heartbeat and the worker no longer has
 		// it, or it is inherited and the order never arrived. The worker now refuses that
 		// order, since it has the fence of this owner.
 		lost = append(lost, r)
-		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation < w.reg.Incarnation {
+		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation != w.reg.Incarnation {
 			inherited = append(inherited, r)
 		}
 	}
-	w.markCrash(inherited, signReplied, now)
+	p.markCrash(w, inherited, signReplied, now)
 	p.loseRuns(lost, Lost, now)
 	return ends
 }
@@ -232,12 +244,13 @@
 }
 
 // applyRunning applies a run that the worker lists as running, in a list that names its
-// incarnation or not. This confirms the start of a run allocated on the worker. Any other
+// incarnation or not and answers a call sent at sentAt. This confirms the start of a run allocated on the worker. Any other
 // run is allocated now and stopped.
-func (p *Planner) applyRunning(w *worker, e RunningEntry, named bool, now time.Duration) {
+func (p *Planner) applyRunning(w *worker, e RunningEntry, sentAt time.Duration, named bool, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
 		r.crash, r.started, r.listed = nil, true, named
+		r.observeRun(sentAt)
 		p.observeSurvival(r, false, now)
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
@@ -421,31 +434,36 @@
 }
 
 // countFailure counts a failed run unless it is counted already, and fails the job when
-// the task or its gang has used up the queue's attempts. Failures of long-running tasks
-// don't count.
+// the task or its gang has used up the queue's attempts. Failures of long-running tasks, and
+// of those that another run has done, don't count.
 func (p *Planner) countFailure(s *step, index, number int, now time.Duration) {
-	if s.spec.LongRunning {
-		return
-	}
 	t := &s.tasks[index]
-	if number > t.lastFailedRun {
-		t.lastFailedRun = number
-		t.failures++
+	if s.spec.LongRunning || t.done {
+		return
 	}
-	if s.spec.Gang && number > s.lastFailedGangRun {
-		s.lastFailedGangRun = number
-		s.gangFailures++
+	t.failedRuns = addRun(t.failedRuns, number)
+	if s.spec.Gang {
+		s.failedRuns = addRun(s.failedRuns, number)
 	}
 	if s.exhausted(index) {
 		p.fail(s.occurrence.job, s.exhaustion(index), now)
 	}
 }
 
+// addRun adds a run number unless the list has it. The ends of runs do not come in the order
+// of their numbers, and may come again.
+func addRun(numbers []int, number int) []int {
+	if slices.Contains(numbers, number) {
+		return numbers
+	}
+	return append(numbers, number)
+}
+
 // exhausted reports whether the task with that index, or its gang, has used up its
 // attempts.
 func (s *step) exhausted(index int) bool {
 	attempts := s.occurrence.job.queue.Attempts
-	return attempts > 0 && !s.spec.LongRunning && max(s.tasks[index].failures, s.gangFailures) >= attempts
+	return attempts > 0 && !s.spec.LongRunning && max(len(s.tasks[index].failedRuns), len(s.failedRuns)) >= attempts
 }
 
 // failIfExhausted fails a job that has used up its attempts. It is called after a
--- a/planner/suspect_test.go
+++ b/planner/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"filberthaven.example/placer"
 	"github.com/frankban/quicktest"
@@ -129,6 +130,26 @@
 	f.Assert(f.starts(), quicktest.HasLen, 2)
 }
 
+// TestFaultyWorkerFailsNoJob checks that a worker that crashes right after it has started anything
+// fails no job while other workers are empty (LOST).
+func TestFaultyWorkerFailsNoJob(t *testing.T) {
+	f := newCrashFixture(t, 24)
+	f.submit("j", newStep(1))
+	for range 6 {
+		f.now += second
+		for _, a := range f.starts() {
+			if a.Worker != "w0" {
+				continue
+			}
+			f.now += 20 * time.Millisecond
+			f.p.ObserveClosed("w0", f.now)
+			f.now += second / 10
+			f.restart("w0")
+		}
+	}
+	f.assertState("j", Running)
+}
+
 // TestKeptWorkersAreAQuarterOfThoseThatAnswer checks that workers that are gone do not count where
 // a quarter of the workers may be kept for suspects. In a crash loop half of those that were left
 // were kept, and others waited for room.
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -77,6 +77,8 @@
 		return "runs of an earlier try have not ended: " + s.describeRuns(now)
 	case !j.team.allows(s.spec.Size, int64(tasks)):
 		return "limit of the team"
+	case slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.held }):
+		return "held until it is known what has become of lost workers"
 	case j.holdsBack() && !s.hasWaitingSuspect():
 		return fmt.Sprintf("held back by %d suspects, %d of which run alone", j.suspects, j.separateRuns)
 	}
