planner: Suspects that have waited for long have their turn

Few workers may be used for suspects, and these went by rank: as soon as one worker was empty ten suspects asked for a ticket for it, and the first in rank got it.

Suspects of steps that have started nothing for 5 s go first, longest first.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -84,12 +84,8 @@
 	p.startsLeft, p.startsDeferred = p.startLimit, false
 	p.keepSeparate(now)
 	candidates := p.candidates(now)
-	for _, c := range candidates {
-		for _, s := range c.occurrence.steps {
-			if s.hasWaitingSuspect() {
-				p.placeSuspects(s, c, now)
-			}
-		}
+	for _, s := range p.waitingSuspects(candidates, now) {
+		p.placeSuspects(s.step, s.candidate, now)
 	}
 	for _, c := range candidates {
 		if c.occurrence.job.holdsBack() {
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -32,6 +32,38 @@
 	return s.occurrence.job.suspects > 0 && slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect })
 }
 
+// maxSuspectWait is how long the suspects of a step wait behind those of higher rank.
+const maxSuspectWait = 5 * time.Second
+
+// suspectStep is a step with a suspect that waits for a worker.
+type suspectStep struct {
+	*step
+	candidate candidate
+}
+
+// waitingSuspects returns the steps with waiting suspects in the order in which they are served:
+// those that have waited for long, longest first, and then those of the candidates in their order. Few
+// workers may be used for suspects, and the last in rank would get none while newer ones come.
+func (p *Planner) waitingSuspects(candidates []candidate, now time.Duration) []suspectStep {
+	var steps []suspectStep
+	for _, c := range candidates {
+		for _, s := range c.occurrence.steps {
+			if s.hasWaitingSuspect() {
+				steps = append(steps, suspectStep{s, c})
+			}
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b suspectStep) int {
+		sinceA, sinceB := p.waitsSince(a.step), p.waitsSince(b.step)
+		longA, longB := now-sinceA >= maxSuspectWait, now-sinceB >= maxSuspectWait
+		if longA && longB {
+			return cmp.Compare(sinceA, sinceB)
+		}
+		return compareBool(longB, longA)
+	})
+	return steps
+}
+
 // keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
 // suspects of their steps wait.
 func (p *Planner) keepSeparate(now time.Duration) {
--- a/planner/suspect_test.go
+++ b/planner/suspect_test.go
@@ -182,3 +182,28 @@
 	}
 	f.Check(kept > 0 && kept <= 2, quicktest.IsTrue, quicktest.Commentf("%d of 8 workers are kept", kept))
 }
+
+// TestSuspectsThatWaitHaveTheirTurn checks that an expired suspect starts although newer suspects
+// always wait for the few workers that may be used for suspects (LOST).
+func TestSuspectsThatWaitHaveTheirTurn(t *testing.T) {
+	f := newFixture(t, 1, Queue{Name: "q", Service: "s", Priority: 1, Attempts: 2, Stretch: 2, Objective: second})
+	submit := func(id string) {
+		f.submit(id, newStep(1))
+		f.p.jobs[id].occurrences[0].steps[0].setSuspect(0, true)
+	}
+	submit("old")
+	f.now = 20 * second
+	started := 0
+	for n := range 20 {
+		submit("new" + strconv.Itoa(n))
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, 1)
+		if starts[0].Task == "old.0.0.0" {
+			return
+		}
+		started++
+		f.now += second
+		f.listEnd(starts[0], uint64(n+1), Done)
+	}
+	f.Fatalf("%d newer suspects have started before", started)
+}
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -37,34 +37,39 @@
 // first. The reasons are those of the newest decision, so the caller calls it right after that.
 func (p *Planner) TakeWaits(now time.Duration) []Wait {
 	var waiting []*step
-	since := func(s *step) time.Duration { return max(s.startedAt, s.occurrence.due, p.restoredAt) }
 	for _, j := range p.live {
 		if j.finalState != "" {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.ready && s.waitingTasks > 0 && now-since(s) >= longWait && (s.reportedAt == 0 || now-s.reportedAt >= waitReportInterval) {
+				if s.ready && s.waitingTasks > 0 && now-p.waitsSince(s) >= longWait && (s.reportedAt == 0 || now-s.reportedAt >= waitReportInterval) {
 					waiting = append(waiting, s)
 				}
 			}
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b *step) int {
-		return cmp.Or(cmp.Compare(a.reportedAt, b.reportedAt), cmp.Compare(since(a), since(b)))
+		return cmp.Or(cmp.Compare(a.reportedAt, b.reportedAt), cmp.Compare(p.waitsSince(a), p.waitsSince(b)))
 	})
 	var waits []Wait
 	for _, s := range waiting[:min(len(waiting), maxWaitReports)] {
 		s.reportedAt = now
 		c := p.rank(s.occurrence, now)
 		waits = append(waits, Wait{
-			Job: s.occurrence.job.spec.ID, Step: s.name, Since: now - since(s), Rank: rankNames[c.rank],
+			Job: s.occurrence.job.spec.ID, Step: s.name, Since: now - p.waitsSince(s), Rank: rankNames[c.rank],
 			Tasks: s.waitingTasks, Gang: s.spec.Gang, Reason: p.waitReason(s, c, now),
 		})
 	}
 	return waits
 }
 
+// waitsSince returns when the step last started a task or began to wait, as far as this owner
+// knows.
+func (p *Planner) waitsSince(s *step) time.Duration {
+	return max(s.startedAt, s.occurrence.due, p.restoredAt)
+}
+
 // waitReason returns why the newest decision has started no more tasks of a step.
 func (p *Planner) waitReason(s *step, c candidate, now time.Duration) string {
 	j := s.occurrence.job
