--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -22,12 +22,14 @@
 	born      atomic.Int64 // incarnation that it names
 	calls     atomic.Int64 // that it has answered
 	now       atomic.Int64 // ns, of the conductor's clock
+	clock     atomic.Int64 // ms on its clock
 }
 
 func newFakeWorker(t *testing.T) *fakeWorker {
 	t.Helper()
 	w := &fakeWorker{}
 	w.born.Store(1)
+	w.clock.Store(1)
 	w.now.Store(int64(time.Second))
 	c, starts := newOrderer(t, 1, func(response http.ResponseWriter, _ *http.Request) {
 		if w.down.Load() {
@@ -42,7 +44,7 @@
 		if w.idle.Load() {
 			running = ""
 		}
-		fmt.Fprintf(response, `{"clock-ms":1,"born":%d,"running":[%s]}`, w.born.Load(), running)
+		fmt.Fprintf(response, `{"clock-ms":%d,"born":%d,"running":[%s]}`, w.clock.Load(), w.born.Load(), running)
 	})
 	c.now = func() time.Duration { return time.Duration(w.now.Load()) }
 	c.planner.ExtendLease("w0", 10*time.Second)
@@ -106,7 +108,7 @@
 	defer c.mu.Unlock()
 	quicktest.Check(t, w.calls.Load() > 0, quicktest.IsTrue, quicktest.Commentf("the worker was not called"))
 	quicktest.Check(t, c.planner.Accepts("w0"), quicktest.IsTrue)
-	quicktest.Check(t, c.sessions["w0"].leaseUntil(c.now(), time.Second) > 0, quicktest.IsTrue, quicktest.Commentf("its clock is not known"))
+	quicktest.Check(t, c.sessions["w0"].clockKnown, quicktest.IsTrue, quicktest.Commentf("its clock is not known"))
 }
 
 // TestUnresponsiveWorkerIsCalledAgain checks that a worker that left a heartbeat unanswered
@@ -172,6 +174,21 @@
 	})
 }
 
+// TestWorkerInFirstMillisecondIsUsable checks that starts are ordered on a worker whose only answer
+// came in the first millisecond of its life, when its clock reads 0. It would otherwise get
+// none, and its starts would be withdrawn again and again (LOST).
+func TestWorkerInFirstMillisecondIsUsable(t *testing.T) {
+	w := newFakeWorker(t)
+	ended := w.runHeartbeats()
+	w.crash(t)
+	w.now.Store(int64(2 * time.Second))
+	w.born.Store(2)
+	w.clock.Store(0)
+	w.register()
+	w.down.Store(false)
+	w.assertUsable(t, ended)
+}
+
 // TestTimeOfDayJumpsBack checks that a worker is used whose time of day has jumped back before
 // it restarted, so that its new incarnation seems to be earlier than the known one. Its ends
 // are acknowledged.
@@ -213,7 +230,7 @@
 		sentAt := w.conductor.now()
 		w.now.Add(int64(time.Second))
 		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
-		w.conductor.observe(s, platform.ExecutorResult{Incarnation: 9, Clock: 2000}, sentAt)
+		w.conductor.observe(s, platform.ExecutorResult{Incarnation: 9, Clock: 2000, HasClock: true}, sentAt)
 		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
 		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
 	})
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -18,6 +18,9 @@
 	// heartbeatDelay is the time from a worker's answer to the next heartbeat. It batches
 	// the ends of runs, because each heartbeat is charged for.
 	heartbeatDelay = 150 * time.Millisecond
+	// probationDelay is that time for a worker that runs a suspect of a crash, so that the
+	// time between the start and a crash is known.
+	probationDelay = 10 * time.Millisecond
 	// heartbeatBackoff is the delay after a heartbeat that failed.
 	heartbeatBackoff = 300 * time.Millisecond
 	// maxProbes limits the probes in flight, because a new owner probes thousands of
@@ -37,7 +40,8 @@
 type session struct {
 	id                 string // of the worker
 	address            string
-	clock              int64         // ms on the worker's clock, as of its newest answer; 0 if unknown
+	clock              int64         // ms on the worker's clock, as of its newest answer; 0 in the first ms of an incarnation
+	clockKnown         bool          // whether the incarnation has told its clock
 	clockReadAt        time.Duration // when the call that returned clock was sent
 	incarnation        int64         // of the worker; the clock and the serials belong to it
 	persistedSerial    uint64        // serial of the newest end that the journal holds
@@ -49,17 +53,14 @@
 }
 
 // leaseUntil returns when a lease given to the worker now ends, in ms on the worker's
-// clock. It returns 0 if that clock is not known.
+// clock, which has to be known.
 func (s *session) leaseUntil(now, lease time.Duration) int64 {
-	if s.clock == 0 {
-		return 0
-	}
 	return s.clock + (now - s.clockReadAt + lease).Milliseconds()
 }
 
 // restart begins a new incarnation, whose counts start anew.
 func (s *session) restart(incarnation int64) {
-	s.incarnation, s.clock, s.persistedSerial, s.acknowledgedSerial, s.listedAt = incarnation, 0, 0, 0, 0
+	s.incarnation, s.clockKnown, s.persistedSerial, s.acknowledgedSerial, s.listedAt = incarnation, false, 0, 0, 0
 }
 
 // acknowledgeable returns the serial up to which the worker may forget ends, as of now.
@@ -87,8 +88,8 @@
 	}
 	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, c.now())
 	s.follow(c.planner.Incarnation(s.id))
-	if counts && r.Clock != 0 && sentAt >= s.clockReadAt {
-		s.clock, s.clockReadAt = r.Clock, sentAt
+	if counts && r.HasClock && sentAt >= s.clockReadAt {
+		s.clock, s.clockKnown, s.clockReadAt = r.Clock, true, sentAt
 	}
 }
 
@@ -120,8 +121,19 @@
 			continue
 		}
 		answered = true
-		c.sleep(heartbeatDelay)
+		c.sleepUnlessDue(s, c.delayAfterAnswer(s))
+	}
+}
+
+// delayAfterAnswer returns how long to wait before the next heartbeat to a worker that has
+// answered.
+func (c *Conductor) delayAfterAnswer(s *session) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.planner.OnProbation(s.id) {
+		return probationDelay
 	}
+	return heartbeatDelay
 }
 
 // heartbeat sends one heartbeat, passes the worker's status to the planner and reports
@@ -134,7 +146,7 @@
 	wait := time.Duration(0)
 	// The ownership is checked after sentAt, from which the lease runs, since the VM may
 	// have been suspended before.
-	if busy && c.isOwner() && c.planner.Renewable(s.id) && s.clock != 0 {
+	if busy && c.isOwner() && c.planner.Renewable(s.id) && s.clockKnown {
 		lease.Until = s.leaseUntil(sentAt, c.leaseDuration)
 		c.planner.ExtendLease(s.id, c.leaseExpiry(sentAt))
 		wait = heartbeatWait
@@ -173,11 +185,11 @@
 	ends := c.planner.HandleStatus(planner.WorkerStatus{
 		Worker: s.id, Incarnation: result.Incarnation, SentAt: sentAt, Running: result.Running, Ended: result.Ended, MoreEnds: result.MoreEnds,
 	}, c.now())
-	c.storeWorker(s)
 	c.reportBegun(s.id)
 	if len(ends) > 0 {
 		c.persistEnds(s, ends, result.Ended[len(result.Ended)-1].Serial)
 	}
+	c.storeWorker(s) // last, since the jobs that the ends complete are shown with the next record
 	c.mu.Unlock()
 	c.wake()
 	return true
@@ -226,19 +238,8 @@
 func (c *Conductor) reportEnded(jobs []string) {
 	for _, id := range jobs {
 		c.planner.MarkEndStored(id)
-		state := c.planner.FinalState(id)
-		fields := []any{"job", id, "state", string(state)}
-		if failure := c.planner.FailureOf(id); failure.Task != "" {
-			fields = append(fields, "task", failure.Task, "reason", failure.String())
-		}
-		c.log.Info("job ended", fields...)
-		switch state {
-		case planner.Completed:
-			c.metrics.completed.Inc(1)
-		case planner.Failed:
-			c.metrics.failed.Inc(1)
-		case planner.Cancelled:
-			c.metrics.cancelled.Inc(1)
+		if state := c.planner.FinalState(id); state != "" { // else its submission was refused
+			c.recordEnd(id, state)
 		}
 		for _, notify := range c.planner.TakeWaiters(id, planner.JobEndStored) {
 			notify(nil)
@@ -246,6 +247,23 @@
 	}
 }
 
+// recordEnd counts and logs the end of a job. The caller holds c.mu.
+func (c *Conductor) recordEnd(id string, state planner.State) {
+	fields := []any{"job", id, "state", string(state)}
+	if failure := c.planner.FailureOf(id); failure.Task != "" {
+		fields = append(fields, "task", failure.Task, "reason", failure.String())
+	}
+	c.log.Info("job ended", fields...)
+	switch state {
+	case planner.Completed:
+		c.metrics.completed.Inc(1)
+	case planner.Failed:
+		c.metrics.failed.Inc(1)
+	case planner.Cancelled:
+		c.metrics.cancelled.Inc(1)
+	}
+}
+
 // heartbeatFailed reports a failed heartbeat to the planner, or resigns if the worker
 // knows a newer owner.
 func (c *Conductor) heartbeatFailed(s *session, address string, result platform.ExecutorResult, err error) {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -30,6 +30,7 @@
 	Workers     []string // of an advice request: ids of the workers it names
 	Queue       string
 	Urgent      bool          // of an advice request
+	Overdue     bool          // of an advice request: its step has waited for it for long
 	Cost        time.Duration // of an advice request: its expected time at the service
 	Reason      string        // for logs
 	Incarnation int64         // of a start: of the worker, as known now
@@ -53,6 +54,10 @@
 	expiredRank            // worth nothing to its caller any more
 )
 
+// isUrgent reports whether the occurrence belongs to a queue of priority 0 and is worth
+// something to its caller.
+func (c candidate) isUrgent() bool { return c.rank == urgentRank || c.rank == lateUrgentRank }
+
 // expiredFactor times the objective is the expected age at completion from which an
 // occurrence is worth nothing to its caller.
 const expiredFactor = 3
@@ -64,6 +69,7 @@
 // ReportAdviceSkipped.
 func (p *Planner) Decide(now time.Duration, wall int64) []Action {
 	p.expireLeases(now)
+	p.decideOpenCrashes(now)
 	p.beginDueOccurrences(now, wall)
 	p.decisions++
 	p.maxFreeCPU = 0
@@ -76,7 +82,7 @@
 		}
 	}
 	p.startsLeft, p.startsDeferred = p.startLimit, false
-	p.keepSeparate()
+	p.keepSeparate(now)
 	candidates := p.candidates(now)
 	for _, c := range candidates {
 		for _, s := range c.occurrence.steps {
@@ -99,6 +105,7 @@
 			}
 		}
 	}
+	p.requestOverdue(now)
 	actions := p.actions
 	p.actions = nil
 	return actions
@@ -142,9 +149,9 @@
 		switch {
 		case w.reg.Draining:
 		case w.closedAt != 0:
-			w.markCrash(withoutAbsent(expired), signClosed, now)
+			p.markCrash(w, withoutAbsent(expired), signClosed, now)
 		case !w.listed:
-			w.markCrash(withoutAbsent(expired), signSilent, now)
+			p.markCrash(w, withoutAbsent(expired), signSilent, now)
 		}
 		p.loseRuns(expired, LeaseExpired, now)
 	}
@@ -234,7 +241,7 @@
 // requests advice and, for a long-running step, reserves workers.
 func (p *Planner) place(s *step, c candidate, now time.Duration) {
 	if s.spec.Gang {
-		if !s.hasWaitingSuspect() {
+		if !s.hasSuspect() { // placeSuspects starts it otherwise
 			p.placeGang(s, c, now)
 		}
 		return
@@ -346,6 +353,8 @@
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
 	s.waitingTasks--
+	s.startedAt = now
+	s.advice.lackingSince = 0
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
--- a/planner/record.go
+++ b/planner/record.go
@@ -55,6 +55,7 @@
 	Begun         []string `cbor:"8,keyasint,omitempty"`  // ids of jobs that have begun, as TakeBegun returned them
 	Failed        []string `cbor:"9,keyasint,omitempty"`  // ids of jobs that have failed, of those that TakeEnded returned
 	Crashes       []Crash  `cbor:"10,keyasint,omitempty"` // as TakeCrashes returned them
+	Losses        int      `cbor:"11,keyasint,omitempty"` // as TakeLosses returned them
 }
 
 // Encode returns the record in CBOR.
@@ -65,6 +66,7 @@
 	Jobs    []storedJob `cbor:"1,keyasint"`
 	Ended   []storedEnd `cbor:"2,keyasint"`
 	Workers []string    `cbor:"3,keyasint"`
+	Losses  []int64     `cbor:"4,keyasint,omitempty"` // Unix ms at which workers were lost
 }
 
 // storedEnd is a job that has ended.
@@ -74,6 +76,9 @@
 	Team  string `cbor:"3,keyasint,omitempty"`
 	State State  `cbor:"4,keyasint"`
 	At    int64  `cbor:"5,keyasint"` // Unix ms at which it ended
+
+	Host   string `cbor:"6,keyasint,omitempty"`
+	Prefix string `cbor:"7,keyasint,omitempty"`
 }
 
 // storedJob is a job that has not ended, with the state of its tasks.
@@ -88,23 +93,22 @@
 
 // storedTask is the state of a task.
 type storedTask struct {
-	Occurrence        int     `cbor:"1,keyasint,omitempty"` // index of the occurrence
-	Step              int     `cbor:"2,keyasint,omitempty"`
-	Index             int     `cbor:"3,keyasint,omitempty"`
-	Number            int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
-	Failures          int     `cbor:"5,keyasint,omitempty"` // failed runs of the task that were counted
-	Done              bool    `cbor:"6,keyasint,omitempty"`
-	Checkpoint        string  `cbor:"7,keyasint,omitempty"`
-	LastFailedRun     int     `cbor:"9,keyasint,omitempty"`  // newest run number that Failures counts
-	GangFailures      int     `cbor:"8,keyasint,omitempty"`  // failed runs of its gang that were counted
-	Worker            string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
-	LastFailedGangRun int     `cbor:"10,keyasint,omitempty"` // newest run number that GangFailures counts
-	Crashes           []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
-	LastCrashRun      int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
-	Suspect           bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
-	Incarnation       int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
-	Separate          bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
-	StartedAt         int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
+	Occurrence     int     `cbor:"1,keyasint,omitempty"` // index of the occurrence
+	Step           int     `cbor:"2,keyasint,omitempty"`
+	Index          int     `cbor:"3,keyasint,omitempty"`
+	Number         int     `cbor:"4,keyasint,omitempty"` // run number of the run on Worker, or else the newest
+	Done           bool    `cbor:"6,keyasint,omitempty"`
+	Checkpoint     string  `cbor:"7,keyasint,omitempty"`
+	LastRun        int     `cbor:"22,keyasint,omitempty"` // newest run number, if that of the run on Worker is lower
+	FailedRuns     []int   `cbor:"20,keyasint,omitempty"` // numbers of its failed runs
+	FailedGangRuns []int   `cbor:"21,keyasint,omitempty"` // numbers of the failed runs of its gang
+	Worker         string  `cbor:"11,keyasint,omitempty"` // id of the worker that may run it under Number; empty if none may
+	Crashes        []Crash `cbor:"19,keyasint,omitempty"` // of workers under the task
+	LastCrashRun   int     `cbor:"13,keyasint,omitempty"` // newest run number that Crashes includes
+	Suspect        bool    `cbor:"14,keyasint,omitempty"` // it starts only on a worker of its own
+	Incarnation    int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
+	Separate       bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
+	StartedAt      int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -113,12 +117,15 @@
 	for id := range p.persisted {
 		s.Workers = append(s.Workers, id)
 	}
+	for _, at := range p.losses[max(0, len(p.losses)-maxLossesStored):] {
+		s.Losses = append(s.Losses, wall-(now-at).Milliseconds())
+	}
 	for _, j := range p.jobs {
 		if !j.stored {
 			continue
 		}
 		if j.finalState != "" {
-			s.Ended = append(s.Ended, storedEnd{j.spec.ID, j.spec.Queue, j.spec.Team, j.finalState, wall - (now - j.endedAt).Milliseconds()})
+			s.Ended = append(s.Ended, storedEnd{j.spec.ID, j.spec.Queue, j.spec.Team, j.finalState, wall - (now - j.endedAt).Milliseconds(), j.spec.Host, j.spec.Prefix})
 			continue
 		}
 		s.Jobs = append(s.Jobs, storeJob(j, now, wall))
@@ -137,14 +144,22 @@
 					continue
 				}
 				entry := storedTask{
-					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun, Failures: t.failures,
-					Done: t.done, Checkpoint: t.checkpoint, GangFailures: st.gangFailures, LastFailedRun: t.lastFailedRun, LastFailedGangRun: st.lastFailedGangRun,
+					Occurrence: o.index, Step: st.index, Index: i, Number: t.lastRun,
+					Done: t.done, Checkpoint: t.checkpoint, FailedRuns: t.failedRuns, FailedGangRuns: st.failedRuns,
 				}
-				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.crashes, t.crashes.lastRun, t.crashes.suspect
+				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.store(now, wall), t.crashes.lastRun, t.crashes.suspect
+				newest := 0
 				for _, r := range t.runs {
+					if r.number < newest {
+						continue // it was given up
+					}
+					newest = r.number
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
 				}
+				if entry.Number < t.lastRun {
+					entry.LastRun = t.lastRun
+				}
 				stored.Tasks = append(stored.Tasks, entry)
 			}
 		}
@@ -171,6 +186,7 @@
 		p.replay(r, now, wall)
 	}
 	p.inherit(leaseExpiry)
+	p.restoredAt = now
 	return nil
 }
 
@@ -178,8 +194,11 @@
 	for _, id := range s.Workers {
 		p.persisted[id] = true
 	}
+	for _, at := range s.Losses {
+		p.noteLoss(now - time.Duration(wall-at)*time.Millisecond)
+	}
 	for _, e := range s.Ended {
-		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team}, stored: true, finalState: e.State, endStored: true}
+		j := &job{spec: JobSpec{ID: e.ID, Queue: e.Queue, Team: e.Team, Host: e.Host, Prefix: e.Prefix}, stored: true, finalState: e.State, endStored: true}
 		j.endedAt = now - time.Duration(wall-e.At)*time.Millisecond
 		p.jobs[e.ID] = j
 	}
@@ -191,7 +210,7 @@
 			j.occurrences = append(j.occurrences, newOccurrence(j, k, j.dueTime(k, now, wall)))
 		}
 		for _, t := range stored.Tasks {
-			p.restoreTask(j, t, now-time.Duration(wall-t.StartedAt)*time.Millisecond)
+			p.restoreTask(j, t, now-time.Duration(wall-t.StartedAt)*time.Millisecond, now, wall)
 		}
 		for _, o := range slices.Clone(j.occurrences) {
 			for _, st := range o.steps {
@@ -204,17 +223,18 @@
 }
 
 // restoreTask restores a task whose run, if it has one, was ordered at startedAt.
-func (p *Planner) restoreTask(j *job, t storedTask, startedAt time.Duration) {
+func (p *Planner) restoreTask(j *job, t storedTask, startedAt, now time.Duration, wall int64) {
 	st := j.step(t.Occurrence, t.Step)
 	if st == nil || t.Index >= len(st.tasks) {
 		return
 	}
 	task := &st.tasks[t.Index]
-	task.lastRun, task.failures, task.checkpoint = t.Number, t.Failures, t.Checkpoint
-	st.lastRun = max(st.lastRun, t.Number)
-	st.gangFailures = max(st.gangFailures, t.GangFailures)
-	task.lastFailedRun, st.lastFailedGangRun = t.LastFailedRun, max(st.lastFailedGangRun, t.LastFailedGangRun)
-	task.crashes.crashes, task.crashes.lastRun = t.Crashes, t.LastCrashRun
+	task.lastRun, task.failedRuns, task.checkpoint = max(t.Number, t.LastRun), t.FailedRuns, t.Checkpoint
+	st.lastRun = max(st.lastRun, task.lastRun)
+	if len(t.FailedGangRuns) > 0 {
+		st.failedRuns = t.FailedGangRuns
+	}
+	p.restoreCrashes(st, t, now, wall)
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
 		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, startedAt)
@@ -280,8 +300,12 @@
 		p.restoreJob(*r.Job, now, wall)
 	}
 	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
+	for range r.Losses {
+		p.noteLoss(at)
+	}
 	for _, c := range r.Crashes {
-		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && st.applyCrash(index, c) {
+		c.at = at
+		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && p.applyCrash(st, index, c) {
 			p.failIfProven(st, index, at)
 		}
 	}
@@ -382,5 +406,24 @@
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
-	p.newlyBegun, p.newlyEnded, p.newCrashes = nil, nil, nil
+	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses = nil, nil, nil, 0
+}
+
+// store returns the crashes for a snapshot.
+func (h *crashHistory) store(now time.Duration, wall int64) []Crash {
+	stored := slices.Clone(h.crashes)
+	for i := range stored {
+		stored[i].At = wall - (now - stored[i].at).Milliseconds()
+	}
+	return stored
+}
+
+// restoreCrashes restores the crashes under a task from a snapshot.
+func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
+	for _, c := range t.Crashes {
+		c.at, c.At = now-time.Duration(wall-c.At)*time.Millisecond, 0
+		p.applyCrash(s, t.Index, c)
+	}
+	h := &s.tasks[t.Index].crashes
+	h.lastRun = max(h.lastRun, t.LastCrashRun)
 }
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -24,15 +24,23 @@
 	if s.occurrence.job.suspects == 0 || s.occurrence.job.finalState != "" || !s.ready {
 		return false
 	}
-	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect && !t.done && len(t.runs) == 0 })
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect && !t.crashes.held && !t.done && len(t.runs) == 0 })
+}
+
+// hasSuspect reports whether a task of the step is a suspect.
+func (s *step) hasSuspect() bool {
+	return s.occurrence.job.suspects > 0 && slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect })
 }
 
 // keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
 // suspects of their steps wait.
-func (p *Planner) keepSeparate() {
+func (p *Planner) keepSeparate(now time.Duration) {
 	p.separateWorkers = 0
-	empty := 0
+	empty, usable := 0, 0
 	for _, w := range p.fleet {
+		if w.open || w.separateRuns > 0 && w.acceptsTasks(now) {
+			usable++
+		}
 		if w.open && w.runsOnlyServices() {
 			empty++
 		}
@@ -46,7 +54,7 @@
 			p.separateWorkers++
 		}
 	}
-	p.maxKept = max(1, int(maxSeparateFraction*float64(len(p.fleet))))
+	p.maxKept = max(1, int(maxSeparateFraction*float64(usable)))
 	p.maxSeparate = max(p.maxKept, p.separateWorkers+int(maxEmptyFraction*float64(empty)))
 }
 
@@ -60,7 +68,7 @@
 	j := s.occurrence.job
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.runs) > 0 || !t.crashes.suspect {
+		if t.done || len(t.runs) > 0 || !t.crashes.suspect || t.crashes.held {
 			continue
 		}
 		if j.separateRuns > 0 && !j.cleared || !j.team.allows(s.spec.Size, 1) {
@@ -68,11 +76,12 @@
 		}
 		empty := p.emptyWorkers(s, now)
 		if len(empty) == 0 {
-			p.requestAdvice(s, c, now)
+			p.requestAdviceFor(s, c, func(w *worker) int { return p.roomForSuspect(s, w) }, now)
 			p.keepWorker(s, now)
 			return
 		}
-		p.start(s, i, t.lastRun+1, empty[0], true, now)
+		w := slices.MinFunc(empty, func(a, b *worker) int { return cmp.Compare(t.crashes.countOn(a), t.crashes.countOn(b)) })
+		p.start(s, i, t.lastRun+1, w, true, now)
 	}
 }
 
@@ -80,6 +89,9 @@
 // workers of their own, as far as the limit for these allows. Members that fit nowhere else
 // start beside the suspects of their gang.
 func (p *Planner) placeSuspectGang(s *step, c candidate, now time.Duration) {
+	if slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.held }) {
+		return
+	}
 	if s.waitingTasks < len(s.tasks) || !s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
 		return
 	}
@@ -147,7 +159,7 @@
 func (p *Planner) emptyWorkers(s *step, now time.Duration) []*worker {
 	var empty []*worker
 	for w := range p.usableWorkers(s, now) {
-		if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+		if p.roomForSuspect(s, w) > 0 {
 			empty = append(empty, w)
 		}
 	}
@@ -164,6 +176,15 @@
 	return empty
 }
 
+// roomForSuspect returns how many suspects of the step may start on a worker by itself: one, if
+// it runs only services and the limit allows one more for suspects.
+func (p *Planner) roomForSuspect(s *step, w *worker) int {
+	if w.runsOnlyServices() && s.spec.Size.Fits(w.free()) && (w.keptFor == s || p.separateWorkers < p.maxSeparate) {
+		return 1
+	}
+	return 0
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
