conductor: TestUnresponsiveWorkerIsCalledAgain waits until the planner knows of the crash

Its subtest 'its lease expires' failed once, in a run of the package under the race detector beside a play: heartbeats go on after 20 s.

Cause: the test waits for the counter of missed heartbeats, which is raised before the planner is told. If its decision comes between the two, the planner starts the task again on the worker that has just crashed, which stays busy then. With 0.1 s between the counter and the planner the subtest fails each time, after 22.8 s as in that run; with the change it passes so too. What is checked is the same.

--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -91,6 +91,11 @@
 	w.await(t, func() bool { return w.calls.Load() > 0 })
 	w.down.Store(true)
 	w.await(t, func() bool { return w.conductor.metrics.missedHeartbeats.Count() > 0 })
+	w.await(t, func() bool {
+		w.conductor.mu.Lock()
+		defer w.conductor.mu.Unlock()
+		return !w.conductor.planner.Accepts("w0") // the planner has been told, so that nothing starts there
+	})
 	w.calls.Store(0)
 	w.idle.Store(true)
 }
