--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -106,11 +106,12 @@
 }
 
 // combinedChance returns the probability that crashes by chance are as unlikely together as
-// these, by Fisher's method. Those with a chance of 1 say nothing.
+// these, by Fisher's method. Those with a chance of 1 say nothing, and neither do those of an
+// earlier version, which have none.
 func combinedChance(chances []float64) float64 {
 	sum, n := 0.0, 0
 	for _, c := range chances {
-		if c < 1 {
+		if c > 0 && c < 1 {
 			sum -= math.Log(c)
 			n++
 		}
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -17,6 +17,7 @@
 	}{
 		{nil, 1},
 		{[]float64{1, 1, 1}, 1},
+		{[]float64{0, 0.01}, 0.01},
 		{[]float64{0.01}, 0.01},
 		{[]float64{0.01, 1}, 0.01},
 		{[]float64{0.1, 0.1}, 0.0560},
