--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -413,7 +413,8 @@
 // record. The caller holds c.mu.
 func (c *Conductor) takeFacts(r *planner.Record) {
 	c.collectCrashes()
-	r.Begun, r.Crashes, r.Losses = c.begun, c.crashes, append(c.losses, c.planner.TakeLosses()...)
+	c.losses = append(c.losses, c.planner.TakeLosses()...)
+	r.Begun, r.Crashes, r.Losses = c.begun, c.crashes, c.losses
 	c.begun, c.crashes, c.losses = nil, nil, nil
 }
 
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// A task may crash each worker that starts it. A crash does not tell which of the worker's
-// runs caused it. Those that began last become suspects: their tasks start next on workers
-// of their own, where a crash proves the cause at the expense of no other run, and where a
-// run that goes on clears its task. A task that is not suspected goes on as before.
+// A task may crash each worker that starts it. The loss of a worker does not tell whether it has
+// crashed (verdict.go), nor which of its runs caused that. Those that began last become
+// suspects: their tasks start next on workers of their own, where a crash proves the cause at
+// the expense of no other run, and where a run that goes on clears its task. A task that is not suspected goes on as before.
 
 const (
 	// crashWindow is the time before a worker's last sign of life within which a run has to
@@ -50,10 +50,10 @@
 	Chance      float64   `cbor:"13,keyasint,omitempty"` // probability that the worker ended by chance at this age of the run or earlier; 1 if another run may be the cause
 	Incarnation int64     `cbor:"14,keyasint,omitempty"` // of the worker; 0 if unknown
 	Address     string    `cbor:"15,keyasint,omitempty"` // of the worker
+	At          int64     `cbor:"16,keyasint,omitempty"` // Unix ms at which it was noted; set in snapshots only
 	NotedAge    int64     `cbor:"17,keyasint,omitempty"` // ms from the start of the run until it was noted
 	Gone        bool      `cbor:"18,keyasint,omitempty"` // it counts as ended until it answers, since it has been gone for long
 	LongestRun  int64     `cbor:"19,keyasint,omitempty"` // ms for which a run of the task is known to have gone on, when it was noted
-	At          int64     `cbor:"16,keyasint,omitempty"` // Unix ms at which it was noted; set in snapshots only
 
 	at time.Duration // when it was noted
 }
@@ -99,7 +99,7 @@
 	held    bool    // the task does not start in the current decision, as the fate of workers is open
 	proven  bool    // the task is the cause, so its job fails
 	// longest is how long a run of the task is known to have gone on without a crash. It is
-	// forgotten after maxCrashes crashes in a row at a lower age: the task may have changed.
+	// forgotten after minLosses crashes in a row at a lower age: the task may have changed.
 	longest time.Duration
 	below   int // crashes in a row at a lower age than longest
 }
@@ -263,7 +263,7 @@
 		if h.below++; time.Duration(c.Age)*time.Millisecond >= h.longest {
 			h.below = 0
 		}
-		if h.below >= maxCrashes {
+		if h.below >= minLosses {
 			h.longest, h.below = 0, 0
 		}
 		if c.isOpen() {
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -244,7 +244,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFixture(t, 2)
 			f.submit("j", newStep(1))
-			for range minCrashes {
+			for range minPrompt {
 				starts := f.starts()
 				f.Assert(starts, quicktest.HasLen, 1)
 				f.now += test.after
--- a/planner/failure_test.go
+++ b/planner/failure_test.go
@@ -23,7 +23,7 @@
 	t.Run("crashes", func(t *testing.T) {
 		f := newCrashFixture(t, 2)
 		f.submit("j", newStep(1))
-		for range minCrashes {
+		for range minPrompt {
 			worker := f.starts()[0].Worker
 			f.now += 10 * time.Millisecond
 			f.p.ObserveClosed(worker, f.now)
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -141,7 +141,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFixture(t, 24)
 			f.submit("j", newStep(1))
-			for range minCrashes {
+			for range minPrompt {
 				id := f.startAgain().Worker
 				f.now += 10 * time.Millisecond
 				lost := []string{id}
@@ -172,7 +172,7 @@
 	f.submit("j", newStep(1))
 	f.expire(f.startAgain().Worker)
 	s, _ := f.p.stepOf("j.0.0.0")
-	for range maxCrashes - 1 {
+	for range minLosses - 1 {
 		f.Assert(f.p.FinalState("j"), quicktest.Equals, State(""))
 		f.decide() // expires the leases of the first worker
 		s.setSuspect(0, true)
@@ -281,7 +281,7 @@
 					f.answer(id)
 				}
 			}
-			for range minCrashes {
+			for range minPrompt {
 				if f.p.FinalState("j") == "" {
 					crash()
 				}
@@ -369,7 +369,7 @@
 	f := newCrashFixture(t, 8)
 	f.submit("j", newStep(1))
 	crashAt(f, 20*second)
-	for range 2 * maxCrashes {
+	for range 2 * minLosses {
 		if f.p.FinalState("j") == "" {
 			crashAt(f, 10*time.Millisecond)
 		}
