runner: A VM that can't listen on all of its addresses serves none

What callers would see: a VM that refuses everything with "no owner". TestFleetWithCrashes hung for a minute once in about 120 runs, beside others: by its log one of the three VMs answered callers, and had never begun to serve, as another test process had taken one of its addresses meanwhile. As a process the VM ends at once, so that only its supervisor would notice.

Change: all addresses are opened before anything is served. The test starts such a VM again with other addresses, and fails at once for any other error.

Test: TestNothingIsServedWithoutAllAddresses, which fails before (the callers' address still answers).

--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,7 +83,15 @@
 	return cl
 }
 
+// start starts the VM with index n. Another process may take a free address before the VM does;
+// the VM then starts with other ones.
 func (cl *cluster) start(n int) {
+	for !cl.tryStart(n) {
+	}
+}
+
+// tryStart starts the VM with index n, unless one of its addresses is in use by now.
+func (cl *cluster) tryStart(n int) bool {
 	settings := &Settings{
 		id: fmt.Sprintf("vm%d", n), centre: "a", callers: freeAddress(cl.C), ready: freeAddress(cl.C), internal: freeAddress(cl.C),
 		store: cl.platform.StoreAddress, advice: cl.platform.AdviceAddress, lease: 2 * time.Second, drain: 100 * time.Millisecond,
@@ -91,15 +100,19 @@
 	cl.Assert(err, quicktest.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{runner: runner, address: settings.callers, stop: stop, done: make(chan error, 1)}
-	go func() {
-		err := runner.Run(ctx)
-		if err != nil {
-			fmt.Fprintf(cl.logs, "%s has ended: %v\n", settings.id, err)
+	go func() { v.done <- runner.Run(ctx) }()
+	for !strings.Contains(cl.logs.text(), "callers="+settings.callers+" ") {
+		select {
+		case err := <-v.done:
+			cl.Assert(err, quicktest.ErrorIs, syscall.EADDRINUSE)
+			stop()
+			return false
+		case <-time.After(time.Millisecond):
 		}
-		v.done <- err
-	}()
+	}
 	cl.vms = append(cl.vms, v)
 	cl.Cleanup(func() { stop(); <-v.done })
+	return true
 }
 
 // call sends a caller's request to the VM with index n, modulo their number, and
@@ -333,3 +346,23 @@
 	cl.waitFor(waitTimeout, "a request refused", func() bool { return submit(refused, imitator.JobBody) == 503 })
 	cl.Assert(cause(refused), quicktest.Matches, ".*(reached no owner|could not take it).*")
 }
+
+// TestNothingIsServedWithoutAllAddresses checks that a VM of which one address is in use serves
+// nothing on the others. Callers would be refused by a VM that never has an owner.
+func TestNothingIsServedWithoutAllAddresses(t *testing.T) {
+	c := quicktest.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer taken.Close()
+	platform := imitator.New(7)
+	defer platform.Close()
+	settings := &Settings{
+		id: "vm", centre: "a", callers: freeAddress(c), ready: freeAddress(c), internal: taken.Addr().String(),
+		store: platform.StoreAddress, advice: platform.AdviceAddress, lease: 2 * time.Second, drain: 100 * time.Millisecond,
+	}
+	runner, err := New(settings, hclog.NewNullLogger(), metrics.NewRegistry())
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(runner.Run(t.Context()), quicktest.ErrorIs, syscall.EADDRINUSE)
+	_, err = net.Dial("tcp", settings.callers)
+	c.Assert(err, quicktest.ErrorIs, syscall.ECONNREFUSED)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -199,10 +199,11 @@
 	return err
 }
 
-// listen starts a server on each configured address. It returns the servers, and a
+// listen starts a server on each configured address, or none. It returns the servers, and a
 // channel that receives an error when one of them fails.
 func (r *Runner) listen() ([]*http.Server, <-chan error, error) {
 	var servers []*http.Server
+	var listeners []net.Listener
 	failed := make(chan error, 4)
 	for _, binding := range []struct {
 		address string
@@ -218,12 +219,16 @@
 		}
 		listener, err := net.Listen("tcp", binding.address)
 		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
 			return nil, nil, oops.In("runner").With("address", binding.address).Wrapf(err, "can't listen on address")
 		}
-		server := r.newServer(binding.handler)
-		servers = append(servers, server)
+		servers, listeners = append(servers, r.newServer(binding.handler)), append(listeners, listener)
+	}
+	for i, server := range servers {
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		}()
