--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -388,7 +388,7 @@
 	for _, crash := range c.planner.TakeCrashes() {
 		c.crashes = append(c.crashes, crash)
 		if crash.Resolved() {
-			c.log.Info("crash decided", "task", crash.Task, "run", crash.Number, "worker", crash.Worker, "crashed", crash.Ended, "proven", crash.Proven, "chance", crash.Chance)
+			c.log.Info("crash decided", "task", crash.Task, "run", crash.Number, "worker", crash.Worker, "crashed", crash.Ended, "gone", crash.Gone, "proven", crash.Proven, "chance", crash.Chance)
 			continue
 		}
 		c.metrics.crashes.Inc(1)
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -51,6 +51,7 @@
 	Incarnation int64     `cbor:"14,keyasint,omitempty"` // of the worker; 0 if unknown
 	Address     string    `cbor:"15,keyasint,omitempty"` // of the worker
 	NotedAge    int64     `cbor:"17,keyasint,omitempty"` // ms from the start of the run until it was noted
+	Gone        bool      `cbor:"18,keyasint,omitempty"` // it counts as ended until it answers, since it has been gone for long
 	At          int64     `cbor:"16,keyasint,omitempty"` // Unix ms at which it was noted; set in snapshots only
 
 	at time.Duration // when it was noted
@@ -58,7 +59,10 @@
 
 // Resolved reports whether the crash was noted before, when it was not known whether the
 // worker had ended.
-func (c *Crash) Resolved() bool { return c.Survived || c.Ended && c.Sign != signReplied }
+func (c *Crash) Resolved() bool { return c.Survived || c.Gone || c.Ended && c.Sign != signReplied }
+
+// isOpen reports whether it is not known whether the worker's incarnation has ended.
+func (c *Crash) isOpen() bool { return !c.Ended && !c.Survived }
 
 // signAt returns when the worker gave the first sign of its crash.
 func (c *Crash) signAt() time.Duration {
@@ -207,7 +211,7 @@
 	}
 	h := &s.tasks[index].crashes
 	if known := h.find(c.Number); known != nil {
-		if known.Ended || known.Survived || !c.Ended && !c.Survived {
+		if !known.isOpen() || c.isOpen() && (known.Gone || !c.Gone) {
 			return false
 		}
 		c.at = known.at
@@ -224,7 +228,7 @@
 			h.crashes = h.crashes[1:]
 		}
 		h.lastRun = c.Number
-		if !c.Ended && !c.Survived {
+		if c.isOpen() {
 			p.openCrashes = append(p.openCrashes, openCrash{s, index, c.Number})
 		}
 		if c.Suspect && !c.Survived {
--- a/planner/failure.go
+++ b/planner/failure.go
@@ -36,7 +36,7 @@
 
 // String describes the crash in a line for logs.
 func (c Crash) String() string {
-	return fmt.Sprintf("run %d on %s after %d ms (%s, started=%t, alone=%t, ended=%t, chance=%.2g)", c.Number, c.Worker, c.Age, c.Sign, c.Started, c.Separate, c.Ended, c.Chance)
+	return fmt.Sprintf("run %d on %s after %d ms (%s, started=%t, alone=%t, ended=%t, chance=%.2g, gone=%t)", c.Number, c.Worker, c.Age, c.Sign, c.Started, c.Separate, c.Ended, c.Chance, c.Gone)
 }
 
 // FailureOf returns why a job has failed.
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	c := o.history().find(o.number)
-	if c == nil || c.Ended || c.Survived {
+	if c == nil || !c.isOpen() {
 		return nil
 	}
 	return c
@@ -69,7 +69,7 @@
 	var certain, ended []float64
 	alone := false
 	for _, c := range crashes {
-		if c.Survived || !c.Ended && !assumeEnded {
+		if c.Survived || !c.Ended && !c.Gone && !assumeEnded {
 			continue
 		}
 		alone = c.Separate
@@ -259,9 +259,9 @@
 // open crashes that do not matter any more.
 func (p *Planner) decideOpenCrashes(now time.Duration) {
 	for _, o := range p.openCrashes {
-		if c := o.crash(); c != nil && c.Sign == signClosed && c.Prompt && now-c.at >= goneTimeout && !p.isListed(c.Worker) {
+		if c := o.crash(); c != nil && !c.Gone && c.Sign == signClosed && c.Prompt && now-c.at >= goneTimeout && !p.isListed(c.Worker) {
 			resolved := *c
-			resolved.Ended = true
+			resolved.Gone = true
 			p.resolveCrash(o, resolved, now)
 		}
 	}
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -162,3 +162,27 @@
 		})
 	}
 }
+
+// TestWorkersThatComeBackLateHaveNotCrashed checks that workers that were gone for so long that
+// they counted as crashed do not count any more when they come back as they were (LOST, issue 39).
+func TestWorkersThatComeBackLateHaveNotCrashed(t *testing.T) {
+	for name, takeOver := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFixture(t, 6)
+			f.submit("j", newStep(1))
+			lost := lostPromptly(f, 3)
+			f.returns(lost[2])
+			f.now += goneTimeout
+			f.decide()
+			f.assertCrashes("j.0.0.0", 2)
+			if takeOver {
+				f.record(Record{})
+				f.takeOver(f.now)
+			}
+			for _, id := range lost[:2] {
+				f.returns(id)
+			}
+			f.assertCrashes("j.0.0.0", 0)
+		})
+	}
+}
