planner: A gang does not start while it is open whether a member crashes its workers (BUDGET)

What callers would see: a gang of which one member was cleared started although three workers had been lost right after the starts of another one, and nobody knew yet what had become of them.

Cause: place took a gang without a suspect that may start for one without suspects. A held suspect is no longer one that waits, so the gang started as usual, its suspect beside others.

Change: place leaves each gang with a suspect to placeSuspects.

Evidence: TestGangWithHeldSuspectWaits failed (two starts) and passes.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -235,7 +235,7 @@
 // requests advice and, for a long-running step, reserves workers.
 func (p *Planner) place(s *step, c candidate, now time.Duration) {
 	if s.spec.Gang {
-		if !s.hasWaitingSuspect() {
+		if !s.hasSuspect() { // placeSuspects starts it otherwise
 			p.placeGang(s, c, now)
 		}
 		return
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -27,6 +27,11 @@
 	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect && !t.crashes.held && !t.done && len(t.runs) == 0 })
 }
 
+// hasSuspect reports whether a task of the step is a suspect.
+func (s *step) hasSuspect() bool {
+	return s.occurrence.job.suspects > 0 && slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.suspect })
+}
+
 // keepSeparate prepares a decision: workers that are kept for suspects stay reserved while
 // suspects of their steps wait.
 func (p *Planner) keepSeparate() {
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -186,3 +186,28 @@
 		})
 	}
 }
+
+// TestGangWithHeldSuspectWaits checks that a gang does not start while three workers that were lost
+// right after starts of one member may have crashed, although another member was cleared (BUDGET).
+func TestGangWithHeldSuspectWaits(t *testing.T) {
+	f := newCrashFixture(t, 8)
+	f.submit("j", newWideGang())
+	f.p.jobs["j"].cleared = true
+	for n := range 3 {
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, 2)
+		for _, a := range starts {
+			if a.Task != "j.0.0.0" {
+				f.listEnd(a, uint64(n+1), GangBroken)
+				continue
+			}
+			f.now += 10 * time.Millisecond
+			f.p.ObserveClosed(a.Worker, f.now)
+			f.expire(a.Worker)
+		}
+	}
+	f.assertNoStart()
+	f.assertCrashes("j.0.0.0", 3)
+	f.now += second
+	f.assertNoStart()
+}
