planner: A suspect starts on a worker that has not crashed under it (LOST)

What callers would see: a job is shown as failed because one worker crashes right after it has started anything.

Cause: a guess told as a fact. Three crashes of one worker were taken for crashes of three, and the order of the empty workers is always the same, so a suspect came back to the worker that had just crashed under it. That the worker is the cause explains such a series as well, and its rate is not that of the fleet.

Change: of the empty workers, a suspect takes one that has not crashed under it, if there is one. If there is none, three crashes of one worker still prove: on a fleet of one the task could not be given up otherwise.

Evidence: TestFaultyWorkerFailsNoJob failed (24 workers, failed after three crashes of w0) and passes.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -110,6 +110,18 @@
 	return n
 }
 
+// countOn returns how many of the crashes are of that worker, or of another one at its address.
+// A suspect starts elsewhere if it can, as the worker may be the cause.
+func (h *crashHistory) countOn(w *worker) int {
+	n := 0
+	for _, c := range h.crashes {
+		if !c.Survived && (c.Worker == w.reg.ID || c.Address != "" && c.Address == w.reg.Address) {
+			n++
+		}
+	}
+	return n
+}
+
 // find returns the crash under the run with that number, nil if it is not known.
 func (h *crashHistory) find(number int) *Crash {
 	for i := range h.crashes {
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -77,7 +77,8 @@
 			p.keepWorker(s, now)
 			return
 		}
-		p.start(s, i, t.lastRun+1, empty[0], true, now)
+		w := slices.MinFunc(empty, func(a, b *worker) int { return cmp.Compare(t.crashes.countOn(a), t.crashes.countOn(b)) })
+		p.start(s, i, t.lastRun+1, w, true, now)
 	}
 }
 
--- a/planner/suspect_test.go
+++ b/planner/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"filberthaven.example/placer"
 	"github.com/frankban/quicktest"
@@ -127,3 +128,23 @@
 	f.now += second / 10
 	f.Assert(f.starts(), quicktest.HasLen, 2)
 }
+
+// TestFaultyWorkerFailsNoJob checks that a worker that crashes right after it has started anything
+// fails no job while other workers are empty (LOST).
+func TestFaultyWorkerFailsNoJob(t *testing.T) {
+	f := newCrashFixture(t, 24)
+	f.submit("j", newStep(1))
+	for range 6 {
+		f.now += second
+		for _, a := range f.starts() {
+			if a.Worker != "w0" {
+				continue
+			}
+			f.now += 20 * time.Millisecond
+			f.p.ObserveClosed("w0", f.now)
+			f.now += second / 10
+			f.restart("w0")
+		}
+	}
+	f.assertState("j", Running)
+}
