planner: The next owner counts each loss of a worker once (BUDGET)

The next owner took the rate of crashes for higher than it is, by up to a factor of two, so a task that crashes its workers was proven later.

Evidence: TestLossCountsOnce failed (two losses in place of one) and passes.

--- a/planner/record.go
+++ b/planner/record.go
@@ -282,7 +282,9 @@
 	at := now - time.Duration(max(0, wall-r.At))*time.Millisecond
 	for _, c := range r.Crashes {
 		c.at = at
-		p.noteStoredLoss(c)
+		if !c.Resolved() { // its loss is in an earlier record
+			p.noteStoredLoss(c)
+		}
 		if st, index := p.stepForReplay(c.Task, now, wall); st != nil && p.applyCrash(st, index, c) {
 			p.failIfProven(st, index, at)
 		}
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -211,3 +211,22 @@
 	f.now += second
 	f.assertNoStart()
 }
+
+// TestLossCountsOnce checks that the next owner counts the loss of a worker once towards the rate of
+// crashes, although the journal holds it again with what became known of it later (BUDGET).
+func TestLossCountsOnce(t *testing.T) {
+	f := newCrashFixture(t, 6)
+	f.submit("j", newStep(1))
+	id := f.startAgain().Worker
+	f.now += 10 * time.Millisecond
+	f.p.ObserveClosed(id, f.now)
+	f.expire(id)
+	f.startAgain()
+	f.now += 5 * second
+	f.incarnation[id] = 1
+	f.restart(id)
+	f.record(Record{})
+	f.Assert(f.p.losses, quicktest.HasLen, 1)
+	f.takeOver(f.now)
+	f.Assert(f.p.losses, quicktest.HasLen, 1)
+}
