planner: Answers of workers don't look at all open crashes

With 4,000 open crashes, as after a cut of 400 of 1,500 workers with ten runs each, each answer of a worker took 103 µs under the owner's lock, while the fleet answers several hundred times a second for the ten minutes that they stay open. Now an answer looks at them only if the worker's id or address is that of a lost one. The common cause of a loss is computed once for a worker, not for each of its runs.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -155,6 +155,7 @@
 		lastSign = max(lastSign, w.lastAnswerAt)
 	}
 	recent := func(r *run) bool { return r.startedAt >= lastSign-crashWindow }
+	common := p.commonCause(w, now)
 	recentRuns := 0
 	for _, r := range runs {
 		if recent(r) {
@@ -174,7 +175,7 @@
 			Prompt:  w.closedSoonAfter(r), Ended: sign == signReplied, Address: w.reg.Address, Incarnation: cmp.Or(r.incarnation, w.reg.Incarnation), at: now, NotedAge: max(0, now-r.startedAt).Milliseconds(),
 		}
 		crashes := append(slices.Clone(h.crashes), *c)
-		c.Chance = max(p.chanceOfCrash(crashes, age, now), p.commonCause(w, now))
+		c.Chance = max(p.chanceOfCrash(crashes, age, now), common)
 		if !r.separate && (recentRuns > 1 || recentRuns == 1 && !recent(r)) {
 			c.Chance = 1
 		}
@@ -242,6 +243,7 @@
 		h.lastRun = c.Number
 		if c.isOpen() {
 			p.openCrashes = append(p.openCrashes, openCrash{s, index, c.Number})
+			p.await(&c)
 		}
 		if c.Suspect && !c.Survived {
 			s.setSuspect(index, true)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -32,6 +32,7 @@
 	newlyBegun      []string // jobs that have begun since the last TakeBegun
 	newCrashes      []Crash  // since the last TakeCrashes
 	openCrashes     []openCrash
+	awaited         map[string]bool          // ids and addresses of workers whose answers may decide openCrashes
 	losses          []time.Duration          // when workers were lost, without draining first, in the last maxRateSpan
 	lastLoss        map[string]time.Duration // by worker id: the newest of its losses
 	separateWorkers int                      // workers that are kept for suspects, or have separate runs, in the current decision
@@ -75,6 +76,7 @@
 		adviceBudget:   map[bool]int{},
 		waiters:        map[waiterKey][]func(error){},
 		lastLoss:       map[string]time.Duration{},
+		awaited:        map[string]bool{},
 		startLimit:     math.MaxInt,
 	}
 }
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -63,9 +63,15 @@
 
 func (o openCrash) history() *crashHistory { return &o.step.tasks[o.index].crashes }
 
+// await notes whose answers may decide an open crash.
+func (p *Planner) await(c *Crash) { p.awaited[c.Worker], p.awaited[c.Address] = true, true }
+
 // isProof reports whether crashes, the newest of which was alone with its task, prove the
 // task to be the cause. With assumeEnded, those whose fate is open count as well.
 func isProof(crashes []Crash, assumeEnded bool) bool {
+	if len(crashes) < minCrashes {
+		return false
+	}
 	var certain, ended []float64
 	alone := false
 	for _, c := range crashes {
@@ -218,6 +224,9 @@
 // resolveCrashes applies what the answer of a worker's incarnation tells of lost workers: of
 // this one, and of one that had its address.
 func (p *Planner) resolveCrashes(w *worker, incarnation int64, now time.Duration) {
+	if !p.awaited[w.reg.ID] && !p.awaited[w.reg.Address] {
+		return
+	}
 	for _, o := range p.openCrashes {
 		c := o.crash()
 		switch {
@@ -265,16 +274,18 @@
 			p.resolveCrash(o, resolved, now)
 		}
 	}
-	kept := p.openCrashes[:0]
 	for _, o := range p.openCrashes {
 		o.history().held = false
-		if c := o.crash(); c != nil && now-c.at < maxRateSpan {
-			kept = append(kept, o)
+	}
+	dropped := func(o openCrash) bool { c := o.crash(); return c == nil || now-c.at >= maxRateSpan }
+	if slices.ContainsFunc(p.openCrashes, dropped) {
+		p.openCrashes = slices.DeleteFunc(p.openCrashes, dropped)
+		clear(p.awaited)
+		for _, o := range p.openCrashes {
+			p.await(o.crash())
 		}
 	}
-	clear(p.openCrashes[len(kept):])
-	p.openCrashes = kept
-	for _, o := range kept {
+	for _, o := range p.openCrashes {
 		if now-o.crash().at < goneTimeout && isProof(o.history().crashes, true) {
 			o.history().held = true
 		}
