--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -67,23 +67,24 @@
 // simulation plays a fleet with faults, and knows what has really happened to each worker.
 type simulation struct {
 	*fixture
-	random   *rand.Rand
-	faults   faults
-	workers  map[string]*simulatedWorker
-	nextID   int
-	gone     bool           // crashed workers may be gone for good
-	crashes  map[string]int // by task: workers that have really crashed under it
-	signed   map[string]int // of these, those whose machine closed its connections
-	late     map[string]int // by task: starts after three signed crashes
-	state    []byte
-	log      []string
-	noDecide time.Duration // until then no owner decides
+	random       *rand.Rand
+	faults       faults
+	workers      map[string]*simulatedWorker
+	nextID       int
+	gone         bool           // crashed workers may be gone for good
+	crashes      map[string]int // by task: workers that have really crashed under it
+	signed       map[string]int // of these, those whose machine closed its connections
+	late         map[string]int // by task: starts after three signed crashes
+	state        []byte
+	log          []string
+	noDecide     time.Duration // until then no owner decides
+	minDeadlyAge time.Duration // of the runs that crash their workers
 }
 
 func newSimulation(t *testing.T, seed uint64, workers int, f faults) *simulation {
 	s := &simulation{
 		fixture: newFixture(t, 0, Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: 100 * second}), random: rand.New(rand.NewPCG(seed, 39)), faults: f,
-		workers: map[string]*simulatedWorker{}, crashes: map[string]int{}, signed: map[string]int{}, late: map[string]int{},
+		minDeadlyAge: 5 * time.Millisecond, workers: map[string]*simulatedWorker{}, crashes: map[string]int{}, signed: map[string]int{}, late: map[string]int{},
 	}
 	s.now = second
 	for range workers {
@@ -279,7 +280,7 @@
 	w.leaseUntil = s.now + simulatedLease - 200*time.Millisecond
 	r := simulatedRun{Action: a, startedAt: s.now, endsAt: s.now + 300*time.Millisecond + s.duration(3*second)}
 	if isDeadly(a) {
-		r.crashesAt = s.now + 5*time.Millisecond + s.duration(60*time.Millisecond)
+		r.crashesAt = s.now + s.minDeadlyAge + s.duration(60*time.Millisecond)
 		if s.signed[a.Task] >= 3 {
 			s.late[a.Task]++
 		}
@@ -479,6 +480,20 @@
 	mixture{12, faults{crashes: 0.03, cuts: 0.03, maxCut: 12 * second, takeOvers: 0.1, snapshots: 0.1}, true, 60, 3}.play(t, "owners")
 }
 
+// TestManySlowlyDeadlyTasks checks that many tasks that crash their workers about 200 ms after each
+// start are given up in time on a small fleet, where nothing else crashes workers (BUDGET).
+func TestManySlowlyDeadlyTasks(t *testing.T) {
+	for seed := range *simulationSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newSimulation(t, seed, 6, faults{})
+			s.minDeadlyAge = 170 * time.Millisecond
+			jobs := s.submitMixed(20, 40)
+			s.play(180*second, false)
+			s.assertFair(jobs)
+		})
+	}
+}
+
 var simulationSeeds = flag.Uint64("seeds", 4, "number of seeds of TestRandomFaults")
 
 // submitMixed submits jobs over 20 s, of which some crash their workers.
