planner: Tests of the bound for five crashes, and of answers that decide what is left

Cause: set the bound for five crashes to 1 in 20, and let an answer look at open crashes only if they wait for that worker; neither had a test of its own.

Change: TestFiveCrashesProveUpToOneInTwenty (series with a combined chance of 0.011 and 0.020 prove, 0.097 and 0.398 do not, four crashes never do) and TestAnswersDecideOpenCrashesThatAreLeft.

Result: both pass; the first fails with the earlier bound of 1 in 100, the second if the awaited workers are not noted again after open crashes are dropped.

--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -376,3 +376,61 @@
 	}
 	f.Assert(f.p.FinalState("j"), quicktest.Equals, Failed)
 }
+
+// seriesOf returns five crashes by workers that have ended, the last one under a task that was
+// alone, each of which comes by chance with that probability.
+func seriesOf(chance float64) []Crash {
+	crashes := make([]Crash, minLosses)
+	for i := range crashes {
+		crashes[i] = Crash{Number: i + 1, Ended: true, Separate: true, Age: 400, Chance: chance}
+	}
+	return crashes
+}
+
+// TestFiveCrashesProveUpToOneInTwenty checks the bound on the chance of five crashes: one that let
+// fewer prove started a task that crashes its workers a sixth time (BUDGET), a larger one fails
+// jobs by chance (LOST).
+func TestFiveCrashesProveUpToOneInTwenty(t *testing.T) {
+	c := quicktest.New(t)
+	p := New()
+	for _, test := range []struct {
+		chance, combined float64
+		want             bool
+	}{{0.10, 0.0107, true}, {0.12, 0.0197, true}, {0.20, 0.0970, false}, {0.35, 0.398, false}} {
+		crashes := seriesOf(test.chance)
+		var chances []float64
+		for _, crash := range crashes {
+			chances = append(chances, crash.Chance)
+		}
+		combined := combinedChance(chances)
+		c.Check(combined > 0.98*test.combined && combined < 1.02*test.combined, quicktest.IsTrue, quicktest.Commentf("%g: %g", test.chance, combined))
+		c.Check(p.isProof(crashes, 0, false, time.Hour), quicktest.Equals, test.want, quicktest.Commentf("%g", test.chance))
+		c.Check(p.isProof(crashes[1:], 0, false, time.Hour), quicktest.IsFalse, quicktest.Commentf("%g, four crashes", test.chance))
+	}
+}
+
+// TestAnswersDecideOpenCrashesThatAreLeft checks that a crash is decided by an answer although other
+// open crashes were dropped before, and that answers of other workers decide nothing.
+func TestAnswersDecideOpenCrashesThatAreLeft(t *testing.T) {
+	f := newCrashFixture(t, 6)
+	f.submit("j", newStep(1))
+	f.submit("k", newStep(1))
+	starts := f.starts()
+	f.Assert(starts, quicktest.HasLen, 2)
+	lost := starts[0].Worker
+	f.Assert(starts[1].Worker, quicktest.Equals, lost)
+	f.now += 2 * second
+	f.expire(lost)
+	f.starts()
+	f.Assert(f.p.openCrashes, quicktest.HasLen, 2)
+	f.p.Cancel("j", "team", f.now)
+	f.decide()
+	f.Assert(f.p.openCrashes, quicktest.HasLen, 1)
+	for id := range f.incarnation {
+		f.now += second
+		f.answer(id)
+	}
+	f.assertCrashes("k.0.0.0", 1)
+	f.returns(lost)
+	f.assertCrashes("k.0.0.0", 0)
+}
