--- a/router/stats.go
+++ b/router/stats.go
@@ -19,7 +19,7 @@
 // Team returns the caller's team, empty if the request failed before it was known.
 func (d Decision) Team() string { return d.team }
 
-// Executor returns the executor that was chosen last, empty if this process chose
+// Executor returns the executor of the last attempt, empty if this process made
 // none.
 func (d Decision) Executor() string { return d.executor }
 
