--- a/review/stand-2/executor.go
+++ b/review/stand-2/executor.go
@@ -67,6 +67,7 @@
 	lease     time.Duration // on the executor's clock
 	runs      map[string]*running
 	refusedTo map[string]int // highest run stopped or ended, by task
+	called    bool           // this incarnation has answered a hold
 	ends      []ended
 	lastEnd   uint64
 	changed   chan struct{}
@@ -100,7 +101,7 @@
 	e.mu.Lock()
 	e.listener, e.server = listener, &http.Server{Handler: mux}
 	e.up, e.booted, e.born, e.seq = true, time.Now(), time.Now().UnixMilli(), 0
-	e.fence, e.lease, e.lastEnd, e.ends = 0, 0, 0, nil
+	e.fence, e.lease, e.lastEnd, e.ends, e.called = 0, 0, 0, nil, false
 	e.runs, e.refusedTo, e.changed = map[string]*running{}, map[string]int{}, make(chan struct{})
 	server, born := e.server, e.born
 	e.mu.Unlock()
@@ -341,6 +342,7 @@
 		e.mu.Lock()
 	}
 	defer e.mu.Unlock()
+	e.called = true
 	runs, ends := [][]any{}, [][]any{}
 	for _, r := range e.sorted() {
 		share := 100 * float64(time.Since(r.began)) / float64(r.ends.Sub(r.began))
@@ -364,6 +366,13 @@
 	return false
 }
 
+// wasCalled reports whether this incarnation has answered a hold.
+func (e *executor) wasCalled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.called
+}
+
 // setTrouble sets what happens to calls from now on.
 func (e *executor) setTrouble(trouble func(path string, body []byte) fate) {
 	e.mu.Lock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. They return errBroken if the rule was broken, and another
 // error if the case could not run.
 var cases = map[string]func(r *record, trouble bool) error{
+	"large-gang":     largeGang,
 	"late-hold":      lateHold,
 	"forgotten-runs": forgottenRuns,
 	"other-kind":     otherKind,
--- a/review/stand-2/rackcrash.go
+++ b/review/stand-2/rackcrash.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,7 +19,7 @@
 		small     = 16 // thousandths of a core of a task on the rack that crashes
 		perJob    = cores / small
 		down      = time.Second
-		killDelay = 700 * time.Millisecond // after the rack is up again
+		killDelay = 700 * time.Millisecond // after the owner has called all of the rack again
 		interval  = 10 * time.Millisecond  // between the short jobs
 	)
 	c, err := newCluster(r, 3, newConfig(3, 0))
@@ -95,6 +96,10 @@
 				return err
 			}
 		}
+		if !waitFor(10*time.Second, func() bool { return !slices.ContainsFunc(rack, func(e *executor) bool { return !e.wasCalled() }) }) {
+			return errors.New("the rack is not called")
+		}
+		r.note("the owner has called all executors of the rack")
 	}
 	time.Sleep(killDelay)
 	if trouble {
