review: Add case 10, a late start of an earlier owner

The next incarnation of an executor carries out a start of an owner that was killed, while the task runs elsewhere under the next one.

--- a/review/stand-2/executor.go
+++ b/review/stand-2/executor.go
@@ -233,7 +233,10 @@
 		e.cluster.record.note("%s: %s %s run %d until %d gets no answer and is carried out in %v", e.id, path, c.Task, c.Run, c.Until, f.after)
 		late := *c
 		late.Wait, late.done = 0, nil
-		time.AfterFunc(f.after, func() { serve(discard{http.Header{}}, &late) })
+		time.AfterFunc(f.after, func() {
+			waitFor(2*time.Second, e.isUp) // else it gets through once the executor is up again
+			serve(discard{http.Header{}}, &late)
+		})
 		<-c.done
 	default:
 		serve(w, c)
@@ -366,6 +369,12 @@
 	return false
 }
 
+func (e *executor) isUp() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.up
+}
+
 // wasCalled reports whether this incarnation has answered a hold.
 func (e *executor) wasCalled() bool {
 	e.mu.Lock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,6 +19,8 @@
 // error if the case could not run.
 var cases = map[string]func(r *record, trouble bool) error{
 	"large-gang":     largeGang,
+	"late-start":     lateStart,
+	"removed-route":  removedRoute,
 	"late-hold":      lateHold,
 	"forgotten-runs": forgottenRuns,
 	"other-kind":     otherKind,
