--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,7 +20,7 @@
 
 const (
 	routeHost   = "queue.example"
-	routePrefix = "/work/"
+	routePrefix = "/queue/"
 	apiKey      = "key-of-the-team"
 )
 
@@ -69,16 +70,37 @@
 	return c, nil
 }
 
-// configure chooses the addresses of an entry VM.
+// Ports of an entry VM that the platform's settings and the template name.
+const (
+	internalPort = 7420
+	metricsPort  = 7421
+)
+
+// configure chooses the addresses of an entry VM: a loopback address on which the named ports
+// are free.
 func (c *cluster) configure(vm *entryVM) error {
 	pid := os.Getpid()
-	vm.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, 2+len(c.vms))
+	for try := range 40 {
+		vm.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, 2+len(c.vms)+5*try)
+		if isFree(vm.ip, internalPort) && isFree(vm.ip, metricsPort) {
+			break
+		}
+	}
 	vm.config = filepath.Join(c.folder, vm.name+".ini")
 	port, err := freePort(vm.ip)
 	vm.callers = fmt.Sprintf("%s:%d", vm.ip, port)
 	return err
 }
 
+// isFree reports whether a port is free at an address.
+func isFree(ip string, port int) bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return false
+	}
+	return listener.Close() == nil
+}
+
 // freePort returns a port that is free at an address.
 func freePort(ip string) (int, error) {
 	listener, err := net.Listen("tcp", ip+":0")
@@ -102,7 +124,7 @@
 	answer := map[bool]string{true: "yes", false: "no"}[bootstrap]
 	text := strings.NewReplacer(
 		"{{node}}", vm.name, "{{zone}}", c.zone, "{{listen.front}}", vm.callers, "{{listen.readiness}}", fmt.Sprintf("%s:%d", vm.ip, ready),
-		"{{ip}}", vm.ip, "{{port-range.0}}", "7420", "{{limits.memory-mb}}", "284", "{{limits.max-fds}}", "4100", "{{limits.cpu-share}}", "0.4",
+		"{{ip}}", vm.ip, "{{port-range.0}}", strconv.Itoa(internalPort), "{{limits.memory-mb}}", "284", "{{limits.max-fds}}", "4100", "{{limits.cpu-share}}", "0.4",
 		"{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}", answer,
 		"{{platform.addr}}", c.store.address(), "{{advice}}", "", "{{bounds.hold-max-ms}}", "6000",
 	).Replace(string(template))
