conductor: Give leases by a lower bound of the worker's clock

Cause: the clock in an answer was booked as of when its call was sent. A waiting heartbeat reads it up to 1.2 s later, so the next lease was up to 1.2 s longer than the owner counts. The worker shortens a lease as of when it executes the call, which hides that only if it does so at once.

Change: workerClock holds a lower bound of the clock (the reading as of the arrival of the answer, less 2% of the time since; the highest of several). A lease can't end later than counted, whenever its call is executed. The clock of a worker that was idle for ten leases is read again. A reading that the bound rules out is the next incarnation's; one that may be an earlier incarnation's does not count.

The tests that set a session's clock set it in the new type.

--- a/conductor/backlog_test.go
+++ b/conductor/backlog_test.go
@@ -36,7 +36,7 @@
 	for id, s := range orderer.sessions {
 		c.planner.Register(planner.Registration{ID: id, Centre: "c", Service: "s", Incarnation: 1, Capacity: placer.NewResources(1, 1, 0)}, c.now())
 		c.planner.MarkWorkerStored(id)
-		c.sessions[id] = &session{id: id, address: s.address, clock: 1, clockKnown: true, incarnation: 1, heartbeating: true}
+		c.sessions[id] = &session{id: id, address: s.address, clock: workerClock{known: true, reading: 1}, incarnation: 1, heartbeating: true}
 	}
 	_, err := c.planner.Submit(planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: tasks, CPU: 1, Memory: 1}}}, c.now())
 	quicktest.Assert(t, err, quicktest.IsNil)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -192,9 +192,9 @@
 	return state
 }
 
-// leaseExpiry returns when a lease given to a worker now has certainly expired. It
-// allows for a worker's clock that runs 2% slow and for a delay before the worker reads
-// the order.
+// leaseExpiry returns when a lease given to a worker now has certainly expired, whenever the
+// worker executes the call. It allows for a worker's clock that runs 2% slow and, beyond
+// that, for an error of the owner's own clock.
 func (c *Conductor) leaseExpiry(now time.Duration) time.Duration {
 	return now + c.leaseDuration + c.leaseDuration/40 + 100*time.Millisecond
 }
@@ -370,6 +370,7 @@
 func (c *Conductor) sweep(now time.Duration) {
 	c.mu.Lock()
 	c.planner.PruneJobs(now)
+	c.readOldClocks(now)
 	removed, stored := c.planner.PruneWorkers(now)
 	for _, id := range removed {
 		delete(c.sessions, id)
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -105,8 +105,9 @@
 	if registration.Incarnation != s.incarnation {
 		s.heartbeatNow()
 	}
-	changed := c.planner.Register(registration, c.now())
-	s.follow(c.planner.Incarnation(id))
+	now := c.now()
+	changed := c.planner.Register(registration, now)
+	s.follow(c.planner.Incarnation(id), now)
 	if reconnect || c.planner.NeedsHeartbeat(id) {
 		c.startHeartbeats(s) // to learn the worker's clock and its runs
 	}
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -83,7 +83,7 @@
 	s := c.sessions[a.Worker]
 	sentAt := c.now()
 	wanted := c.planner.Wanted(a)
-	if s == nil || !s.clockKnown || late || !wanted || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
+	if s == nil || !s.clock.known || late || !wanted || !upToDate || !c.isOwner() || !c.planner.Accepts(a.Worker) {
 		c.backlog.withdraw()
 		c.planner.ReportStart(a, planner.Withdrawn, sentAt)
 		c.mu.Unlock()
@@ -96,13 +96,14 @@
 	address, leaseUntil := s.address, s.leaseUntil(sentAt, c.leaseDuration)
 	c.mu.Unlock()
 	result, err := c.executors.Start(c.orderCtx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
+	receivedAt := c.now()
 	if c.ctx.Err() != nil {
 		return
 	}
 	c.mu.Lock()
 	c.backlog.finish(c.now())
 	c.wakeForBacklog()
-	c.observe(s, result, sentAt)
+	c.observe(s, result, sentAt, receivedAt)
 	if result.Outcome != planner.Unknown {
 		// An order without an answer tells of its worker, not of this VM.
 		c.observeLatency(c.now()-sentAt, inFlight)
--- a/conductor/order_test.go
+++ b/conductor/order_test.go
@@ -28,7 +28,7 @@
 func TestStartIsWithdrawn(t *testing.T) {
 	c := &Conductor{
 		ctx: context.Background(), planner: planner.New(), isOwner: func() bool { return true }, now: func() time.Duration { return time.Second },
-		leaseDuration: time.Second, orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{"w": {id: "w", clock: 1, clockKnown: true, incarnation: 1}}, metrics: newOwnerMetrics(metrics.NewRegistry()), log: hclog.NewNullLogger(),
+		leaseDuration: time.Second, orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{"w": {id: "w", clock: workerClock{known: true, reading: 1}, incarnation: 1}}, metrics: newOwnerMetrics(metrics.NewRegistry()), log: hclog.NewNullLogger(),
 	}
 	p := c.planner
 	p.Configure(planner.Config{Version: 1, Queues: []planner.Queue{{Name: "q", Service: "s", Stretch: 2, Objective: time.Second}}}, 0)
@@ -93,7 +93,7 @@
 		id := fmt.Sprint("w", i)
 		c.planner.Register(planner.Registration{ID: id, Centre: "c", Service: "s", Incarnation: 1, Capacity: placer.NewResources(1000, 1000, 0)}, 0)
 		c.planner.MarkWorkerStored(id)
-		c.sessions[id] = &session{id: id, address: addresses[i%len(addresses)], clock: 1, clockKnown: true, incarnation: 1, heartbeating: true}
+		c.sessions[id] = &session{id: id, address: addresses[i%len(addresses)], clock: workerClock{known: true, reading: 1}, incarnation: 1, heartbeating: true}
 	}
 	_, err = c.planner.Submit(planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: n, CPU: 1000, Memory: 1, Gang: true}}}, 0)
 	quicktest.Assert(t, err, quicktest.IsNil)
--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -59,7 +59,7 @@
 	c := w.conductor
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sessions["w0"].restart(w.born.Load())
+	c.sessions["w0"].restart(w.born.Load(), c.now())
 	c.planner.Register(planner.Registration{
 		ID: "w0", Centre: "c", Service: "s", Incarnation: w.born.Load(), Capacity: placer.NewResources(1000, 1000, 0),
 	}, c.now())
@@ -113,7 +113,7 @@
 	defer c.mu.Unlock()
 	quicktest.Check(t, w.calls.Load() > 0, quicktest.IsTrue, quicktest.Commentf("the worker was not called"))
 	quicktest.Check(t, c.planner.Accepts("w0"), quicktest.IsTrue)
-	quicktest.Check(t, c.sessions["w0"].clockKnown, quicktest.IsTrue, quicktest.Commentf("its clock is not known"))
+	quicktest.Check(t, c.sessions["w0"].clock.known, quicktest.IsTrue, quicktest.Commentf("its clock is not known"))
 }
 
 // TestUnresponsiveWorkerIsCalledAgain checks that a worker that left a heartbeat unanswered
@@ -206,7 +206,7 @@
 		w.now.Add(int64(time.Second))
 		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
 		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(9))
-		s.persistedSerial, s.acknowledgedSerial, s.clock = 57, 57, 1000
+		s.persistedSerial, s.acknowledgedSerial, s.clock.reading = 57, 57, 1000
 		w.now.Add(int64(time.Second))
 		w.born.Store(5)
 		w.idle.Store(true)
@@ -216,7 +216,7 @@
 		w, s := restart(t)
 		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
 		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
-		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
+		quicktest.Assert(t, s.clock.reading, quicktest.Equals, int64(1))
 		quicktest.Assert(t, s.persistedSerial, quicktest.Equals, uint64(0))
 		quicktest.Assert(t, w.conductor.planner.Busy("w0"), quicktest.IsFalse)
 		w.assertUsable(t, w.runHeartbeats())
@@ -235,9 +235,9 @@
 		sentAt := w.conductor.now()
 		w.now.Add(int64(time.Second))
 		quicktest.Assert(t, w.conductor.heartbeat(s, true), quicktest.IsTrue)
-		w.conductor.observe(s, platform.ExecutorResult{Incarnation: 9, Clock: 2000, HasClock: true}, sentAt)
+		w.conductor.observe(s, platform.ExecutorResult{Incarnation: 9, Clock: 2000, HasClock: true}, sentAt, w.conductor.now())
 		quicktest.Assert(t, s.incarnation, quicktest.Equals, int64(5))
-		quicktest.Assert(t, s.clock, quicktest.Equals, int64(1))
+		quicktest.Assert(t, s.clock.reading, quicktest.Equals, int64(1))
 	})
 }
 
@@ -250,7 +250,7 @@
 	})
 	c.start(starts[0])
 	s := c.sessions["w0"]
-	quicktest.Check(t, s.clock, quicktest.Equals, int64(1))
+	quicktest.Check(t, s.clock.reading, quicktest.Equals, int64(1))
 	quicktest.Check(t, s.incarnation, quicktest.Equals, int64(1))
 	quicktest.Check(t, c.planner.Incarnation("w0"), quicktest.Equals, int64(1))
 }
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -40,10 +40,9 @@
 type session struct {
 	id                 string // of the worker
 	address            string
-	clock              int64         // ms on the worker's clock, as of its newest answer; 0 in the first ms of an incarnation
-	clockKnown         bool          // whether the incarnation has told its clock
-	clockReadAt        time.Duration // when the call that returned clock was sent
 	incarnation        int64         // of the worker; the clock and the serials belong to it
+	incarnationSeenAt  time.Duration // when the incarnation became known
+	clock              workerClock
 	persistedSerial    uint64        // serial of the newest end that the journal holds
 	acknowledgedSerial uint64        // serial of the newest end that the worker may forget
 	listedAt           time.Duration // when the newest list of the incarnation was received; 0 before the first
@@ -53,14 +52,16 @@
 }
 
 // leaseUntil returns when a lease given to the worker now ends, in ms on the worker's
-// clock, which has to be known.
+// clock, which has to be known. Also a call that is executed late extends no lease beyond
+// Conductor.leaseExpiry.
 func (s *session) leaseUntil(now, lease time.Duration) int64 {
-	return s.clock + (now - s.clockReadAt + lease).Milliseconds()
+	return s.clock.lowerBound(now) + lease.Milliseconds()
 }
 
 // restart begins a new incarnation, whose counts start anew.
-func (s *session) restart(incarnation int64) {
-	s.incarnation, s.clockKnown, s.persistedSerial, s.acknowledgedSerial, s.listedAt = incarnation, false, 0, 0, 0
+func (s *session) restart(incarnation int64, now time.Duration) {
+	s.incarnation, s.incarnationSeenAt, s.clock = incarnation, now, workerClock{}
+	s.persistedSerial, s.acknowledgedSerial, s.listedAt = 0, 0, 0
 }
 
 // acknowledgeable returns the serial up to which the worker may forget ends, as of now.
@@ -72,24 +73,25 @@
 }
 
 // follow begins the incarnation that the planner knows, unless it is the current one already.
-func (s *session) follow(incarnation int64) {
+func (s *session) follow(incarnation int64, now time.Duration) {
 	if incarnation != 0 && incarnation != s.incarnation {
-		s.restart(incarnation)
+		s.restart(incarnation, now)
 	}
 }
 
-// observe records the worker's clock and incarnation from the answer to a call sent at
-// sentAt. The worker reads its clock after sentAt, so the estimate of its clock may be
-// ahead by as much as the call took. The worker limits the lease itself. An answer by another
-// worker at its address shows nothing of it. The caller holds c.mu.
-func (c *Conductor) observe(s *session, r platform.ExecutorResult, sentAt time.Duration) {
+// observe records the worker's clock and incarnation from an answer that had arrived at
+// receivedAt, to a call sent at sentAt. An answer by another worker at its address shows
+// nothing of it. One that names no incarnation may be by an earlier one, whose clock is ahead,
+// if it was sent before the current one was known. The caller holds c.mu.
+func (c *Conductor) observe(s *session, r platform.ExecutorResult, sentAt, receivedAt time.Duration) {
 	if r.Outcome == planner.Replaced {
 		return
 	}
-	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, c.now())
-	s.follow(c.planner.Incarnation(s.id))
-	if counts && r.HasClock && sentAt >= s.clockReadAt {
-		s.clock, s.clockKnown, s.clockReadAt = r.Clock, true, sentAt
+	now := c.now()
+	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, now)
+	s.follow(c.planner.Incarnation(s.id), now)
+	if counts && r.HasClock && (r.Incarnation != 0 || sentAt >= s.incarnationSeenAt) {
+		s.clock.observe(r.Clock, sentAt, receivedAt)
 	}
 }
 
@@ -146,7 +148,7 @@
 	wait := time.Duration(0)
 	// The ownership is checked after sentAt, from which the lease runs, since the VM may
 	// have been suspended before.
-	if busy && c.isOwner() && c.planner.Renewable(s.id) && s.clockKnown {
+	if busy && c.isOwner() && c.planner.Renewable(s.id) && s.clock.known {
 		lease.Until = s.leaseUntil(sentAt, c.leaseDuration)
 		c.planner.ExtendLease(s.id, c.leaseExpiry(sentAt))
 		wait = heartbeatWait
@@ -167,6 +169,7 @@
 	}
 	c.metrics.heartbeats.Inc(1)
 	result, err := c.executors.Heartbeat(c.ctx, address, s.id, lease, ack, wait)
+	receivedAt := c.now()
 	if c.ctx.Err() != nil {
 		return false
 	}
@@ -175,7 +178,7 @@
 		return false
 	}
 	c.mu.Lock()
-	c.observe(s, result, sentAt)
+	c.observe(s, result, sentAt, receivedAt)
 	if s.incarnation == incarnation {
 		s.acknowledgedSerial = max(s.acknowledgedSerial, result.Acknowledged)
 	}
@@ -310,6 +313,16 @@
 	}
 }
 
+// readOldClocks calls workers that were not heard from for long, so that leases by their
+// clocks are not too short. The caller holds c.mu.
+func (c *Conductor) readOldClocks(now time.Duration) {
+	for _, s := range c.sessions {
+		if s.clock.isOld(now, c.leaseDuration) {
+			c.startHeartbeats(s)
+		}
+	}
+}
+
 // startHeartbeats starts runHeartbeats for a worker unless it is running. The caller
 // holds c.mu.
 func (c *Conductor) startHeartbeats(s *session) {
--- a/model/orders.pml
+++ b/model/orders.pml
@@ -17,6 +17,8 @@
  *                      list it, without an answered stop
  *   NO_OWNER_CHECK     an owner orders starts without a check of its own lease
  *   NO_HEARTBEAT_CHECK the same for the leases that its heartbeats grant
+ *   NO_CLOCK_BOUND     a heartbeat's lease ends later, by the worker's clock, than its owner
+ *                      counts; one that is executed late is not shortened by the worker
  *   NO_STORED_ACK      ends are acknowledged before the journal holds them
  *   NO_LATE_DONE       the end "done" of a run that the owner has given up doesn't count
  *                      while it holds another run of the task
@@ -58,7 +60,8 @@
 
 /* What a worker's lease rests on. */
 #define GRANTED 0 /* a call that the owners count, as usual */
-#define STRAY   1 /* a call sent by an owner after its successor's claim */
+#define STRAY   1 /* a call whose lease no owner counts, or not to its end: most often one sent
+                   * by an owner after its successor's claim */
 #define DELAYED 2 /* a start sent to the worker's earlier incarnation */
 
 /* The store. An owner takes the journal over together with the claim: it reads all that
@@ -463,9 +466,16 @@
 		refused_to[w] = MAX(refused_to[w], held[p]);
 		phase[p] = STOP_ANSWERED
 	}
-	/* Heartbeats. One that is executed late adds nothing: its lease has an absolute end. */
+	/* Heartbeats. One that is executed late adds nothing: its lease has an absolute end,
+	 * which the owner counts. */
 	:: d_step { MAY_GRANT(t) && known_inc[p] == incarnation[w] && FENCE_OK(t, w) ->
 		execute_heartbeat(t, w);
+#ifdef NO_CLOCK_BOUND
+		if
+		:: answered[p] && held[p] != 0 -> lease_kind[w] = STRAY
+		:: else -> skip
+		fi;
+#endif
 		skip
 	}
 	:: d_step { OWNS(t) && known_inc[p] == incarnation[w] && FENCE_OK(t, w) ->
