planner: Hold starts of an earlier owner until no incarnation can execute them

Cause: HandleStatus gave up an inherited run that its worker does not list, since the worker refuses its order by the new fence. The next incarnation knows no fence.

Settled starts go along with other records. Members of a gang that wait for a held one are stopped at once. Takeovers log how many starts are unsettled.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -83,9 +83,10 @@
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
 	runQueue       runQueue
-	begun          []string        // ids of jobs that have begun, for the next record in the journal
-	crashes        []planner.Crash // for the next record in the journal
-	losses         []planner.Loss  // that a record which was not stored had
+	begun          []string          // ids of jobs that have begun, for the next record in the journal
+	crashes        []planner.Crash   // for the next record in the journal
+	losses         []planner.Loss    // that a record which was not stored had
+	settled        []planner.Settled // the same
 	backlog        startBacklog
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
@@ -210,14 +211,14 @@
 	}
 	c.mu.Lock()
 	err = c.planner.Restore(recovery.Snapshot(), recovery.Records(), c.now(), wallClock(), c.leaseExpiry(startedAt))
-	live := c.planner.LiveJobs()
+	live, unsettled := c.planner.LiveJobs(), c.planner.UnsettledStarts()
 	c.tookOverAt = c.now()
 	c.mu.Unlock()
 	if err != nil {
 		c.journal.Abort()
 		return oops.In("conductor").With("term", c.term).Wrapf(err, "failed to replay journal")
 	}
-	c.log.Info("fleet taken over", "term", c.term, "jobs", live, "took", c.now()-startedAt)
+	c.log.Info("fleet taken over", "term", c.term, "jobs", live, "unsettled", unsettled, "took", c.now()-startedAt)
 	c.startMirrors(ctx)
 	c.spawn(func() { c.watchLoad(ctx) })
 	c.runDecisions(ctx)
@@ -410,13 +411,14 @@
 	}
 }
 
-// takeFacts moves the begun jobs and the crashes that no record holds yet into the caller's
-// record. The caller holds c.mu.
+// takeFacts moves the begun jobs, crashes, losses and settled starts that no record holds yet
+// into the caller's record. The caller holds c.mu.
 func (c *Conductor) takeFacts(r *planner.Record) {
 	c.collectCrashes()
 	c.losses = append(c.losses, c.planner.TakeLosses()...)
-	r.Begun, r.Crashes, r.Losses = c.begun, c.crashes, c.losses
-	c.begun, c.crashes, c.losses = nil, nil, nil
+	c.settled = append(c.settled, c.planner.TakeSettled()...)
+	r.Begun, r.Crashes, r.Losses, r.Settled = c.begun, c.crashes, c.losses, c.settled
+	c.begun, c.crashes, c.losses, c.settled = nil, nil, nil, nil
 }
 
 // returnFacts leaves what takeFacts has moved into a record that was not stored to the next
@@ -425,6 +427,7 @@
 	c.begun = append(r.Begun, c.begun...)
 	c.crashes = append(r.Crashes, c.crashes...)
 	c.losses = append(r.Losses, c.losses...)
+	c.settled = append(r.Settled, c.settled...)
 }
 
 // persist queues a record of an event that has already happened, and with it the jobs that
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -98,6 +98,11 @@
 	result, err := c.executors.Start(c.orderCtx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
 	receivedAt := c.now()
 	if c.ctx.Err() != nil {
+		if result.Outcome != planner.Unknown {
+			c.mu.Lock()
+			c.planner.SettleStart(a) // for the snapshot that the next owner reads
+			c.mu.Unlock()
+		}
 		return
 	}
 	c.mu.Lock()
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -345,6 +345,8 @@
 	t := &s.tasks[index]
 	j := s.occurrence.job
 	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now, startedAt: now, incarnation: w.reg.Incarnation}
+	ticket := s.advice.ticketText(w)
+	r.ticket = ticket != ""
 	t.lastRun = number
 	s.lastRun = max(s.lastRun, number)
 	t.runs = append(t.runs, r)
@@ -365,7 +367,7 @@
 	}
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
-		Checkpoint: t.checkpoint, Ticket: s.advice.ticketText(w), Queue: j.spec.Queue, Reason: reason,
+		Checkpoint: t.checkpoint, Ticket: ticket, Queue: j.spec.Queue, Reason: reason,
 		Incarnation: w.reg.Incarnation, Separate: separate,
 	})
 }
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -83,7 +83,8 @@
 // workerRestarted ends the runs of the worker's earlier incarnation. A start without an
 // answer may still reach the new incarnation, so its run stays allocated until it is
 // stopped there or maxOrderDelay and the lease are over. An inherited run stays until the
-// new incarnation has answered, since it then refuses orders of earlier owners. So does a
+// new incarnation has answered, since it then refuses orders of earlier owners, and longer if
+// its start is not settled: yet another incarnation may execute it. So does a
 // run that the earlier incarnation has not listed: the new one may have started it. A worker
 // that was draining has not crashed.
 func (p *Planner) workerRestarted(w *worker, now time.Duration) {
@@ -108,6 +109,11 @@
 			p.stopIfObsolete(r)
 		case r.phase == phaseInherited:
 			r.workerRestartedAt = now
+			if r.absent {
+				r.incarnation = w.reg.Incarnation // no earlier one has had it
+			}
+			r.stopOrdered, r.absent = false, false
+			p.stopIfObsolete(r)
 		case r.listed:
 			lost = append(lost, r)
 		}
--- a/planner/job.go
+++ b/planner/job.go
@@ -124,11 +124,13 @@
 	checkpoint        string        // as last listed by the worker
 	team              *team         // team to which its size is allocated; nil if none or once released
 	workerRestartedAt time.Duration // when its worker restarted without having answered the start; else 0
+	ticket            bool          // its order carries a ticket, so that no other incarnation of its worker executes it
+	settled           bool          // its order can't be executed any more; not maintained with a ticket
 	lateUntil         time.Duration // until when an incarnation of its worker may still carry its start out; 0 if none may but the known one
 	lateLeaseExpiry   time.Duration // when the lease of a start that was carried out at lateUntil has certainly expired; else 0
-	absent            bool          // the known incarnation of the worker has answered its stop, and did not list it afterwards
+	absent            bool          // the known incarnation of the worker refuses its start, and did not list it afterwards
 	startedAt         time.Duration // when its start was ordered, or written to the journal if inherited
-	incarnation       int64         // of the worker, as known when the start was decided; 0 if unknown
+	incarnation       int64         // of the worker, the first that may have it: as known when the start was decided; 0 if unknown
 	listed            bool          // the known incarnation of the worker has listed it
 	started           bool          // the worker has answered the start or listed the run to this owner
 	separate          bool          // no run but those of its gang may be on its worker
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -52,6 +52,7 @@
 	switch outcome {
 	case Accepted:
 		r.phase, r.started = phaseRunning, true
+		p.settle(r)
 		r.confirmedAt = now
 		w.observeAnswer(r.startedAt)
 		p.observeStart(r.step, r.number)
@@ -75,6 +76,7 @@
 		if outcome == NoCapacity {
 			w.health.noStartsBefore = max(w.health.noStartsBefore, now+time.Second/2)
 		}
+		p.settle(r)
 		p.endRun(r, Stopped, "", now)
 		switch outcome {
 		case Withdrawn:
@@ -188,17 +190,18 @@
 		if present[key] || r.confirmedAt >= status.SentAt || r.phase == phaseDecided || r.phase == phaseUnanswered {
 			continue
 		}
+		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation != w.reg.Incarnation {
+			inherited = append(inherited, r)
+		}
 		if r.mayComeLate(status.SentAt) {
 			r.absent = true
+			p.abandonGang(r)
 			continue
 		}
 		// Either the run was confirmed before the heartbeat and the worker no longer has
 		// it, or it is inherited and the order never arrived. The worker now refuses that
 		// order, since it has the fence of this owner.
 		lost = append(lost, r)
-		if r.phase == phaseInherited && r.crash == nil && r.incarnation != 0 && r.incarnation != w.reg.Incarnation {
-			inherited = append(inherited, r)
-		}
 	}
 	p.markCrash(w, inherited, signReplied, now)
 	p.loseRuns(lost, Lost, now)
@@ -250,6 +253,7 @@
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
 		r.crash, r.started, r.listed = nil, true, named
+		p.settle(r)
 		r.observeRun(sentAt)
 		p.observeSurvival(r, false, now)
 		if e.Checkpoint != "" {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -38,6 +38,7 @@
 	awaited         map[string]bool // ids and addresses of workers whose answers may decide openCrashes
 	losses          []Loss          // of workers in the last maxRateSpan
 	newLosses       []Loss          // since the last TakeLosses
+	newSettled      []Settled       // since the last TakeSettled
 	separateWorkers int             // workers that are kept for suspects, or have separate runs, in the current decision
 	maxKept         int             // limit of separateWorkers for keeping one more worker that is not empty
 	maxSeparate     int             // limit of separateWorkers for using one more worker that is empty
--- a/planner/record.go
+++ b/planner/record.go
@@ -35,11 +35,12 @@
 
 	Incarnation int64 `cbor:"4,keyasint,omitempty"` // of the worker, as known to the owner
 	Separate    bool  `cbor:"5,keyasint,omitempty"` // nothing else may start on the worker beside it
+	Ticket      bool  `cbor:"6,keyasint,omitempty"` // the order carries a ticket
 }
 
 // Begin returns the journal's entry for a start.
 func (a Action) Begin() Begin {
-	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate}
+	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate, Ticket: a.Ticket != ""}
 }
 
 // Record is one change in the journal. Replaying it twice, or onto a state that
@@ -56,6 +57,8 @@
 	Failed        []string `cbor:"9,keyasint,omitempty"`  // ids of jobs that have failed, of those that TakeEnded returned
 	Crashes       []Crash  `cbor:"10,keyasint,omitempty"` // as TakeCrashes returned them
 	Losses        []Loss   `cbor:"11,keyasint,omitempty"` // as TakeLosses returned them
+
+	Settled []Settled `cbor:"12,keyasint,omitempty"` // as TakeSettled returned them
 }
 
 // Encode returns the record in CBOR.
@@ -115,6 +118,8 @@
 	Incarnation  int64   `cbor:"15,keyasint,omitempty"` // of Worker, as known when the run was decided
 	Separate     bool    `cbor:"16,keyasint,omitempty"` // nothing else may start on Worker beside the run
 	StartedAt    int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
+	Ticket       bool    `cbor:"23,keyasint,omitempty"` // the order of the run on Worker carries a ticket
+	Settled      bool    `cbor:"24,keyasint,omitempty"` // the start of the run on Worker is settled
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -164,6 +169,7 @@
 					}
 					newest = r.number
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
+					entry.Ticket, entry.Settled = r.ticket, r.settled
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
 				}
 				if entry.Number < t.lastRun {
@@ -194,7 +200,7 @@
 		}
 		p.replay(r, now, wall)
 	}
-	p.inherit(leaseExpiry)
+	p.inherit(now, leaseExpiry)
 	p.restoredAt = now
 	return nil
 }
@@ -247,7 +253,7 @@
 	p.restoreCrashes(st, t, now, wall)
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
-		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate}, startedAt)
+		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate, Ticket: t.Ticket}, startedAt, t.Settled)
 	}
 	if t.Done {
 		p.markDone(st, t.Index)
@@ -277,14 +283,14 @@
 // addInheritedRun allocates a run that an earlier owner may have ordered. Whether it
 // runs is unknown until its worker answers or all leases of the worker have expired. It was
 // ordered, or its start written to the journal, at startedAt.
-func (p *Planner) addInheritedRun(s *step, index int, b Begin, startedAt time.Duration) {
+func (p *Planner) addInheritedRun(s *step, index int, b Begin, startedAt time.Duration, settled bool) {
 	t := &s.tasks[index]
 	for _, r := range slices.Clone(t.runs) {
 		p.release(r) // an earlier run; it has ended, since the task was started again
 	}
 	r := &run{
 		step: s, taskIndex: index, number: b.Number, worker: p.worker(b.Worker), size: s.spec.Size, phase: phaseInherited,
-		startedAt: startedAt, incarnation: b.Incarnation,
+		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled,
 	}
 	if len(t.runs) == 0 && !t.done {
 		s.waitingTasks--
@@ -342,9 +348,12 @@
 	}
 	for _, b := range r.Begins {
 		if st, index := p.stepForReplay(b.Task, now, wall); st != nil && b.Number > st.tasks[index].lastRun && !st.tasks[index].done {
-			p.addInheritedRun(st, index, b, at)
+			p.addInheritedRun(st, index, b, at, false)
 		}
 	}
+	for _, s := range r.Settled {
+		p.replaySettled(s)
+	}
 	for _, id := range r.Begun {
 		if j := p.jobs[id]; j != nil {
 			j.begun = true
@@ -419,7 +428,7 @@
 // inherit marks all workers as possibly running tasks for earlier owners until
 // leaseExpiry, and collects the jobs that have not ended. The journal holds the ends of
 // the others.
-func (p *Planner) inherit(leaseExpiry time.Duration) {
+func (p *Planner) inherit(now, leaseExpiry time.Duration) {
 	for id := range p.persisted {
 		p.worker(id)
 	}
@@ -428,6 +437,9 @@
 	for _, w := range p.fleet {
 		w.earlierOwnersFenced = false
 		w.leaseExpiry = leaseExpiry
+		for _, r := range w.runs {
+			r.holdUnsettledStart(now, leaseExpiry)
+		}
 	}
 	for _, j := range p.jobs {
 		if j.finalState == "" {
@@ -437,7 +449,7 @@
 		}
 	}
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
-	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses = nil, nil, nil, nil
+	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses, p.newSettled = nil, nil, nil, nil, nil
 }
 
 // store returns the crashes for a snapshot.
