journaler: Write records of any size, in parts

A record of ends with the crashes of a rack was dropped with a line in the log; the starts of a decision with a gang of 5,000 tasks were taken back again and again, with those of all other jobs.

Change: a larger record is written in parts, one in each segment, and counts once its last part is written. Parts of an owner that was lost are ignored. Once a part was sent, a record is neither refused nor withdrawn. Segments with parts have format 3, which an earlier version refuses to read. Mandatory records have no limit, others one of 16 MiB.

Tests: TestRecordInParts and TestLostPartIsNoticed; with each of four of the new rules removed in turn the former fails. Conductor: TestEndsBesideManyCrashesAreStored fails with the former limit. Two tests that fill a segment use PartLimit, which has the value of the former RecordLimit.

--- a/conductor/shown_test.go
+++ b/conductor/shown_test.go
@@ -69,13 +69,13 @@
 	c.mu.Unlock()
 	flush(t, c)
 	held.on.Store(true)
-	enqueueFiller(t, c, journaler.RecordLimit)
+	enqueueFiller(t, c, journaler.PartLimit)
 	<-held.waits
 	// The next segment has room for the record of the worker, and not for that of the end.
 	added, err := planner.Record{AddedWorker: "w0", At: wallClock()}.Encode()
 	quicktest.Assert(t, err, quicktest.IsNil)
-	enqueueFiller(t, c, journaler.RecordLimit)
-	enqueueFiller(t, c, journaler.RecordLimit-len(added))
+	enqueueFiller(t, c, journaler.PartLimit)
+	enqueueFiller(t, c, journaler.PartLimit-len(added))
 	quicktest.Assert(t, c.heartbeat(c.sessions["w0"], false), quicktest.IsTrue)
 	held.passes <- struct{}{}
 	<-held.waits
--- a/journaler/codec.go
+++ b/journaler/codec.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// format is the version of the encoding that is written. Version 2 added packed
-	// records; version 1 can still be read.
-	format = 2
+	// format is the version of the encoding that is written, and partFormat that of segments
+	// with parts of records, which version 2 did not know. Version 2 added packed records;
+	// version 1 can still be read.
+	format     = 2
+	partFormat = 3
 	// oldestFormat is the oldest version that can be read.
 	oldestFormat = 1
 	// maxRecords is the largest number of records in one value.
@@ -43,6 +45,17 @@
 	Ring     uint64   `cbor:"ring"`             // number of slots
 	Records  [][]byte `cbor:"records"`          // empty in an opening segment and if packed
 	Packed   []byte   `cbor:"packed,omitempty"` // records as packed by packer.packSegment
+
+	Continues  bool `cbor:"continues,omitempty"`  // the first record is a further part of the last one in the segment before
+	Unfinished bool `cbor:"unfinished,omitempty"` // the last record continues in the next segment
+}
+
+// encode returns the segment in an envelope.
+func (s segment) encode() ([]byte, error) {
+	if s.Continues || s.Unfinished {
+		return encodeAs(partFormat, s)
+	}
+	return encode(s)
 }
 
 // manifest names the newest snapshot. It is the body of the manifest key.
@@ -60,6 +73,8 @@
 type snapshot struct {
 	State   []byte   `cbor:"state"`   // from the snapshotter
 	Records [][]byte `cbor:"records"` // to be replayed onto State
+
+	Unfinished []byte `cbor:"unfinished,omitempty"` // parts of the record that the segments after the snapshot continue
 }
 
 // decoder decodes stored data, which may be corrupt. It limits nesting and lengths.
@@ -76,12 +91,14 @@
 }
 
 // encode encodes a body and returns it in an envelope.
-func encode(body any) ([]byte, error) {
+func encode(body any) ([]byte, error) { return encodeAs(format, body) }
+
+func encodeAs(version uint64, body any) ([]byte, error) {
 	data, err := cbor.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(envelope{Format: format, Sum: xxhash.Sum64(data), Body: data})
+	return cbor.Marshal(envelope{Format: version, Sum: xxhash.Sum64(data), Body: data})
 }
 
 // decode decodes an envelope and the body in it. It returns ErrCorrupt or
@@ -91,7 +108,7 @@
 	if err := decoder.Unmarshal(data, &e); err != nil {
 		return fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
-	if e.Format < oldestFormat || e.Format > format {
+	if e.Format < oldestFormat || e.Format > partFormat {
 		return fmt.Errorf("%w: %d", ErrUnsupportedFormat, e.Format)
 	}
 	if e.Sum != xxhash.Sum64(e.Body) {
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -21,9 +21,10 @@
 	DefaultSlots = 256
 	// DefaultRate is the sustained rate of segments per second.
 	DefaultRate rate.Limit = 25
-	// RecordLimit is the largest record in bytes.
-	RecordLimit = 256 << 10
-	// segmentLimit is the largest total size in bytes of the records of a segment.
+	// RecordLimit is the largest record in bytes that is not mandatory.
+	RecordLimit = 16 << 20
+	// segmentLimit is the largest total size in bytes of the records of a segment, or of the
+	// parts of records.
 	segmentLimit = 512 << 10
 	// stallTimeout is how long writing may fail or hang before new records are
 	// refused.
--- a/journaler/lost_test.go
+++ b/journaler/lost_test.go
@@ -74,7 +74,7 @@
 		slowAnswer  = 360 * time.Millisecond // 90 times the usual
 		timePerByte = 1067 * time.Nanosecond // in base64 at 10 Mbit/s
 	)
-	for name, size := range map[string]int{"small record": 1, "large record": journaler.RecordLimit} {
+	for name, size := range map[string]int{"small record": 1, "large record": journaler.PartLimit} {
 		run(t, name, func(c *qt.C, store *emulator.Store) {
 			puts := 0
 			kv := store.KV()
--- a/journaler/open.go
+++ b/journaler/open.go
@@ -45,6 +45,7 @@
 	manifest   storedManifest
 	snapshot   snapshot
 	chain      []segment // segments after the snapshot, without gaps
+	replay     joiner    // the records to replay onto the state of the snapshot
 	versions   []uint64  // by slot
 	chainBytes int       // size of the segments of the chain
 }
@@ -52,13 +53,15 @@
 // lastSequence returns the sequence number of the newest segment.
 func (v view) lastSequence() uint64 { return v.manifest.body.Sequence + uint64(len(v.chain)) }
 
-// records returns the records to replay onto the state of the snapshot.
-func (v view) records() [][]byte {
-	records := v.snapshot.Records
+// joinRecords sets the records to replay.
+func (v *view) joinRecords() error {
+	v.replay = joiner{records: v.snapshot.Records, unfinished: v.snapshot.Unfinished}
 	for _, s := range v.chain {
-		records = append(records, s.Records...)
+		if err := v.replay.add(s); err != nil {
+			return err
+		}
 	}
-	return records
+	return nil
 }
 
 // Open reads the journal and writes an opening segment under the term, so that
@@ -120,13 +123,13 @@
 			return Recovery{}, err
 		}
 	}
-	if _, err := j.writeSegment(ctx, nil); err != nil {
+	if _, err := j.writeSegment(ctx, batch{}); err != nil {
 		if errors.Is(err, ErrDeposed) || errors.Is(err, errSlotReused) {
 			return Recovery{}, errOtherOwnerWrote
 		}
 		return Recovery{}, err
 	}
-	return Recovery{snapshot: v.snapshot.State, records: v.records(), sequence: j.ring.sequence}, nil
+	return Recovery{snapshot: v.snapshot.State, records: v.replay.records, sequence: j.ring.sequence}, nil
 }
 
 // compactRing frees a full ring. It writes a snapshot that consists of the newest
@@ -135,7 +138,7 @@
 func (j *Journaler) compactRing(ctx context.Context, v view) error {
 	return j.writeSnapshot(ctx, pendingSnapshot{
 		sequence:     v.lastSequence(),
-		content:      snapshot{State: v.snapshot.State, Records: v.records()},
+		content:      snapshot{State: v.snapshot.State, Records: v.replay.records, Unfinished: v.replay.unfinished},
 		coveredBytes: v.chainBytes,
 	})
 }
@@ -178,9 +181,11 @@
 		return view{}, err
 	}
 	if v.manifest.version > 0 {
-		err = j.readChunks(readCtx, &v)
+		if err := j.readChunks(readCtx, &v); err != nil {
+			return v, err
+		}
 	}
-	return v, err
+	return v, v.joinRecords()
 }
 
 // readManifest decodes the manifest into stored. It returns ErrDeposed if an owner of a
--- a/journaler/queue.go
+++ b/journaler/queue.go
@@ -13,6 +13,8 @@
 	id        uint64 // order of admission, from 1
 	record    []byte
 	mandatory bool        // waits while the store is unavailable instead of failing
+	begun     bool        // a part of it is written or in flight, so that it neither fails nor is withdrawn
+	written   int         // size in bytes of the parts that are written
 	done      func(error) // called without mu held; once, unless the item is withdrawn
 }
 
@@ -42,15 +44,15 @@
 	return j.admit(&item{record: record, done: done})
 }
 
-// EnqueueMandatory is Enqueue for a record of something that has already happened. While
-// the store is unavailable, the record waits and is neither refused nor failed.
+// EnqueueMandatory is Enqueue for a record of something that has already happened, of any
+// size. While the store is unavailable, the record waits and is neither refused nor failed.
 func (j *Journaler) EnqueueMandatory(record []byte, done func(error)) error {
 	return j.admit(&item{record: record, done: done, mandatory: true})
 }
 
 // admit queues an item or returns why it is refused.
 func (j *Journaler) admit(it *item) error {
-	if len(it.record) > RecordLimit {
+	if !it.mandatory && len(it.record) > RecordLimit {
 		return ErrTooLarge
 	}
 	j.mu.Lock()
@@ -112,7 +114,7 @@
 	default:
 	}
 	i := slices.Index(j.queue, it)
-	if i < 0 {
+	if i < 0 || it.begun {
 		return ErrOutcomeUnknown
 	}
 	j.queue = slices.Delete(j.queue, i, i+1)
@@ -122,39 +124,8 @@
 	return ErrUnavailable
 }
 
-// takeBatch moves as many items as one segment holds from queue to inFlight, and returns
-// them.
-func (j *Journaler) takeBatch() []*item {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	size, n := 0, 0
-	for n < len(j.queue) && (n == 0 || size+len(j.queue[n].record) <= segmentLimit) {
-		size += len(j.queue[n].record)
-		n++
-	}
-	batch := slices.Clone(j.queue[:n])
-	j.queue = slices.Delete(j.queue, 0, n)
-	j.queuedBytes -= size
-	j.inFlight = batch
-	if n > 0 && j.blockedSince.IsZero() {
-		j.blockedSince = time.Now()
-	}
-	return batch
-}
-
-// requeue puts the batch in flight back at the head of the queue, because its segment was
-// not written.
-func (j *Journaler) requeue(batch []*item) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.queue = append(batch, j.queue...)
-	for _, it := range batch {
-		j.queuedBytes += len(it.record)
-	}
-	j.inFlight = nil
-}
-
-// failIfStalled fails the queued items that are not mandatory if writing has stalled.
+// failIfStalled fails the queued items that are neither mandatory nor begun if writing has
+// stalled.
 func (j *Journaler) failIfStalled() {
 	j.mu.Lock()
 	if !j.stalled() {
@@ -163,7 +134,7 @@
 	}
 	var failed, mandatory []*item
 	for _, it := range j.queue {
-		if it.mandatory {
+		if it.mandatory || it.begun {
 			mandatory = append(mandatory, it)
 		} else {
 			failed = append(failed, it)
@@ -192,16 +163,6 @@
 	j.progress = make(chan struct{})
 }
 
-// markWritten resolves the batch in flight after its segment was written.
-func (j *Journaler) markWritten(batch []*item) {
-	j.resolve(batch, nil)
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.inFlight = nil
-	j.blockedSince = time.Time{}
-	j.notifyProgress()
-}
-
 // end ends the journal and fails the queued items.
 func (j *Journaler) end(cause error) {
 	j.mu.Lock()
--- a/journaler/snapshot.go
+++ b/journaler/snapshot.go
@@ -92,7 +92,7 @@
 	defer j.mu.Unlock()
 	return pendingSnapshot{
 		sequence:     j.ring.sequence,
-		content:      snapshot{State: state},
+		content:      snapshot{State: state, Unfinished: j.unfinished()},
 		lastID:       j.lastID,
 		failures:     failures,
 		coveredBytes: coveredBytes,
--- a/journaler/writer.go
+++ b/journaler/writer.go
@@ -40,7 +40,7 @@
 			j.failIfStalled()
 			sleep(ctx, retry.NextBackOff())
 		default:
-			j.fail(batch, err)
+			j.fail(batch.items, err)
 			return
 		}
 	}
@@ -134,39 +134,38 @@
 
 // write writes the batch to the next slot. ErrUnavailable means that the batch was not
 // written and can be written later. Other errors end the journal.
-func (j *Journaler) write(ctx context.Context, batch []*item) error {
-	if len(batch) == 0 {
+func (j *Journaler) write(ctx context.Context, b batch) error {
+	if len(b.records) == 0 {
 		return nil
 	}
 	if !j.hasFreeSlot() {
 		j.snapshotIfDue(ctx)
 		return ErrUnavailable
 	}
-	records := make([][]byte, 0, len(batch))
-	for _, it := range batch {
-		records = append(records, it.record)
-	}
-	size, err := j.writeSegment(ctx, records)
+	size, err := j.writeSegment(ctx, b)
 	if err != nil {
 		return err
 	}
 	j.metrics.segments.Inc(1)
-	j.metrics.records.Inc(int64(len(batch)))
+	j.metrics.records.Inc(int64(len(b.items)))
 	j.metrics.bytes.Inc(int64(size))
-	j.markWritten(batch)
+	j.markWritten(b)
 	return nil
 }
 
 // writeSegment writes the next segment and returns its size in bytes once it is
 // persisted.
-func (j *Journaler) writeSegment(ctx context.Context, records [][]byte) (int, error) {
+func (j *Journaler) writeSegment(ctx context.Context, b batch) (int, error) {
 	id := uuid.New()
-	s := segment{Sequence: j.ring.sequence + 1, Term: j.ring.term, Write: id[:], Ring: j.slots, Records: records}
+	s := segment{
+		Sequence: j.ring.sequence + 1, Term: j.ring.term, Write: id[:], Ring: j.slots,
+		Records: b.records, Continues: b.continues, Unfinished: b.partial != nil,
+	}
 	packed, err := j.packer.packSegment(s)
 	if err != nil {
 		return 0, err
 	}
-	data, err := encode(packed)
+	data, err := packed.encode()
 	if err != nil {
 		return 0, err
 	}
