conductor: Store the starts of each job by themselves, and start large gangs

All starts of a decision were one record, so a job whose starts can't be stored stopped all others. Members that waited for their turn for 1 s were withdrawn, and each try of their gang with them.

Change: the starts of a job are one record. What has happened (crashes, losses, begun jobs, settled starts) has a mandatory record before them, which replaces giving it back after a refusal. Members of a gang wait for up to 2.5 s, less than workers let them wait for each other. Gangs of more than 5,000 tasks are refused at submission with 400. An owner that can't encode a record of what has happened gives up the ownership.

--- a/conductor/begun_test.go
+++ b/conductor/begun_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -14,11 +13,12 @@
 	"github.com/frankban/quicktest"
 )
 
-// TestBegunJobsPersisted checks that the next owner knows of a begun job although the record
-// that first took it along failed and no other followed.
+// TestBegunJobsPersisted checks that the next owner knows of a begun job although the starts
+// that were decided after it were refused and no other followed.
 func TestBegunJobsPersisted(t *testing.T) {
 	c := quicktest.New(t)
-	store := emulator.NewStore().KV()
+	emulated := emulator.NewStore()
+	store := emulated.KV()
 	open := func(term uint64) (*Conductor, *planner.Planner) {
 		owner, err := New(store, platform.NewExecutorClient(platform.DefaultIdle), "vm", term)
 		c.Assert(err, quicktest.IsNil)
@@ -33,10 +33,8 @@
 	owner.mu.Lock()
 	owner.persist(planner.Record{Job: &planner.JobSpec{ID: "j", Queue: "q", Steps: []planner.StepSpec{{Tasks: 1, CPU: 1000, Memory: 1}}}}, nil)
 	owner.begun = []string{"j"}
-	var record planner.Record
-	owner.takeFacts(&record)
 	owner.mu.Unlock()
-	owner.withdrawStarts(nil, record, errors.New("refused"))
+	refuseStarts(t, emulated, owner, []planner.Action{{Kind: planner.Start, Task: "k.0.0.0", Number: 1, Worker: "w0"}})
 	owner.sweep(0)
 	stored := make(chan struct{})
 	empty, err := planner.Record{}.Encode()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -83,10 +83,8 @@
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
 	runQueue       runQueue
-	begun          []string          // ids of jobs that have begun, for the next record in the journal
-	crashes        []planner.Crash   // for the next record in the journal
-	losses         []planner.Loss    // that a record which was not stored had
-	settled        []planner.Settled // the same
+	begun          []string        // ids of jobs that have begun, for the next record in the journal
+	crashes        []planner.Crash // for the next record in the journal
 	backlog        startBacklog
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
@@ -395,6 +393,12 @@
 	}
 }
 
+// hasFacts reports whether takeFacts would move anything. The caller holds c.mu.
+func (c *Conductor) hasFacts() bool {
+	c.collectCrashes()
+	return len(c.begun) > 0 || len(c.crashes) > 0 || c.planner.HasLosses() || c.planner.HasSettled()
+}
+
 // collectCrashes logs the crashes that the planner has noted, and keeps them for the next
 // record. The caller holds c.mu.
 func (c *Conductor) collectCrashes() {
@@ -415,19 +419,8 @@
 // into the caller's record. The caller holds c.mu.
 func (c *Conductor) takeFacts(r *planner.Record) {
 	c.collectCrashes()
-	c.losses = append(c.losses, c.planner.TakeLosses()...)
-	c.settled = append(c.settled, c.planner.TakeSettled()...)
-	r.Begun, r.Crashes, r.Losses, r.Settled = c.begun, c.crashes, c.losses, c.settled
-	c.begun, c.crashes, c.losses, c.settled = nil, nil, nil, nil
-}
-
-// returnFacts leaves what takeFacts has moved into a record that was not stored to the next
-// one. The caller holds c.mu.
-func (c *Conductor) returnFacts(r planner.Record) {
-	c.begun = append(r.Begun, c.begun...)
-	c.crashes = append(r.Crashes, c.crashes...)
-	c.losses = append(r.Losses, c.losses...)
-	c.settled = append(r.Settled, c.settled...)
+	r.Begun, r.Crashes, r.Losses, r.Settled = c.begun, c.crashes, c.planner.TakeLosses(), c.planner.TakeSettled()
+	c.begun, c.crashes = nil, nil
 }
 
 // persist queues a record of an event that has already happened, and with it the jobs that
@@ -441,7 +434,9 @@
 	c.takeFacts(&r)
 	data, err := r.Encode()
 	if err != nil {
-		c.log.Error("failed to encode record", "error", err)
+		// What has happened would be missing from the journal; the next owner learns it anew.
+		c.log.Error("failed to encode record; giving up the ownership", "error", err)
+		c.resign()
 		return
 	}
 	err = c.journal.EnqueueMandatory(data, func(err error) {
--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"errors"
 	"testing"
 
 	"filberthaven.example/emulator"
@@ -10,17 +9,16 @@
 )
 
 // TestCrashesPersisted checks that the next owner knows which task crashed its workers
-// although the record that first took that along failed and no other start followed.
+// although the starts that were decided after it were refused and no other start followed.
 func TestCrashesPersisted(t *testing.T) {
-	store := emulator.NewStore().KV()
+	emulated := emulator.NewStore()
+	store := emulated.KV()
 	owner := openOwner(t, store, 1)
 	starts := submitAndStart(t, owner, 1)
 	owner.mu.Lock()
 	owner.crashes = []planner.Crash{{Task: starts[0].Task, Number: starts[0].Number, Suspect: true, Proven: true}}
-	var record planner.Record
-	owner.takeFacts(&record)
 	owner.mu.Unlock()
-	owner.withdrawStarts(nil, record, errors.New("refused"))
+	refuseStarts(t, emulated, owner, starts)
 	owner.sweep(owner.now())
 	flush(t, owner)
 	owner.journal.Abort()
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -18,17 +18,47 @@
 	// maxOrderWait is how long a start waits for its turn. After that it is decided anew,
 	// since its ticket and the state that it was decided on are out of date.
 	maxOrderWait = time.Second
+	// maxGangOrderWait is that time for a member of a gang, whose first members run already and
+	// wait for the others. It is shorter than their workers let them wait (3 s at least).
+	maxGangOrderWait = 2500 * time.Millisecond
 )
 
 // orderStarts writes starts to the journal before it orders them, so that the next
-// owner knows where each task may be running. Starts that the journal does not take
-// are withdrawn.
+// owner knows where each task may be running. The starts of a job are one record, so that the
+// journal has all members of a gang or none, and a job whose starts can't be stored does
+// not hold up the others. Crashes are stored no later than the next start.
 func (c *Conductor) orderStarts(starts []planner.Action) {
 	c.mu.Lock()
 	c.backlog.add(len(starts))
-	record := planner.Record{At: wallClock()}
-	c.takeFacts(&record)
+	if c.hasFacts() {
+		c.persist(planner.Record{}, nil)
+	}
 	c.mu.Unlock()
+	for _, ofJob := range groupByJob(starts) {
+		c.storeStarts(ofJob)
+	}
+}
+
+// groupByJob returns the starts of each job, in the order of their first ones.
+func groupByJob(starts []planner.Action) [][]planner.Action {
+	var groups [][]planner.Action
+	index := map[string]int{}
+	for _, a := range starts {
+		i, known := index[a.Job()]
+		if !known {
+			i = len(groups)
+			index[a.Job()] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], a)
+	}
+	return groups
+}
+
+// storeStarts writes starts to the journal and then orders them. Starts that the journal does
+// not take are withdrawn.
+func (c *Conductor) storeStarts(starts []planner.Action) {
+	record := planner.Record{At: wallClock()}
 	for _, a := range starts {
 		record.Begins = append(record.Begins, a.Begin())
 	}
@@ -39,7 +69,7 @@
 				err = c.ctx.Err()
 			}
 			if err != nil {
-				c.withdrawStarts(starts, record, err)
+				c.withdrawStarts(starts, err)
 				return
 			}
 			for _, a := range starts {
@@ -48,17 +78,15 @@
 		})
 	}
 	if err != nil {
-		c.withdrawStarts(starts, record, err)
+		c.withdrawStarts(starts, err)
 	}
 }
 
-// withdrawStarts reports to the planner that starts were not ordered because of err, and
-// leaves the other contents of their record to the next one.
-func (c *Conductor) withdrawStarts(starts []planner.Action, record planner.Record, err error) {
-	c.log.Info("starts taken back", "starts", len(starts), "error", err)
+// withdrawStarts reports to the planner that starts were not ordered because of err.
+func (c *Conductor) withdrawStarts(starts []planner.Action, err error) {
+	c.log.Info("starts taken back", "job", starts[0].Job(), "starts", len(starts), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.returnFacts(record)
 	for _, a := range starts {
 		c.backlog.withdraw()
 		c.planner.ReportStart(a, planner.Withdrawn, c.now())
@@ -77,7 +105,7 @@
 	c.orderSlots <- struct{}{}
 	defer func() { <-c.orderSlots }()
 	inFlight := len(c.orderSlots)
-	late := c.now()-queuedAt > maxOrderWait
+	late := c.now()-queuedAt > orderWait(a)
 	upToDate := c.upToDate()
 	c.mu.Lock()
 	s := c.sessions[a.Worker]
@@ -129,6 +157,14 @@
 	}
 }
 
+// orderWait returns how long a start may wait for its turn.
+func orderWait(a planner.Action) time.Duration {
+	if a.Gang {
+		return maxGangOrderWait
+	}
+	return maxOrderWait
+}
+
 // recordOutcome counts and logs the outcome of a start order, and resigns if the worker
 // knows a newer owner.
 func (c *Conductor) recordOutcome(a planner.Action, outcome planner.Outcome, err error) {
--- a/conductor/takeover_test.go
+++ b/conductor/takeover_test.go
@@ -63,6 +63,23 @@
 	<-stored
 }
 
+// refuseStarts passes starts to the journal during an outage of the store, and waits until they
+// are withdrawn.
+func refuseStarts(t *testing.T, store *emulator.Store, owner *Conductor, starts []planner.Action) {
+	t.Helper()
+	store.SetFaults(emulator.Down())
+	owner.orderStarts(starts)
+	withdrawn := func() bool {
+		owner.mu.Lock()
+		defer owner.mu.Unlock()
+		return owner.backlog.starts == 0
+	}
+	for end := time.Now().Add(20 * time.Second); !withdrawn(); time.Sleep(time.Millisecond) {
+		quicktest.Assert(t, time.Now().Before(end), quicktest.IsTrue)
+	}
+	store.SetFaults()
+}
+
 // TestBegunJobsSurviveCrash checks that the answer of a worker that shows a job at work
 // reaches the journal with the next record, and so the next owner.
 func TestBegunJobsSurviveCrash(t *testing.T) {
--- a/planner/chance.go
+++ b/planner/chance.go
@@ -83,6 +83,9 @@
 	p.losses = p.losses[expired:]
 }
 
+// HasLosses reports whether TakeLosses would return a loss.
+func (p *Planner) HasLosses() bool { return len(p.newLosses) > 0 }
+
 // TakeLosses returns the losses of workers since the last call. The caller writes them to the
 // journal with one of its next records.
 func (p *Planner) TakeLosses() []Loss {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,13 @@
 	Reason      string        // for logs
 	Incarnation int64         // of a start: of the worker, as known now
 	Separate    bool          // of a start: nothing else may start on the worker beside it
+	Gang        bool          // of a start: of a member of a gang
+}
+
+// Job returns the id of the job of a start or a stop.
+func (a Action) Job() string {
+	id, _, _ := strings.Cut(a.Task, ".")
+	return id
 }
 
 // candidate is an occurrence with waiting tasks and its place in the order.
@@ -368,7 +376,7 @@
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
 		Checkpoint: t.checkpoint, Ticket: ticket, Queue: j.spec.Queue, Reason: reason,
-		Incarnation: w.reg.Incarnation, Separate: separate,
+		Incarnation: w.reg.Incarnation, Separate: separate, Gang: s.spec.Gang,
 	})
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"errors"
 	"strconv"
 	"testing"
 
@@ -394,3 +395,21 @@
 	}
 	f.Assert(f.p.Pending("q"), quicktest.Equals, 0)
 }
+
+// TestLargestGang checks that a gang that no owner can start in time is refused when it is
+// submitted: it would reserve workers, and never run (LOST).
+func TestLargestGang(t *testing.T) {
+	for _, test := range []struct {
+		tasks int
+		gang  bool
+		valid bool
+	}{{maxGangTasks, true, true}, {maxGangTasks + 1, true, false}, {maxTasks, false, true}, {maxTasks + 1, false, false}} {
+		t.Run(strconv.Itoa(test.tasks)+" tasks, gang "+strconv.FormatBool(test.gang), func(t *testing.T) {
+			f := newFixture(t, 1)
+			step := newStep(test.tasks)
+			step.Gang = test.gang
+			_, err := f.p.Submit(JobSpec{ID: "j", Queue: "q", Steps: []StepSpec{step}}, f.now)
+			f.Assert(errors.Is(err, ErrInvalidJob), quicktest.Equals, !test.valid)
+		})
+	}
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -64,6 +64,13 @@
 // Encode returns the record in CBOR.
 func (r Record) Encode() ([]byte, error) { return cbor.Marshal(r) }
 
+// DecodeRecord returns the record that Encode has encoded.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	err := cbor.Unmarshal(data, &r)
+	return r, err
+}
+
 // snapshot is the whole state as the journal holds it.
 type snapshot struct {
 	Jobs    []storedJob `cbor:"1,keyasint"`
@@ -194,8 +201,8 @@
 		p.restoreSnapshot(s, now, wall)
 	}
 	for _, data := range records {
-		var r Record
-		if err := cbor.Unmarshal(data, &r); err != nil {
+		r, err := DecodeRecord(data)
+		if err != nil {
 			return err
 		}
 		p.replay(r, now, wall)
--- a/planner/settled.go
+++ b/planner/settled.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// HasSettled reports whether TakeSettled would return a start.
+func (p *Planner) HasSettled() bool { return len(p.newSettled) > 0 }
+
 // TakeSettled returns the starts that were settled since the last call. The caller writes them to
 // the journal with one of its next records.
 func (p *Planner) TakeSettled() []Settled {
--- a/planner/spec.go
+++ b/planner/spec.go
@@ -12,6 +12,7 @@
 const (
 	maxSteps       = 256
 	maxTasks       = 10_000 // of all steps together, in one occurrence
+	maxGangTasks   = 5_000  // of a gang: as many as an owner with 0.4 of a core orders while the first one waits for the others
 	maxPayload     = 4000   // bytes; the limit of the callers' interface
 	maxOccurrences = 10_000
 )
@@ -125,6 +126,9 @@
 	if s.Tasks < 1 || s.Tasks > maxTasks || !s.Size.IsValid() || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 {
 		return fmt.Errorf("%w: step %d has a number out of range", ErrInvalidJob, index)
 	}
+	if s.Gang && s.Tasks > maxGangTasks {
+		return fmt.Errorf("%w: step %d is a gang of %d tasks, over %d", ErrInvalidJob, index, s.Tasks, maxGangTasks)
+	}
 	for _, after := range s.After {
 		if after < 0 || after >= index {
 			return fmt.Errorf("%w: step %d comes after step %d", ErrInvalidJob, index, after)
