planner: Keep with each job what its queue said when it was accepted

Tests: TestJobOfRemovedQueueUnderNextOwner (without these, step.mayUse holds for no worker), TestAttemptsOfRemovedQueue.

--- a/conductor/request.go
+++ b/conductor/request.go
@@ -155,7 +155,7 @@
 		return errorResponse(http.StatusBadRequest, err.Error())
 	}
 	spec.ID, spec.Team, spec.AcceptedAt = id, team, wallClock()
-	spec.Queue, spec.Host, spec.Prefix = queue.Name, queue.Host, queue.Prefix
+	spec.AcceptIn(queue)
 	record, err := planner.Record{Job: &spec, At: spec.AcceptedAt}.Encode()
 	if err != nil {
 		return errorResponse(http.StatusBadRequest, err.Error())
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -106,7 +106,11 @@
 		p.team(spec.Name).spec = spec
 	}
 	for _, j := range p.jobs {
-		if q, known := p.queueOf(j); known {
+		q, known := p.queueOf(j)
+		if !known && j.queue.Service == "" {
+			q, known = j.spec.acceptedQueue()
+		}
+		if known {
 			j.queue = q
 			p.failIfExhausted(j, now)
 		}
--- a/planner/spec.go
+++ b/planner/spec.go
@@ -96,6 +96,8 @@
 	AcceptedAt  int64      `cbor:"9,keyasint"`            // Unix ms at which it was accepted
 	Host        string     `cbor:"10,keyasint,omitempty"` // of the queue when the job was submitted
 	Prefix      string     `cbor:"11,keyasint,omitempty"` // of the queue when the job was submitted
+
+	Accepted *AcceptedQueue `cbor:"12,keyasint,omitempty"` // nil if an earlier version has accepted the job
 }
 
 // check validates the job and fills in the sizes of its steps. Its error wraps
