--- a/journaler/parts_test.go
+++ b/journaler/parts_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,13 +40,13 @@
 }
 
 // limitedStore returns a store that fails after that many more writes of segments.
-func limitedStore(kv keeper.Store, writes *int) keeper.Store {
+func limitedStore(kv keeper.Store, writes *atomic.Int64) keeper.Store {
 	put := kv.Put
 	kv.Put = func(ctx context.Context, key string, value []byte, expect uint64, lease keeper.LeaseID) (uint64, error) {
-		if *writes == 0 {
+		if writes.Add(-1) < 0 {
+			writes.Store(0)
 			return 0, keeper.ErrUnavailable
 		}
-		*writes--
 		return put(ctx, key, value, expect, lease)
 	}
 	return kv
@@ -76,7 +77,8 @@
 	})
 	run(t, "its owner is lost between two parts", func(c *qt.C, store *emulator.Store) {
 		kv := store.KV()
-		writes := 3 // the opening segment, a record and one part
+		var writes atomic.Int64
+		writes.Store(3) // the opening segment, a record and one part
 		j, err := journaler.New(limitedStore(kv, &writes), shard, journaler.WithSlots(16), journaler.WithRate(1000))
 		c.Assert(err, qt.IsNil)
 		_, err = j.Open(c.Context(), 1)
@@ -85,7 +87,7 @@
 		result := make(chan error, 1)
 		c.Assert(j.EnqueueMandatory([]byte(newLargeRecord("y", 2*journaler.PartLimit)), func(err error) { result <- err }), qt.IsNil)
 		time.Sleep(time.Second)
-		c.Assert(writes, qt.Equals, 0)
+		c.Assert(writes.Load(), qt.Equals, int64(0))
 		j.Abort()
 		c.Assert(<-result, qt.ErrorIs, journaler.ErrUnavailable)
 		next := open(c, store, "b", 2)
@@ -95,7 +97,8 @@
 		assertRecords(c, store, 3, "x", "z")
 	})
 	run(t, "an outage between two parts", func(c *qt.C, store *emulator.Store) {
-		writes := 2
+		var writes atomic.Int64
+		writes.Store(2) // the opening segment and one part
 		j, err := journaler.New(limitedStore(store.KV(), &writes), shard, journaler.WithSlots(16), journaler.WithRate(1000))
 		c.Assert(err, qt.IsNil)
 		_, err = j.Open(c.Context(), 1)
@@ -107,13 +110,14 @@
 		time.Sleep(10 * time.Second)
 		c.Assert(<-queued, qt.ErrorIs, journaler.ErrUnavailable)
 		c.Assert(begun, qt.HasLen, 0) // neither refused nor persisted
-		writes = 1000
+		writes.Store(1000)
 		c.Assert(<-begun, qt.IsNil)
 		j.Abort()
 		assertLarge(c, store, 2, record)
 	})
 	run(t, "its caller leaves between two parts", func(c *qt.C, store *emulator.Store) {
-		writes := 2
+		var writes atomic.Int64
+		writes.Store(2) // the opening segment and one part
 		j, err := journaler.New(limitedStore(store.KV(), &writes), shard, journaler.WithSlots(16), journaler.WithRate(1000))
 		c.Assert(err, qt.IsNil)
 		_, err = j.Open(c.Context(), 1)
@@ -122,7 +126,7 @@
 		defer cancel()
 		record := newLargeRecord("x", 2*journaler.PartLimit)
 		c.Assert(j.Append(ctx, []byte(record)), qt.ErrorIs, journaler.ErrOutcomeUnknown)
-		writes = 1000
+		writes.Store(1000)
 		time.Sleep(5 * time.Second)
 		j.Abort()
 		assertLarge(c, store, 2, record)
