planner: Start nothing on a restarted worker before its new entry is read

Cause: an answer that names the next incarnation opened the worker, while its capacity and labels were those of the one before until the watch brought its entry. Change: nothing starts while the newest entry is of another incarnation than the known one. An entry that leaves in doubt which is the later one is kept aside; one of an earlier incarnation is ignored, it used to overwrite the entry.

Tests: TestNextIncarnationOfAnotherKind. Three tests started a task between the answer and the entry, as the fault did; they check that nothing starts then, or read the entry first.

--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -219,6 +219,7 @@
 		quicktest.Assert(t, s.clock.reading, quicktest.Equals, int64(1))
 		quicktest.Assert(t, s.persistedSerial, quicktest.Equals, uint64(0))
 		quicktest.Assert(t, w.conductor.planner.Busy("w0"), quicktest.IsFalse)
+		applyEntry(w.conductor, s.address, 5, 2)
 		w.assertUsable(t, w.runHeartbeats())
 	})
 	t.Run("its entry is read first", func(t *testing.T) {
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -35,6 +35,7 @@
 	f.Assert(second.Workers, quicktest.DeepEquals, []string{"w2", "w3"})
 	f.p.ReportAdvice(AdviceResult{Step: second.Step, Workers: second.Workers})
 	f.p.ObserveAnswer("w2", 2, f.now+1, f.now+1)
+	f.restartWorker("w2", 2)
 	f.Assert(request().Workers, quicktest.DeepEquals, []string{"w2"})
 }
 
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -22,23 +22,35 @@
 // answered, and the caller has stored it and called MarkWorkerStored.
 func (p *Planner) Register(r Registration, now time.Duration) (changed bool) {
 	w := p.worker(r.ID)
-	known := w.reg
+	known, wasListed := w.reg, w.listed
+	w.listed = true
 	p.observeEntry(w, r.Incarnation, now)
-	r.Incarnation = w.reg.Incarnation
-	changed = !w.listed || !known.equal(r)
+	switch {
+	case r.Incarnation != 0 && slices.Contains(w.earlier, r.Incarnation):
+		return !wasListed // late
+	case r.Incarnation != 0 && r.Incarnation == w.doubted:
+		w.doubtedEntry = r
+		return true
+	}
+	w.applyEntry(r)
+	return !wasListed || !known.equal(w.reg)
+}
+
+// applyEntry sets what an entry of the known incarnation tells, or one that names none.
+func (w *worker) applyEntry(r Registration) {
+	w.entryIncarnation, r.Incarnation = r.Incarnation, w.reg.Incarnation
 	w.reg = r
-	w.listed = true
-	return changed
 }
 
 // Accepts reports whether the platform's list and the operators still let tasks
-// start on the worker, it has answered the last call, and all that is allocated on it fits.
+// start on the worker, its entry is that of its incarnation, it has answered the last call, and
+// all that is allocated on it fits.
 // The caller checks this right before it orders a start, since the worker may have begun to
 // drain, have become unresponsive or have lost capacity while the start was written to the
 // journal.
 func (p *Planner) Accepts(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.listed && !w.reg.Draining && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls && w.free().IsValid()
+	return w != nil && w.listed && !w.reg.Draining && !w.isEntryOutdated() && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls && w.free().IsValid()
 }
 
 // IsWorkerStored reports whether the journal names the worker.
@@ -179,7 +191,7 @@
 			return true // the incarnation that the entry names may have followed since
 		}
 		w.addEarlier(w.doubted)
-		w.doubted = 0
+		w.doubted, w.doubtedEntry = 0, Registration{}
 	}
 	w.restarted = false
 	return true
@@ -202,6 +214,10 @@
 func (p *Planner) setIncarnation(w *worker, incarnation int64, now time.Duration) {
 	known := w.reg.Incarnation
 	w.reg.Incarnation, w.incarnationSeenAt, w.doubted = incarnation, now, 0
+	if w.doubtedEntry.Incarnation == incarnation {
+		w.applyEntry(w.doubtedEntry)
+	}
+	w.doubtedEntry = Registration{}
 	w.earlier = slices.DeleteFunc(w.earlier, func(i int64) bool { return i == incarnation })
 	if known != 0 {
 		w.addEarlier(known)
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -144,8 +144,9 @@
 	t.Run("it answers first", func(t *testing.T) {
 		f, _ := setUp(t)
 		f.answer(next, f.now)
-		f.Assert(f.starts(), quicktest.HasLen, 1)
+		f.assertNoStart() // it may be of another kind
 		f.restartWorker("w0", next)
+		f.Assert(f.starts(), quicktest.HasLen, 1)
 		f.Assert(f.p.Busy("w0"), quicktest.IsTrue)
 	})
 	t.Run("the entry is old", func(t *testing.T) {
@@ -197,3 +198,24 @@
 func (p *Planner) acceptsTasks(id string, now time.Duration) bool {
 	return p.workers[id].acceptsTasks(now)
 }
+
+// TestNextIncarnationOfAnotherKind checks that nothing starts on a restarted worker that has answered
+// before its new entry is read: it may be smaller than before (LIMIT).
+func TestNextIncarnationOfAnotherKind(t *testing.T) {
+	register := func(f *fixture, incarnation, cpu int64) {
+		f.p.Register(Registration{ID: "w0", Centre: "c", Service: "s", Incarnation: incarnation, Capacity: placer.NewResources(cpu, 4096, 0), Labels: []string{"a", "r1"}}, f.now)
+	}
+	f := newFixture(t, 1)
+	f.now += second
+	f.answer(2, f.now)
+	f.submit("j", newStep(1))
+	f.assertNoStart()
+	f.Assert(f.p.Accepts("w0"), quicktest.IsFalse)
+	register(f, 1, 4000) // late, of the earlier incarnation
+	f.assertNoStart()
+	register(f, 2, 500)
+	f.assertNoStart()
+	register(f, 2, 1000)
+	f.Assert(f.p.Accepts("w0"), quicktest.IsTrue)
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -38,9 +38,11 @@
 	unansweredCalls     int           // in a row
 	restarted           bool          // its known incarnation, not the first one, has not answered yet, or the doubted one may have followed
 	incarnationSeenAt   time.Duration // when its known incarnation became known
+	entryIncarnation    int64         // that its newest entry names, of which reg has the capacity and the labels; 0 if none
 	earlier             []int64       // incarnations that the known one has followed, the newest ones last
 	doubted             int64         // incarnation that an entry has named, and that is the known one's predecessor or successor; else 0
 	doubtedAt           time.Duration // when that entry was read
+	doubtedEntry        Registration  // that entry; zero if doubted is 0
 	health              health
 	pruned              bool          // it was removed from the planner
 	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
@@ -61,7 +63,13 @@
 
 // acceptsTasks reports whether the worker's own state lets tasks start on it.
 func (w *worker) acceptsTasks(now time.Duration) bool {
-	return w.listed && w.earlierOwnersFenced && !w.reg.Draining && !w.restarted && w.unansweredCalls < maxUnansweredCalls && w.health.allowsStarts(now)
+	return w.listed && w.earlierOwnersFenced && !w.reg.Draining && !w.restarted && !w.isEntryOutdated() && w.unansweredCalls < maxUnansweredCalls && w.health.allowsStarts(now)
+}
+
+// isEntryOutdated reports whether its capacity and labels are those of another incarnation. The
+// known one may be of another kind.
+func (w *worker) isEntryOutdated() bool {
+	return w.entryIncarnation != 0 && w.reg.Incarnation != 0 && w.entryIncarnation != w.reg.Incarnation
 }
 
 // maxUnansweredCalls is the number of unanswered calls in a row from which nothing starts
