--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -293,9 +293,8 @@
 // of the run is not known either, so the whole worker is allocated to it until it has
 // ended.
 func (p *Planner) stopUnknownRun(w *worker, e RunningEntry) {
-	o := &occurrence{job: &job{finalState: Cancelled, spec: JobSpec{ID: e.Task}}}
-	s := &step{occurrence: o, name: e.Task, unknown: true, spec: &StepSpec{}, tasks: make([]task, 1)}
-	r := &run{step: s, number: e.Number, worker: w, size: w.reg.Capacity, phase: phaseRunning, listed: true, obsolete: true}
+	r := p.newOrphan(e.Task, e.Number, w, w.reg.Capacity)
+	r.phase, r.listed = phaseRunning, true
 	p.allocate(r)
 	p.stop(r)
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -77,6 +77,8 @@
 	Ended   []storedEnd `cbor:"2,keyasint"`
 	Workers []string    `cbor:"3,keyasint"`
 	Losses  []Loss      `cbor:"4,keyasint,omitempty"` // of workers
+
+	Leftovers []storedRun `cbor:"5,keyasint,omitempty"` // runs of jobs that have ended
 }
 
 // storedEnd is a job that has ended.
@@ -139,6 +141,7 @@
 		l.At = wall - (now - l.at).Milliseconds()
 		s.Losses = append(s.Losses, l)
 	}
+	s.Leftovers = p.storeLeftovers(now, wall)
 	for _, j := range p.jobs {
 		if !j.stored {
 			continue
@@ -225,6 +228,9 @@
 		j.endedAt = now - time.Duration(wall-e.At)*time.Millisecond
 		p.jobs[e.ID] = j
 	}
+	for _, r := range s.Leftovers {
+		p.restoreLeftover(r, now, wall)
+	}
 	for _, stored := range s.Jobs {
 		j := p.restoreJob(stored.Spec, now, wall)
 		j.next, j.unfinished, j.begun = stored.Next, stored.UnfinishedOccurrences, stored.Begun
--- a/planner/takeover_test.go
+++ b/planner/takeover_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"testing"
 
+	"filberthaven.example/placer"
 	"github.com/frankban/quicktest"
 )
 
@@ -285,3 +286,40 @@
 	f.p.HandleStatus(WorkerStatus{Worker: "w0", Incarnation: 2, SentAt: f.now}, f.now)
 	f.Assert(f.starts(), quicktest.HasLen, 1)
 }
+
+// TestRunsOfCancelledJobCountAfterTakeover checks that the runs of a cancelled job, whose worker is
+// cut off, count towards their team's limit for the next owners too, until they have ended: the
+// team would have more running than its limit (QUOTA).
+func TestRunsOfCancelledJobCountAfterTakeover(t *testing.T) {
+	f := newFixture(t, 2)
+	f.p.Configure(Config{Version: 2, Queues: f.p.config.Queues, Teams: []Team{{Name: "team", Weight: 1, Limit: placer.NewResources(2000, 0, 0)}}}, f.now)
+	f.submit("cancelled", newStep(2))
+	starts := f.starts()
+	f.Assert(starts, quicktest.HasLen, 2)
+	at := starts[0].Worker
+	f.Assert(starts[1].Worker, quicktest.Equals, at)
+	f.p.Cancel("cancelled", "team", f.now)
+	f.record(Record{Cancel: "cancelled"})
+	f.p.MarkEndStored("cancelled")
+	f.submit("j", newStep(2))
+	for range 2 { // owners
+		f.restoreSnapshot(f.now + 6*second)
+		f.addWorker("w0")
+		f.addWorker("w1")
+		for _, w := range []string{"w0", "w1"} {
+			if w != at {
+				f.p.HandleStatus(WorkerStatus{Worker: w, Incarnation: 1, SentAt: f.now}, f.now)
+			}
+		}
+		f.p.HeartbeatMissed(at)
+		stops := f.decide()
+		f.Assert(stops, quicktest.HasLen, 2)
+		f.Assert(stops[0].Kind, quicktest.Equals, Stop)
+		f.now += second
+		f.assertNoStart()
+	}
+	f.p.HandleStatus(WorkerStatus{Worker: at, Incarnation: 1, SentAt: f.now, Ended: []EndEntry{
+		{1, End{Task: starts[0].Task, Number: 1, Result: Stopped}}, {2, End{Task: starts[1].Task, Number: 1, Result: Stopped}},
+	}}, f.now)
+	f.Assert(f.starts(), quicktest.HasLen, 2)
+}
