planner: Count leases that a worker's next incarnation may get late

Change: after such a call, by this owner or an earlier one, the leases of a worker that restarts count as expired 15 s later at the earliest (maxOrderDelay).

Tests: TestLateLeaseOfNextIncarnation; two of three subtests fail before.

--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -102,6 +102,7 @@
 func (p *Planner) workerRestarted(w *worker, now time.Duration) {
 	w.lastSerial, w.endsUnread, w.restarted = 0, false, true
 	w.earlierOwnersFenced = true
+	w.leaseExpiry = max(w.leaseExpiry, w.lateLeaseExpiry)
 	if !w.reg.Draining {
 		p.noteLostWorker(w, now)
 		p.markCrash(w, w.orderedRuns(), signReplied, now)
--- a/planner/late_test.go
+++ b/planner/late_test.go
@@ -144,3 +144,54 @@
 		f.Assert(f.starts(), quicktest.HasLen, 1)
 	})
 }
+
+// TestLateLeaseOfNextIncarnation checks that the runs of a restarted worker which is cut off are
+// given up only when a lease that it was given late has expired too: a call to its earlier
+// incarnation that got no answer, by this owner or an earlier one. The task would run in two
+// places (TWICE).
+func TestLateLeaseOfNextIncarnation(t *testing.T) {
+	const lease = 6 * second
+	// cut starts a task on incarnation 2 of w0, which is cut off, and returns when its own lease
+	// has expired.
+	cut := func(f *fixture) time.Duration {
+		f.restartWorker("w0", 2)
+		f.answer(2, f.now)
+		f.Assert(f.starts(), quicktest.HasLen, 1)
+		f.p.ExtendLease("w0", f.now+lease)
+		f.p.HeartbeatMissed("w0")
+		f.addWorker("w1")
+		return f.now + lease
+	}
+	assertGivenUpAt := func(f *fixture, expiry time.Duration) {
+		f.Helper()
+		f.now = expiry - 1
+		f.assertNoStart()
+		f.now++
+		f.Assert(f.starts(), quicktest.HasLen, 1)
+	}
+	t.Run("a heartbeat got no answer", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("j", newStep(1))
+		f.p.ExtendLease("w0", f.now+lease)
+		f.p.HeartbeatMissed("w0")
+		f.now += second
+		cut(f)
+		assertGivenUpAt(f, lease+maxOrderDelay)
+	})
+	t.Run("the owner has changed", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("j", newStep(1))
+		f.takeOver(lease)
+		f.addWorker("w0")
+		f.now += second
+		cut(f)
+		assertGivenUpAt(f, lease+maxOrderDelay)
+	})
+	t.Run("all calls were answered", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.submit("j", newStep(1))
+		f.p.ExtendLease("w0", f.now+lease)
+		f.now += second
+		assertGivenUpAt(f, cut(f))
+	})
+}
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -62,6 +62,7 @@
 		// The order may still be carried out later. The answer to a stop prevents that, but
 		// for the worker's next incarnation.
 		w.unansweredCalls++
+		w.noteUnansweredLease()
 		if a.Ticket == "" {
 			r.holdLateStart()
 		}
@@ -319,6 +320,16 @@
 	if w := p.workers[id]; w != nil {
 		w.unansweredCalls++
 		w.heartbeatTried = true
+		w.noteUnansweredLease()
+	}
+}
+
+// noteUnansweredLease notes that a call which may have given a lease got no answer. The next
+// incarnation of the worker may execute it late, and gives all its runs the longest lease,
+// since the lease ends by the clock of the earlier one.
+func (w *worker) noteUnansweredLease() {
+	if w.leaseExpiry != 0 {
+		w.lateLeaseExpiry = w.leaseExpiry + maxOrderDelay
 	}
 }
 
--- a/planner/record.go
+++ b/planner/record.go
@@ -450,6 +450,7 @@
 	for _, w := range p.fleet {
 		w.earlierOwnersFenced = false
 		w.leaseExpiry = leaseExpiry
+		w.noteUnansweredLease() // of an earlier owner
 		for _, r := range w.runs {
 			r.holdUnsettledStart(now, leaseExpiry)
 		}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -34,6 +34,7 @@
 	endsUnread          bool          // its newest list of ends was cut off
 	earlierOwnersFenced bool          // orders of earlier owners no longer have an effect on it: it has answered this owner or restarted, or all older leases have expired
 	leaseExpiry         time.Duration // when every lease given to the worker has certainly expired; 0 before the first
+	lateLeaseExpiry     time.Duration // when the leases of calls without an answer have certainly expired, if the next incarnation executes these late; 0 if there are none
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
 	restarted           bool          // its known incarnation, not the first one, has not answered yet, or the doubted one may have followed
