scheduler, granter: Loops that begin at once wait for no timer of 0

Cause: `runLink` waited for `time.NewTimer(0)` before its first call. Change: the loop calls the worker first and then waits for the next heartbeat. `SlotPool.Run`, the other loop of that form, likewise.

--- a/granter/slot_pool.go
+++ b/granter/slot_pool.go
@@ -91,29 +91,35 @@
 
 // Run reports to the owner and applies its grants until ctx is done.
 func (p *SlotPool) Run(ctx context.Context) error {
-	var lastReport time.Time
-	var delay time.Duration // until the next report
 	for {
-		// Under synctest, a timer that has expired can't be reset.
+		reportedAt := time.Now()
+		delay := reportInterval
+		if p.report(ctx) {
+			delay = minReportInterval
+		}
+		if !p.awaitReport(ctx, reportedAt, delay) {
+			return nil
+		}
+	}
+}
+
+// awaitReport waits until the next report is due: for delay, or until a wake-up if the last
+// report is minReportInterval ago. It returns false once ctx is done.
+func (p *SlotPool) awaitReport(ctx context.Context, reportedAt time.Time, delay time.Duration) bool {
+	for delay > 0 {
 		timer := time.NewTimer(delay)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return nil
+			return false
 		case <-timer.C:
+			return true
 		case <-p.wakeup:
 			timer.Stop()
-			if delay = minReportInterval - time.Since(lastReport); delay > 0 {
-				continue
-			}
+			delay = minReportInterval - time.Since(reportedAt)
 		}
-		lastReport = time.Now()
-		next := reportInterval
-		if p.report(ctx) {
-			next = minReportInterval
-		}
-		delay = next
 	}
+	return true
 }
 
 // report sends one report and applies the response. It reports whether the
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -118,12 +118,11 @@
 	})
 }
 
-// runLink calls a worker at each heartbeat, and soon after each wake-up.
+// runLink calls a worker at once, at each heartbeat, and soon after each wake-up.
 func (s *Scheduler) runLink(ctx context.Context, l *link) {
-	delay := time.Duration(0)
 	for {
-		// A timer that is already due can't be reset under synctest.
-		timer := time.NewTimer(delay)
+		s.callWorker(ctx, l)
+		timer := time.NewTimer(s.heartbeat)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -136,8 +135,6 @@
 			timer.Stop()
 			time.Sleep(batchDelay)
 		}
-		s.callWorker(ctx, l)
-		delay = s.heartbeat
 	}
 }
 
