planner: Runs that went on for little longer refute no crashes (BUDGET)

What callers saw: of 40 tasks that crash their workers about 200 ms after each start, on 6 workers, some were started three to eight times after three crashes (TestManySlowlyDeadlyTasks). Cause: the longest run that a task is known to have had refuted each crash at a lower age. A task crashes its workers at ages that differ: one run that was listed at 195 ms made crashes at 180 ms say nothing, so of eight crashes two or three were left to prove. Ruled out: the rate of crashes, whose chances of 0.02 to 0.05 prove with five crashes. Change: a run refutes a crash only if it has gone on for 100 ms longer (`ageScatter`). TestCrashesOfOneTaskScatter fails without it.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -25,7 +25,7 @@
 	// count any more. A service would otherwise collect those of years.
 	crashMemory = 10 * time.Minute
 	// minExposures is the number of crashes from which a task is a suspect although it had
-	// never begun shortly before. Crashes at a lower age than a run of it has reached don't count.
+	// never begun shortly before. Crashes that a longer run of it refutes don't count.
 	minExposures = 3
 	// maxCrashesKept is the number of crashes kept of a task.
 	maxCrashesKept = 16
@@ -99,9 +99,9 @@
 	held    bool    // the task does not start in the current decision, as the fate of workers is open
 	proven  bool    // the task is the cause, so its job fails
 	// longest is how long a run of the task is known to have gone on without a crash. It is
-	// forgotten after minLosses crashes in a row at a lower age: the task may have changed.
+	// forgotten after minLosses crashes in a row that it refutes: the task may have changed.
 	longest time.Duration
-	below   int // crashes in a row at a lower age than longest
+	below   int // crashes in a row that longest refutes
 }
 
 // count returns the number of workers that may have crashed while they may have run the task.
@@ -115,12 +115,12 @@
 	return n
 }
 
-// suspicious returns how many of these may have crashed because of the task: no run of it is
-// known to have gone on for longer.
+// suspicious returns how many of these may have crashed because of the task: no run of it
+// refutes them.
 func (h *crashHistory) suspicious() int {
 	n := 0
 	for _, c := range h.crashes {
-		if !c.Survived && time.Duration(c.Age)*time.Millisecond >= h.longest {
+		if !c.Survived && !isRefuted(time.Duration(c.Age)*time.Millisecond, h.longest) {
 			n++
 		}
 	}
@@ -188,7 +188,7 @@
 		age := w.ageAtCrash(r, now)
 		c := &Crash{
 			Task: s.taskName(r.taskIndex), Number: r.number, Worker: w.reg.ID, Sign: sign, Age: age.Milliseconds(), Started: r.started, Separate: r.separate,
-			Suspect: sign != signSilent && recent(r) || r.separate || age >= h.longest && h.suspicious()+1 >= minExposures,
+			Suspect: sign != signSilent && recent(r) || r.separate || !isRefuted(age, h.longest) && h.suspicious()+1 >= minExposures,
 			Prompt:  w.closedSoonAfter(r), Ended: sign == signReplied, Address: w.reg.Address, Incarnation: cmp.Or(r.incarnation, w.reg.Incarnation), at: now, NotedAge: max(0, now-r.startedAt).Milliseconds(),
 			LongestRun: h.longest.Milliseconds(),
 		}
@@ -260,7 +260,7 @@
 		}
 		h.lastRun = c.Number
 		h.longest = max(h.longest, time.Duration(c.LongestRun)*time.Millisecond)
-		if h.below++; time.Duration(c.Age)*time.Millisecond >= h.longest {
+		if h.below++; !isRefuted(time.Duration(c.Age)*time.Millisecond, h.longest) {
 			h.below = 0
 		}
 		if h.below >= minLosses {
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -29,8 +29,14 @@
 	// not have any more. It is also the time for which a task may wait for what has become of
 	// its workers.
 	goneTimeout = 20 * time.Second
+	// ageScatter is how far apart the ages may be at which one task crashes its workers.
+	ageScatter = 100 * time.Millisecond
 )
 
+// isRefuted reports whether a crash at that age is not the task's doing, since a run of it is
+// known to have gone on for longest.
+func isRefuted(age, longest time.Duration) bool { return age+ageScatter < longest }
+
 // openCrash is a crash of which it is not known whether its worker has ended.
 type openCrash struct {
 	step   *step
@@ -56,9 +62,8 @@
 func (p *Planner) await(c *Crash) { p.awaited[c.Worker], p.awaited[c.Address] = true, true }
 
 // isProof reports whether the crashes under a task, the newest of which was alone with it,
-// prove it to be the cause. A run that is known to have gone on for longest shows that the task
-// does not crash its workers at a lower age; such crashes say nothing. With assumeEnded, those
-// whose fate is open count as well. A rate of crashes that has become known since the older
+// prove it to be the cause. Those that a run refutes which is known to have gone on for longest
+// say nothing. With assumeEnded, those whose fate is open count as well. A rate of crashes that has become known since the older
 // ones counts for these too.
 func (p *Planner) isProof(crashes []Crash, longest time.Duration, assumeEnded bool, now time.Duration) bool {
 	if len(crashes) < minPrompt {
@@ -78,7 +83,7 @@
 		alone = c.Separate
 		age := time.Duration(c.Age) * time.Millisecond
 		chance := max(c.Chance, chanceAtRate(rate, age))
-		if age < longest {
+		if isRefuted(age, longest) {
 			chance = 1
 		}
 		ended = append(ended, chance)
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -291,6 +291,19 @@
 	}
 }
 
+// TestCrashesOfOneTaskScatter checks that a run which went on for little longer than others does not
+// refute their crashes: a task that crashes its workers does so at somewhat different ages (BUDGET).
+func TestCrashesOfOneTaskScatter(t *testing.T) {
+	c := quicktest.New(t)
+	crashes := make([]Crash, minPrompt)
+	for i, age := range []int64{180, 230, 190} {
+		crashes[i] = Crash{Number: i + 1, Ended: true, Started: true, Prompt: true, Separate: true, Age: age, Chance: 0.001}
+	}
+	for longest, want := range map[time.Duration]bool{0: true, 225 * time.Millisecond: true, second: false} {
+		c.Check(New().isProof(crashes, longest, false, time.Hour), quicktest.Equals, want, quicktest.Commentf("%v", longest))
+	}
+}
+
 // TestCrashAfterGangIsDoneFailsNoJob checks that a crash under a member of a gang that is done
 // fails no job, whatever was noted before (LOST).
 func TestCrashAfterGangIsDoneFailsNoJob(t *testing.T) {
