planner: Capacity of silent workers is not free for new jobs

Cause: `refreshLoad` counted the free capacity of each listed worker, whether it answered or not. Change: a silent worker is expected back after as long again as it has been silent, 5 s at least; its capacity counts from then, and that of its runs no sooner.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -84,6 +84,7 @@
 	p.adviceBudget[true], p.adviceBudget[false] = maxAdviceRequests, maxAdviceRequests
 	for _, w := range p.fleet {
 		w.reservedFor = nil
+		w.noteSilence(now)
 		w.open = w.acceptsTasks(now) && w.separateRuns == 0 && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
 		if w.listed {
 			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU())
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -50,7 +50,7 @@
 // journal.
 func (p *Planner) Accepts(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.listed && !w.reg.Draining && !w.isEntryOutdated() && !p.cordoned[w.reg.Centre] && w.unansweredCalls < maxUnansweredCalls && w.free().IsValid()
+	return w != nil && w.listed && !w.reg.Draining && !w.isEntryOutdated() && !p.cordoned[w.reg.Centre] && !w.isSilent() && w.free().IsValid()
 }
 
 // IsWorkerStored reports whether the journal names the worker.
--- a/planner/load.go
+++ b/planner/load.go
@@ -21,13 +21,14 @@
 	meanWorker placer.Resources  // mean capacity of the workers that take work
 	capacity   float64           // number of workers that take work
 	free       float64           // their free capacity, in workers
-	running    []expectedRelease // by time, soonest first
+	running    []expectedRelease // of runs and of silent workers, by time, soonest first
 	waiting    []demand          // of all jobs, including those admitted since computedAt
 }
 
-// expectedRelease is capacity that becomes free when a run is expected to end.
+// expectedRelease is capacity that becomes free when a run is expected to end, or a silent
+// worker to answer again.
 type expectedRelease struct {
-	after    time.Duration // from load.computedAt to that end
+	after    time.Duration // from load.computedAt to then
 	capacity float64       // in workers
 }
 
@@ -89,9 +90,14 @@
 		}
 		l.capacity++
 		l.meanWorker = l.meanWorker.Add(w.reg.Capacity)
-		l.free += freeFraction(w.free(), w.reg.Capacity)
+		free, silence := freeFraction(w.free(), w.reg.Capacity), w.expectedSilence(now)
+		if silence > 0 {
+			l.running = append(l.running, expectedRelease{silence, free})
+		} else {
+			l.free += free
+		}
 		for _, r := range w.runs {
-			left := p.remainingTime(r, now)
+			left := max(p.remainingTime(r, now), silence)
 			capacity := r.size.DominantShare(w.reg.Capacity)
 			l.running = append(l.running, expectedRelease{left, capacity})
 		}
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -166,3 +166,32 @@
 	quicktest.Assert(t, freeFraction(placer.NewResources(12000, 6400, 0), whole), quicktest.Equals, 0.1)
 	quicktest.Assert(t, freeFraction(placer.NewResources(12000, -1, 0), whole), quicktest.Equals, 0.0)
 }
+
+// TestCapacityOfSilentWorkers checks when the capacity of a worker that doesn't answer is expected
+// back: after as long again as it has been silent, and at once when it answers.
+func TestCapacityOfSilentWorkers(t *testing.T) {
+	f := newFixture(t, 2)
+	f.starts()
+	assertLoad := func(free float64, back ...time.Duration) {
+		f.Helper()
+		f.p.refreshLoad(f.now)
+		f.Check(f.p.load.free, quicktest.Equals, free)
+		var got []time.Duration
+		for _, r := range f.p.load.running {
+			got = append(got, r.after)
+		}
+		f.Check(got, quicktest.DeepEquals, back)
+	}
+	assertLoad(2)
+	f.now += second
+	f.p.HeartbeatMissed("w1")
+	f.starts()
+	f.now += second
+	assertLoad(1, minSilence)
+	f.now += 20 * second
+	assertLoad(1, 21*second)
+	f.p.HandleStatus(WorkerStatus{Worker: "w1", Incarnation: 1, SentAt: f.now}, f.now)
+	f.now += second
+	f.starts()
+	assertLoad(2)
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 	lateLeaseExpiry     time.Duration // when the leases of calls without an answer have certainly expired, if the next incarnation executes these late; 0 if there are none
 	heartbeatTried      bool          // a heartbeat of this owner has been answered or missed
 	unansweredCalls     int           // in a row
+	silentSince         time.Duration // when a decision first found it without an answer since its last one; else 0
 	restarted           bool          // its known incarnation, not the first one, has not answered yet, or the doubted one may have followed
 	incarnationSeenAt   time.Duration // when its known incarnation became known
 	entryIncarnation    int64         // that its newest entry names, of which reg has the capacity and the labels; 0 if none
@@ -64,7 +66,29 @@
 
 // acceptsTasks reports whether the worker's own state lets tasks start on it.
 func (w *worker) acceptsTasks(now time.Duration) bool {
-	return w.listed && w.earlierOwnersFenced && !w.reg.Draining && !w.restarted && !w.isEntryOutdated() && w.unansweredCalls < maxUnansweredCalls && w.health.allowsStarts(now)
+	return w.listed && w.earlierOwnersFenced && !w.reg.Draining && !w.restarted && !w.isEntryOutdated() && !w.isSilent() && w.health.allowsStarts(now)
+}
+
+// isSilent reports whether nothing starts on the worker until it answers.
+func (w *worker) isSilent() bool { return w.unansweredCalls >= maxUnansweredCalls }
+
+// noteSilence notes at a decision since when the worker has been silent.
+func (w *worker) noteSilence(now time.Duration) {
+	switch {
+	case !w.isSilent():
+		w.silentSince = 0
+	case w.silentSince == 0:
+		w.silentSince = now
+	}
+}
+
+// expectedSilence returns how much longer a silent worker is expected to be so: as long again
+// as it has been.
+func (w *worker) expectedSilence(now time.Duration) time.Duration {
+	if !w.isSilent() {
+		return 0
+	}
+	return max(minSilence, now-cmp.Or(w.silentSince, now))
 }
 
 // isEntryOutdated reports whether its capacity and labels are those of another incarnation. The
@@ -77,6 +101,9 @@
 // on a worker until it answers. An order sent into a partition would arrive late.
 const maxUnansweredCalls = 1
 
+// minSilence is the shortest time for which a silent worker is expected to stay so.
+const minSilence = 5 * time.Second
+
 // free returns the capacity that is not allocated to any run.
 func (w *worker) free() placer.Resources { return w.reg.Capacity.Sub(w.allocated) }
 
