planner: Name load.releases after what it holds

Change: renamed; a comment of verdict.go is shorter. No behaviour changes, the tests of planner pass.

--- a/planner/load.go
+++ b/planner/load.go
@@ -21,7 +21,7 @@
 	meanWorker placer.Resources  // mean capacity of the workers that take work
 	capacity   float64           // number of workers that take work
 	free       float64           // their free capacity, in workers
-	running    []expectedRelease // of runs and of silent workers, by time, soonest first
+	releases   []expectedRelease // by the ends of runs and the answers of silent workers, soonest first
 	waiting    []demand          // of all jobs, including those admitted since computedAt
 }
 
@@ -59,7 +59,7 @@
 		return 0
 	}
 	available, at := l.free, time.Duration(0)
-	for _, r := range l.running {
+	for _, r := range l.releases {
 		done := available * float64((r.after - at).Milliseconds())
 		if done >= work {
 			break
@@ -92,14 +92,14 @@
 		l.meanWorker = l.meanWorker.Add(w.reg.Capacity)
 		free, silence := freeFraction(w.free(), w.reg.Capacity), w.expectedSilence(now)
 		if silence > 0 {
-			l.running = append(l.running, expectedRelease{silence, free})
+			l.releases = append(l.releases, expectedRelease{silence, free})
 		} else {
 			l.free += free
 		}
 		for _, r := range w.runs {
 			left := max(p.remainingTime(r, now), silence)
 			capacity := r.size.DominantShare(w.reg.Capacity)
-			l.running = append(l.running, expectedRelease{left, capacity})
+			l.releases = append(l.releases, expectedRelease{left, capacity})
 		}
 	}
 	if n := int64(l.capacity); n > 0 {
@@ -113,7 +113,7 @@
 			}
 		}
 	}
-	slices.SortFunc(l.running, func(a, b expectedRelease) int { return cmp.Compare(a.after, b.after) })
+	slices.SortFunc(l.releases, func(a, b expectedRelease) int { return cmp.Compare(a.after, b.after) })
 	p.load = l
 }
 
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -68,7 +68,7 @@
 // the work ahead. If all runs together free too little capacity, the wait is the time that
 // the fleet takes for all the work.
 func TestWaitOnFullFleet(t *testing.T) {
-	l := load{capacity: 4000, running: []expectedRelease{{second, 2000}, {3 * second, 2000}}}
+	l := load{capacity: 4000, releases: []expectedRelease{{second, 2000}, {3 * second, 2000}}}
 	quicktest.Assert(t, l.wait(0), quicktest.Equals, time.Duration(0))
 	l.add(demand{latestStart: 0, capacity: 1000, work: 1000 * 500})
 	quicktest.Assert(t, l.wait(0), quicktest.Equals, second)
@@ -83,7 +83,7 @@
 // do not make the wait as long as they are. 300 jobs were refused for 12 s in scenario
 // trouble-3 of svaz-miniatura because one run of 16 s was expected to end last.
 func TestWaitOnFewLongRuns(t *testing.T) {
-	l := load{capacity: 48, running: []expectedRelease{{second, 40}, {2 * second, 7}, {16 * second, 1}}}
+	l := load{capacity: 48, releases: []expectedRelease{{second, 40}, {2 * second, 7}, {16 * second, 1}}}
 	l.add(demand{capacity: 60, work: 60 * 2000})
 	wait := l.wait(0)
 	quicktest.Assert(t, wait > 3*second && wait < 4*second, quicktest.IsTrue, quicktest.Commentf("%v", wait))
@@ -96,7 +96,7 @@
 		after := time.Duration(0)
 		for range rapid.IntRange(0, 8).Draw(t, "runs") {
 			after += time.Duration(rapid.IntRange(0, 3000).Draw(t, "after")) * time.Millisecond
-			l.running = append(l.running, expectedRelease{after, float64(rapid.IntRange(1, 4000).Draw(t, "room"))})
+			l.releases = append(l.releases, expectedRelease{after, float64(rapid.IntRange(1, 4000).Draw(t, "room"))})
 		}
 		longest := time.Duration(0)
 		for range 6 {
@@ -177,7 +177,7 @@
 		f.p.refreshLoad(f.now)
 		f.Check(f.p.load.free, quicktest.Equals, free)
 		var got []time.Duration
-		for _, r := range f.p.load.running {
+		for _, r := range f.p.load.releases {
 			got = append(got, r.after)
 		}
 		f.Check(got, quicktest.DeepEquals, back)
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -33,8 +33,8 @@
 	ageScatter = 100 * time.Millisecond
 )
 
-// isRefuted reports whether a crash at that age is not the task's doing, since a run of it is
-// known to have gone on for longest.
+// isRefuted reports whether a crash at that age is not the task's doing, by the longest time for
+// which a run of it is known to have gone on.
 func isRefuted(age, longest time.Duration) bool { return age+ageScatter < longest }
 
 // openCrash is a crash of which it is not known whether its worker has ended.
@@ -62,9 +62,9 @@
 func (p *Planner) await(c *Crash) { p.awaited[c.Worker], p.awaited[c.Address] = true, true }
 
 // isProof reports whether the crashes under a task, the newest of which was alone with it,
-// prove it to be the cause. Those that a run refutes which is known to have gone on for longest
-// say nothing. With assumeEnded, those whose fate is open count as well. A rate of crashes that has become known since the older
-// ones counts for these too.
+// prove it to be the cause. Those that the longest run of the task refutes say nothing. With
+// assumeEnded, those whose fate is open count as well. A rate of crashes that has become known
+// since the older ones counts for these too.
 func (p *Planner) isProof(crashes []Crash, longest time.Duration, assumeEnded bool, now time.Duration) bool {
 	if len(crashes) < minPrompt {
 		return false
