--- a/planner/decide.go
+++ b/planner/decide.go
@@ -37,6 +37,7 @@
 	Incarnation int64         // of a start: of the worker, as known now
 	Separate    bool          // of a start: nothing else may start on the worker beside it
 	Gang        bool          // of a start: of a member of a gang
+	Repeated    bool          // of a start: an earlier owner may have ordered the run too
 }
 
 // Job returns the id of the job of a start or a stop.
@@ -92,6 +93,7 @@
 	}
 	p.startsLeft, p.startsDeferred = p.startLimit, false
 	p.keepSeparate(now)
+	p.repeatStarts(now)
 	candidates := p.candidates(now)
 	for _, s := range p.waitingSuspects(candidates, now) {
 		p.placeSuspects(s.step, s.candidate, now)
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -197,6 +197,9 @@
 		if r.mayComeLate(status.SentAt) {
 			r.absent = true
 			p.abandonGang(r)
+			if r.mayRepeat() {
+				p.repeatable = append(p.repeatable, r)
+			}
 			continue
 		}
 		// Either the run was confirmed before the heartbeat and the worker no longer has
@@ -254,6 +257,9 @@
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
 		r.progress, r.progressAt = e.Progress, now
 		r.crash, r.started, r.listed = nil, true, named
+		if now >= r.earlierUntil {
+			r.earlierUntil = 0
+		}
 		p.settle(r)
 		r.observeRun(sentAt)
 		p.observeSurvival(r, false, now)
@@ -360,10 +366,15 @@
 	r.step.removeRun(r)
 }
 
-// endRun releases a run and applies its end to its task.
+// endRun releases a run and applies its end to its task. A repeated run is held as long as the
+// order of an earlier owner may still be executed.
 func (p *Planner) endRun(r *run, result, checkpoint string, now time.Duration) {
-	p.release(r)
 	s := r.step
+	if now < r.earlierUntil && s.occurrence.job.finalState == "" {
+		r.holdRepeated()
+	} else {
+		p.release(r)
+	}
 	if s.occurrence.job.finalState != "" {
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -39,6 +39,7 @@
 	losses          []Loss          // of workers in the last maxRateSpan
 	newLosses       []Loss          // since the last TakeLosses
 	newSettled      []Settled       // since the last TakeSettled
+	repeatable      []*run          // found absent since the last decision; may have been released since
 	separateWorkers int             // workers that are kept for suspects, or have separate runs, in the current decision
 	maxKept         int             // limit of separateWorkers for keeping one more worker that is not empty
 	maxSeparate     int             // limit of separateWorkers for using one more worker that is empty
--- a/planner/record.go
+++ b/planner/record.go
@@ -36,11 +36,12 @@
 	Incarnation int64 `cbor:"4,keyasint,omitempty"` // of the worker, as known to the owner
 	Separate    bool  `cbor:"5,keyasint,omitempty"` // nothing else may start on the worker beside it
 	Ticket      bool  `cbor:"6,keyasint,omitempty"` // the order carries a ticket
+	Repeated    bool  `cbor:"7,keyasint,omitempty"` // an earlier owner has ordered the run too
 }
 
 // Begin returns the journal's entry for a start.
 func (a Action) Begin() Begin {
-	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate, Ticket: a.Ticket != ""}
+	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate, Ticket: a.Ticket != "", Repeated: a.Repeated}
 }
 
 // Record is one change in the journal. Replaying it twice, or onto a state that
@@ -129,6 +130,7 @@
 	StartedAt    int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 	Ticket       bool    `cbor:"23,keyasint,omitempty"` // the order of the run on Worker carries a ticket
 	Settled      bool    `cbor:"24,keyasint,omitempty"` // the start of the run on Worker is settled
+	Repeated     bool    `cbor:"25,keyasint,omitempty"` // more than one owner may have ordered the run on Worker
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -179,7 +181,7 @@
 					}
 					newest = r.number
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
-					entry.Ticket, entry.Settled = r.ticket, r.settled
+					entry.Ticket, entry.Settled, entry.Repeated = r.ticket, r.settled, r.repeated
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
 				}
 				if entry.Number < t.lastRun {
@@ -266,7 +268,7 @@
 	p.restoreCrashes(st, t, now, wall)
 	st.setSuspect(t.Index, t.Suspect)
 	if t.Worker != "" {
-		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate, Ticket: t.Ticket}, startedAt, t.Settled)
+		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate, Ticket: t.Ticket, Repeated: t.Repeated}, startedAt, t.Settled)
 	}
 	if t.Done {
 		p.markDone(st, t.Index)
@@ -303,7 +305,7 @@
 	}
 	r := &run{
 		step: s, taskIndex: index, number: b.Number, worker: p.worker(b.Worker), size: s.spec.Size, phase: phaseInherited,
-		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled,
+		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled, repeated: b.Repeated,
 	}
 	if len(t.runs) == 0 && !t.done {
 		s.waitingTasks--
@@ -360,6 +362,7 @@
 		}
 	}
 	for _, b := range r.Begins {
+		p.replayRepeated(b)
 		if st, index := p.stepForReplay(b.Task, now, wall); st != nil && b.Number > st.tasks[index].lastRun && !st.tasks[index].done {
 			p.addInheritedRun(st, index, b, at, false)
 		}
@@ -426,7 +429,11 @@
 		t.checkpoint = e.Checkpoint
 	}
 	for _, r := range slices.Clone(t.runs) {
-		if r.number == e.Number {
+		switch {
+		case r.number != e.Number:
+		case r.repeated && !r.settled:
+			r.repeatTried = true // it has ended, but the order of an earlier owner may still come
+		default:
 			p.release(r)
 		}
 	}
--- a/planner/settled.go
+++ b/planner/settled.go
@@ -22,7 +22,7 @@
 // settle notes that the order of a run can't be executed any more. That of one with a ticket
 // needs no note: no other incarnation executes it.
 func (p *Planner) settle(r *run) {
-	if r.settled || r.ticket || r.step.unknown {
+	if r.settled || r.ticket || r.step.unknown || r.earlierUntil != 0 {
 		return
 	}
 	r.settled = true
@@ -85,4 +85,7 @@
 		return
 	}
 	r.lateUntil, r.lateLeaseExpiry = now+maxOrderDelay, leaseExpiry+maxOrderDelay
+	if r.repeated {
+		r.earlierUntil = r.lateUntil
+	}
 }
--- a/planner/settled_test.go
+++ b/planner/settled_test.go
@@ -17,6 +17,12 @@
 // newInheritedFixture changes the owner after the start, which got that outcome, if any. The
 // journal has a record that was written after it.
 func newInheritedFixture(t *testing.T, ticket bool, outcome Outcome, snapshot bool) *inheritedFixture {
+	t.Helper()
+	return newInheritedFixtureOf(t, newStep(1), ticket, outcome, snapshot)
+}
+
+// newInheritedFixtureOf does the same with a job of that step.
+func newInheritedFixtureOf(t *testing.T, step StepSpec, ticket bool, outcome Outcome, snapshot bool) *inheritedFixture {
 	t.Helper()
 	queue := Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: second}
 	if ticket {
@@ -24,7 +30,7 @@
 	}
 	f := &inheritedFixture{lateFixture: &lateFixture{fixture: newFixture(t, 1, queue)}}
 	f.now = second
-	f.submit("j", newStep(1))
+	f.submit("j", step)
 	if ticket {
 		f.advise()
 	}
