planner: Lasting tasks are ordered again after an unanswered start of the same owner too (LOST)

What callers saw, by reading (docs/incidents/late.md): on a queue without advice, a lasting task whose start got no answer had nothing running for 16.6 s, since the start is stopped and held. Change: such a run is not stopped; it is ordered again at the same worker each time that this has answered without it. Once the worker lists it, its order is settled, unless another one may still come. Tests: TestLastingTaskIsOrderedUntilAnswered is new.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -37,7 +37,7 @@
 	Incarnation int64         // of a start: of the worker, as known now
 	Separate    bool          // of a start: nothing else may start on the worker beside it
 	Gang        bool          // of a start: of a member of a gang
-	Repeated    bool          // of a start: an earlier owner may have ordered the run too
+	Repeated    bool          // of a start: the run was ordered before
 }
 
 // Job returns the id of the job of a start or a stop.
--- a/planner/job.go
+++ b/planner/job.go
@@ -127,9 +127,9 @@
 	ticket            bool          // its order carries a ticket, so that no other incarnation of its worker executes it
 	settled           bool          // its order can't be executed any more; not maintained with a ticket
 	lateUntil         time.Duration // until when an incarnation of its worker may still carry its start out; 0 if none may but the known one
-	earlierUntil      time.Duration // as lateUntil, for the order of an earlier owner once this owner has repeated it; else 0
-	repeated          bool          // more than one owner may have ordered it
-	repeatTried       bool          // this owner has repeated the order, or the worker would refuse that
+	earlierUntil      time.Duration // as lateUntil, for earlier orders once the order is repeated; else 0
+	repeated          bool          // it may have been ordered more than once
+	repeatTried       bool          // the order was repeated, or its repetition would be refused
 	lateLeaseExpiry   time.Duration // when the lease of a start that was carried out at lateUntil has certainly expired; else 0
 	absent            bool          // the known incarnation of the worker refuses its start, and did not list it afterwards
 	startedAt         time.Duration // when its start was ordered, or written to the journal if inherited
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -65,6 +65,10 @@
 		w.noteUnansweredLease()
 		if a.Ticket == "" {
 			r.holdLateStart()
+			if r.isRepeatable() {
+				r.awaitRepeat()
+				return
+			}
 		}
 		r.phase = phaseUnanswered
 		p.abandon(r)
@@ -366,8 +370,8 @@
 	r.step.removeRun(r)
 }
 
-// endRun releases a run and applies its end to its task. A repeated run is held as long as the
-// order of an earlier owner may still be executed.
+// endRun releases a run and applies its end to its task. A repeated run is held as long as
+// an earlier order may still be executed.
 func (p *Planner) endRun(r *run, result, checkpoint string, now time.Duration) {
 	s := r.step
 	if now < r.earlierUntil && s.occurrence.job.finalState == "" {
--- a/planner/record.go
+++ b/planner/record.go
@@ -36,7 +36,7 @@
 	Incarnation int64 `cbor:"4,keyasint,omitempty"` // of the worker, as known to the owner
 	Separate    bool  `cbor:"5,keyasint,omitempty"` // nothing else may start on the worker beside it
 	Ticket      bool  `cbor:"6,keyasint,omitempty"` // the order carries a ticket
-	Repeated    bool  `cbor:"7,keyasint,omitempty"` // an earlier owner has ordered the run too
+	Repeated    bool  `cbor:"7,keyasint,omitempty"` // the run was ordered before
 }
 
 // Begin returns the journal's entry for a start.
@@ -130,7 +130,7 @@
 	StartedAt    int64   `cbor:"17,keyasint,omitempty"` // Unix ms at which the run on Worker was ordered
 	Ticket       bool    `cbor:"23,keyasint,omitempty"` // the order of the run on Worker carries a ticket
 	Settled      bool    `cbor:"24,keyasint,omitempty"` // the start of the run on Worker is settled
-	Repeated     bool    `cbor:"25,keyasint,omitempty"` // more than one owner may have ordered the run on Worker
+	Repeated     bool    `cbor:"25,keyasint,omitempty"` // the run on Worker may have been ordered more than once
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -432,7 +432,7 @@
 		switch {
 		case r.number != e.Number:
 		case r.repeated && !r.settled:
-			r.repeatTried = true // it has ended, but the order of an earlier owner may still come
+			r.repeatTried = true // it has ended, but an earlier order may still come
 		default:
 			p.release(r)
 		}
--- a/planner/repeated.go
+++ b/planner/repeated.go
@@ -2,22 +2,35 @@
 
 import "time"
 
-// A task that lasts may not wait until the unsettled start of an earlier owner can't be executed
-// any more (settled.go). Its new owner orders the same run at the same worker again: whichever
-// order an incarnation of that worker executes, the task runs there and nowhere else. The run is
-// held until the earlier order can't be executed any more, even if it ends before. Other tasks
-// can't be ordered so, as the earlier order might be executed after the run has ended done.
+// A task that lasts may not wait until a start without an answer, of this owner or an earlier one
+// (settled.go), can't be executed any more. The same run is ordered at the same worker again:
+// whichever order an incarnation of that worker executes, the task runs there and nowhere else.
+// The run is held until the earlier order can't be executed any more, even if it ends before.
+// Other tasks can't be ordered so, as the earlier order might be executed after the run has ended
+// done.
 
-// mayRepeat reports whether this owner may order an inherited run again. Its worker is fenced, and
-// does not have it.
-func (r *run) mayRepeat() bool {
+// isRepeatable reports whether the run may be ordered more than once.
+func (r *run) isRepeatable() bool {
 	s := r.step
-	return r.phase == phaseInherited && r.absent && !r.obsolete && !r.repeatTried && !r.separate && r.crash == nil &&
-		!s.unknown && s.spec.LongRunning && !s.spec.Gang && s.occurrence.job.finalState == "" && !s.tasks[r.taskIndex].crashes.suspect
+	return !r.obsolete && !r.separate && r.crash == nil && !s.unknown && s.spec.LongRunning && !s.spec.Gang &&
+		s.occurrence.job.finalState == "" && !s.tasks[r.taskIndex].crashes.suspect
+}
+
+// mayRepeat reports whether the run may be ordered again now: its worker has answered without it.
+func (r *run) mayRepeat() bool {
+	return r.phase == phaseInherited && r.absent && !r.repeatTried && r.isRepeatable()
+}
+
+// awaitRepeat makes a run whose start got no answer wait for its repetition, as an inherited one.
+func (r *run) awaitRepeat() {
+	r.phase, r.repeatTried = phaseInherited, false
+	if r.repeated {
+		r.earlierUntil = r.lateUntil
+	}
 }
 
 // repeatStarts orders the runs again whose workers were found without them since the last
-// decision, if tasks may start there.
+// decision, where tasks may start.
 func (p *Planner) repeatStarts(now time.Duration) {
 	runs := p.repeatable
 	p.repeatable = nil
@@ -39,19 +52,19 @@
 	p.startsLeft--
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(r.taskIndex), Number: r.number, Payload: s.occurrence.job.spec.Payload,
-		Checkpoint: s.tasks[r.taskIndex].checkpoint, Queue: s.occurrence.job.spec.Queue, Reason: "the order of an earlier owner is open",
+		Checkpoint: s.tasks[r.taskIndex].checkpoint, Queue: s.occurrence.job.spec.Queue, Reason: "an earlier order got no answer",
 		Incarnation: w.reg.Incarnation, Repeated: true,
 	})
 }
 
-// holdRepeated holds a repeated run that has ended until the order of the earlier owner can't be
-// executed any more.
+// holdRepeated holds a repeated run that has ended until the earlier order can't be executed any
+// more.
 func (r *run) holdRepeated() {
 	r.phase, r.lateUntil, r.incarnation = phaseInherited, r.earlierUntil, r.worker.reg.Incarnation
 	r.started, r.listed, r.absent, r.stopOrdered, r.crash = false, false, false, false, nil
 }
 
-// replayRepeated applies a start of the journal that repeats one of an earlier owner.
+// replayRepeated applies a start of the journal that repeats another one.
 func (p *Planner) replayRepeated(b Begin) {
 	st, index := p.stepOf(b.Task)
 	if st == nil || !b.Repeated {
--- a/planner/repeated_test.go
+++ b/planner/repeated_test.go
@@ -111,6 +111,48 @@
 	})
 }
 
+// TestLastingTaskIsOrderedUntilAnswered checks the same with an order of the present owner: it is
+// repeated each time that the worker has answered without the run, and held no longer than needed.
+func TestLastingTaskIsOrderedUntilAnswered(t *testing.T) {
+	newUnanswered := func(t *testing.T) *inheritedFixture {
+		f := &inheritedFixture{lateFixture: &lateFixture{fixture: newFixture(t, 1)}}
+		f.now = second
+		step := newStep(1)
+		step.LongRunning = true
+		f.submit("j", step)
+		f.start = f.decide()[0]
+		f.addWorker("w1")
+		f.p.MarkOrdered(f.start, f.now)
+		f.p.ReportStart(f.start, Unknown, f.now)
+		f.tookOverAt = f.now
+		f.assertNoStart()
+		f.now += second
+		return f
+	}
+	t.Run("it is repeated twice", func(t *testing.T) {
+		f := newUnanswered(t)
+		f.answer(1, f.now)
+		f.repeat(Unknown)
+		f.assertNoStart()
+		f.now += second
+		f.answer(1, f.now)
+		f.repeat(Accepted)
+		f.tookOverAt = f.now - second // of the last order without an answer
+		f.list(1)
+		f.restartWorker("w0", 2)
+		f.assertHeld(2)
+	})
+	t.Run("the order was executed", func(t *testing.T) {
+		f := newUnanswered(t)
+		f.list(1)
+		f.Assert(f.decide(), quicktest.HasLen, 0)
+		f.listEnd(f.start, 1, RunFailed)
+		starts := f.restarts()
+		f.Assert(starts, quicktest.HasLen, 1)
+		f.Assert(starts[0].Repeated, quicktest.IsFalse)
+	})
+}
+
 // TestRepeatedStartUnderNextOwner checks that the next owner knows of both orders: that a worker lists
 // the run does not tell which of them it has executed (TWICE).
 func TestRepeatedStartUnderNextOwner(t *testing.T) {
