planner: An owner repeats the order of a lasting task three times at most (LOST)

Cause: by reading, repeated an order for ever at a worker that answers heartbeats and loses each order, and the task never started elsewhere. Change: maxRepeats; after that the run is stopped and held as any other, and the task starts where there is room. Test: TestLastingTaskIsOrderedUntilAnswered, subtest "no order is answered"; by reading it would not end without the bound, which was not run.

--- a/planner/job.go
+++ b/planner/job.go
@@ -129,7 +129,7 @@
 	lateUntil         time.Duration // until when an incarnation of its worker may still carry its start out; 0 if none may but the known one
 	earlierUntil      time.Duration // as lateUntil, for earlier orders once the order is repeated; else 0
 	repeated          bool          // it may have been ordered more than once
-	repeatTried       bool          // the order was repeated, or its repetition would be refused
+	repeats           int           // how often this owner has repeated the order; maxRepeats if that would be refused
 	lateLeaseExpiry   time.Duration // when the lease of a start that was carried out at lateUntil has certainly expired; else 0
 	absent            bool          // the known incarnation of the worker refuses its start, and did not list it afterwards
 	startedAt         time.Duration // when its start was ordered, or written to the journal if inherited
--- a/planner/record.go
+++ b/planner/record.go
@@ -432,7 +432,7 @@
 		switch {
 		case r.number != e.Number:
 		case r.repeated && !r.settled:
-			r.repeatTried = true // it has ended, but an earlier order may still come
+			r.repeats = maxRepeats // it has ended, but an earlier order may still come
 		default:
 			p.release(r)
 		}
--- a/planner/repeated.go
+++ b/planner/repeated.go
@@ -9,21 +9,25 @@
 // Other tasks can't be ordered so, as the earlier order might be executed after the run has ended
 // done.
 
-// isRepeatable reports whether the run may be ordered more than once.
+// maxRepeats is how often an owner orders a run again. A worker that answers heartbeats may lose each
+// order; the task has to start elsewhere then.
+const maxRepeats = 3
+
+// isRepeatable reports whether the run may be ordered once more.
 func (r *run) isRepeatable() bool {
 	s := r.step
-	return !r.obsolete && !r.separate && r.crash == nil && !s.unknown && s.spec.LongRunning && !s.spec.Gang &&
+	return r.repeats < maxRepeats && !r.obsolete && !r.separate && r.crash == nil && !s.unknown && s.spec.LongRunning && !s.spec.Gang &&
 		s.occurrence.job.finalState == "" && !s.tasks[r.taskIndex].crashes.suspect
 }
 
 // mayRepeat reports whether the run may be ordered again now: its worker has answered without it.
 func (r *run) mayRepeat() bool {
-	return r.phase == phaseInherited && r.absent && !r.repeatTried && r.isRepeatable()
+	return r.phase == phaseInherited && r.absent && r.isRepeatable()
 }
 
 // awaitRepeat makes a run whose start got no answer wait for its repetition, as an inherited one.
 func (r *run) awaitRepeat() {
-	r.phase, r.repeatTried = phaseInherited, false
+	r.phase = phaseInherited
 	if r.repeated {
 		r.earlierUntil = r.lateUntil
 	}
@@ -45,7 +49,8 @@
 // repeatStart adds the Start of an inherited run to the actions.
 func (p *Planner) repeatStart(r *run, now time.Duration) {
 	s, w := r.step, r.worker
-	r.repeated, r.repeatTried = true, true
+	r.repeated = true
+	r.repeats++
 	r.earlierUntil, r.lateUntil = r.lateUntil, 0
 	r.phase, r.absent, r.decidedAt, r.startedAt, r.incarnation = phaseDecided, false, now, now, w.reg.Incarnation
 	s.startedAt = now
@@ -62,6 +67,7 @@
 func (r *run) holdRepeated() {
 	r.phase, r.lateUntil, r.incarnation = phaseInherited, r.earlierUntil, r.worker.reg.Incarnation
 	r.started, r.listed, r.absent, r.stopOrdered, r.crash = false, false, false, false, nil
+	r.repeats = maxRepeats // the worker refuses a run that has ended there
 }
 
 // replayRepeated applies a start of the journal that repeats another one.
--- a/planner/repeated_test.go
+++ b/planner/repeated_test.go
@@ -142,6 +142,22 @@
 		f.restartWorker("w0", 2)
 		f.assertHeld(2)
 	})
+	t.Run("no order is answered", func(t *testing.T) {
+		f := newUnanswered(t)
+		for range maxRepeats {
+			f.answer(1, f.now)
+			f.repeat(Unknown)
+			f.now += second
+		}
+		f.answer(1, f.now)
+		f.tookOverAt = f.now - second
+		for _, a := range f.decide() {
+			f.Assert(a.Kind, quicktest.Equals, Stop)
+			f.p.ReportStop(a, true, f.now)
+		}
+		f.now++
+		f.assertHeld(1)
+	})
 	t.Run("the order was executed", func(t *testing.T) {
 		f := newUnanswered(t)
 		f.list(1)
