relayer: Relay calls to the store through large VMs first

Change: of the peers that have not failed lately, those with at least half of the processor of the largest are used.

--- a/claimer/member.go
+++ b/claimer/member.go
@@ -21,10 +21,25 @@
 }
 
 // Member is a registered entry VM.
-type Member struct{ id, address, centre string }
+type Member struct {
+	id, address, centre string
+	processor           float64 // part of a core that the VM may use; 0 if unknown
+}
+
+// MemberOption configures a Member.
+type MemberOption func(*Member)
+
+// WithMemberProcessor sets the part of a core that the VM may use.
+func WithMemberProcessor(share float64) MemberOption { return func(m *Member) { m.processor = share } }
 
 // NewMember returns an entry VM that its peers call at address.
-func NewMember(id, address, centre string) Member { return Member{id, address, centre} }
+func NewMember(id, address, centre string, options ...MemberOption) Member {
+	m := Member{id: id, address: address, centre: centre}
+	for _, option := range options {
+		option(&m)
+	}
+	return m
+}
 
 // ID returns the id of the VM.
 func (m Member) ID() string { return m.id }
@@ -32,6 +47,9 @@
 // Address returns the address at which peers call the VM.
 func (m Member) Address() string { return m.address }
 
+// Processor returns the part of a core that the VM may use, 0 if unknown.
+func (m Member) Processor() float64 { return m.processor }
+
 // Centre returns the data centre of the VM.
 func (m Member) Centre() string { return m.centre }
 
@@ -97,4 +115,6 @@
 // the list.
 func (c *Claimer) Members() []Member { return c.roster.list() }
 
-func (r record) member() Member { return Member{r.ID, r.Address, r.Centre} }
+func (r record) member() Member {
+	return NewMember(r.ID, r.Address, r.Centre, WithMemberProcessor(r.Processor))
+}
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,8 +44,8 @@
 	r.failures.failedAt[id] = now
 }
 
-// choosePeer returns a random peer that has not failed lately, else the one whose failure
-// is the oldest.
+// choosePeer returns a random one of the large peers that have not failed lately, else the one
+// whose failure is the oldest.
 func (r *Relayer) choosePeer() (claimer.Member, bool) {
 	now := r.now()
 	r.failures.mu.Lock()
@@ -64,11 +65,23 @@
 		}
 	}
 	if len(usable) > 0 {
+		usable = largePeers(usable)
 		return usable[rand.IntN(len(usable))], true
 	}
 	return oldest, found
 }
 
+// largePeers returns those peers that have at least half of the processor of the largest one.
+// Small VMs have narrow links too: the journal of 350 workers writes about 1 MB/s in a burst,
+// which fills a link of 10 Mbit/s, and then no start is recorded in time.
+func largePeers(peers []claimer.Member) []claimer.Member {
+	largest := 0.0
+	for _, m := range peers {
+		largest = max(largest, m.Processor())
+	}
+	return slices.DeleteFunc(peers, func(m claimer.Member) bool { return 2*m.Processor() < largest })
+}
+
 // callPeers makes a call through a peer, or through another one if the first did not carry
 // it out. It returns ErrUnavailable if the call was not carried out. It does so too if the
 // outcome of a read, a renewal or a revocation is unknown, since these may be repeated.
--- a/relayer/peers_test.go
+++ b/relayer/peers_test.go
@@ -225,3 +225,25 @@
 		c.Check(puts, quicktest.Equals, test.wantPuts)
 	}
 }
+
+// TestLargePeersFirst guards against a journal that is relayed through a VM with a narrow link
+// while a large VM could relay it.
+func TestLargePeersFirst(t *testing.T) {
+	c := quicktest.New(t)
+	member := func(id string, processor float64) claimer.Member {
+		return claimer.NewMember(id, id+":1", "c", claimer.WithMemberProcessor(processor))
+	}
+	r := newWithPeers(t, member("small", 0.192), member("large", 0.8), member("medium", 0.48), member("unknown", 0))
+	chosen := map[string]bool{}
+	for range 100 {
+		peer, found := r.choosePeer()
+		c.Assert(found, quicktest.IsTrue)
+		chosen[peer.ID()] = true
+	}
+	c.Assert(chosen, quicktest.DeepEquals, map[string]bool{"large": true, "medium": true})
+	r.avoidPeer("large")
+	r.avoidPeer("medium")
+	peer, _ := r.choosePeer()
+	c.Assert(peer.ID(), quicktest.Equals, "small")
+	c.Assert(len(largePeers([]claimer.Member{member("a", 0), member("b", 0)})), quicktest.Equals, 2)
+}
