planner: Place tasks by the learned speed of workers

On fleets of uneven workers, urgent tasks land on slow ones by chance, and their jobs are late although fast workers are free.

The new module profiler compares the finished runs of each step with each other and classes workers as fast, usual or slow once their factors predict later runs significantly. Urgent steps take and ask for fast workers first, other steps leave them free as far as they are in time nevertheless.

Passed: go test of planner, conductor and runner. The effect is not measured yet.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,7 @@
 	hasLargerPeer func() bool
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
+	learnSpeeds   bool
 	calibrator    *Calibrator
 	log           hclog.Logger
 	registry      metrics.Registry
@@ -98,6 +99,9 @@
 // duration that workers accept.
 func WithLease(d time.Duration) Option { return func(c *Conductor) { c.leaseDuration = d } }
 
+// WithLearnedSpeeds sets whether tasks are placed by how fast workers have been.
+func WithLearnedSpeeds(on bool) Option { return func(c *Conductor) { c.learnSpeeds = on } }
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option {
 	return func(c *Conductor) { c.log = log.Named("conductor") }
@@ -163,7 +167,7 @@
 		c.calibrator = NewCalibrator(c.now)
 	}
 	c.metrics = newOwnerMetrics(c.registry)
-	c.planner = planner.New()
+	c.planner = planner.New(planner.WithLearnedSpeeds(c.learnSpeeds))
 	c.balancer = newAdviceBalancer()
 	journal, err := journaler.New(store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
@@ -229,6 +233,8 @@
 	}
 	c.metrics.pending.Update(0)
 	c.metrics.pendingOrdered.Update(0)
+	c.metrics.fastWorkers.Update(0)
+	c.metrics.slowWorkers.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -362,6 +368,9 @@
 	defer c.mu.Unlock()
 	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
 	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
+	fast, slow := c.planner.SpeedClasses()
+	c.metrics.fastWorkers.Update(int64(fast))
+	c.metrics.slowWorkers.Update(int64(slow))
 }
 
 // sweep removes deregistered workers and ended jobs past their retention, and persists
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -8,6 +8,7 @@
 	accepted, refused, unavailable               metrics.Counter // submitted jobs
 	completed, failed, cancelled                 metrics.Counter // ended jobs
 	pending, pendingOrdered                      metrics.Gauge   // jobs of which no task has begun; of these, those with a decided start
+	fastWorkers, slowWorkers                     metrics.Gauge   // workers known to be faster and slower than most
 	starts, stops                                metrics.Counter // orders that the planner decided on
 	startsAccepted, startsRefused, startsUnknown metrics.Counter // outcomes of start orders
 	runsEnded                                    metrics.Counter // ended runs that workers reported
@@ -30,6 +31,8 @@
 		cancelled:         metrics.GetOrRegisterCounter("jobs.cancelled", r),
 		pending:           metrics.GetOrRegisterGauge("jobs.pending", r),
 		pendingOrdered:    metrics.GetOrRegisterGauge("jobs.pending.ordered", r),
+		fastWorkers:       metrics.GetOrRegisterGauge("workers.fast", r),
+		slowWorkers:       metrics.GetOrRegisterGauge("workers.slow", r),
 		starts:            metrics.GetOrRegisterCounter("orders.starts", r),
 		stops:             metrics.GetOrRegisterCounter("orders.stops", r),
 		startsAccepted:    metrics.GetOrRegisterCounter("starts.begun", r),
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -136,7 +136,7 @@
 	cost := s.occurrence.job.queue.AdviceCost
 	workers, reason := s.renewableTickets(room, now), "tickets have run out"
 	if len(workers) == 0 && !p.requestsSuffice(s) {
-		workers, reason = p.unqueried(s, cost), "not known which workers are allowed"
+		workers, reason = p.unqueried(s, cost, urgent, room), "not known which workers are allowed"
 		if !s.spec.Gang && s.hasWaitingSuspect() && s.knowsEligible() && !slices.ContainsFunc(workers, func(w *worker) bool { return room(w) > 0 }) {
 			workers = nil // a suspect knows a worker to be emptied for it, and could not use these
 		}
@@ -235,8 +235,9 @@
 }
 
 // unqueried returns workers about which the step has no advice and no request in
-// flight, those with the most free CPU first.
-func (p *Planner) unqueried(s *step, cost *AdviceCost) []*worker {
+// flight, those with the most free CPU first. Urgent steps name fast workers with room before
+// these.
+func (p *Planner) unqueried(s *step, cost *AdviceCost, urgent bool, room func(*worker) int) []*worker {
 	limit := maxQueried
 	if cost.PerWorker > 0 {
 		limit = int(workerCostFactor * float64(cost.Base) / float64(cost.PerWorker))
@@ -246,12 +247,22 @@
 	if len(s.advice.known) >= len(workers) {
 		return nil
 	}
-	var found []*worker
+	found := make([]*worker, 0, limit)
+	if urgent && p.isUneven() {
+		found = s.appendUnqueried(found, limit, p.bySpeed(), func(w *worker) bool { return room(w) > 0 })
+		return s.appendUnqueried(found, limit, workers, func(w *worker) bool { return !slices.Contains(found, w) })
+	}
+	return s.appendUnqueried(found, limit, workers, func(*worker) bool { return true })
+}
+
+// appendUnqueried appends workers that match and that unqueried may return, in their order and up
+// to the limit.
+func (s *step) appendUnqueried(found []*worker, limit int, workers []*worker, match func(*worker) bool) []*worker {
 	for _, w := range workers {
-		if len(found) == limit {
+		if len(found) >= limit {
 			break
 		}
-		if s.mayUse(w) && s.spec.Size.Fits(w.reg.Capacity) && !s.advice.knows(w) && !s.advice.queried[w] {
+		if s.mayUse(w) && s.spec.Size.Fits(w.reg.Capacity) && !s.advice.knows(w) && !s.advice.queried[w] && match(w) {
 			found = append(found, w)
 		}
 	}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -91,6 +91,7 @@
 			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU())
 		}
 	}
+	p.classifyWorkers(now)
 	p.startsLeft, p.startsDeferred = p.startLimit, false
 	p.keepSeparate(now)
 	p.repeatStarts(now)
@@ -265,7 +266,7 @@
 		if !s.occurrence.job.team.allows(s.spec.Size, 1) {
 			return
 		}
-		w := p.bestFit(s, now)
+		w := p.bestFit(s, c, now)
 		if w == nil {
 			p.requestAdvice(s, c, now)
 			if s.spec.LongRunning {
@@ -279,22 +280,25 @@
 
 // bestFit returns the worker on which one task of the step leaves the least CPU free,
 // so that large gaps stay for large tasks. Workers in the step's preferred rack go
-// first. It returns nil if the task fits on no usable worker.
-func (p *Planner) bestFit(s *step, now time.Duration) *worker {
+// first, and then those whose speed it prefers. It returns nil if the task fits on no usable
+// worker.
+func (p *Planner) bestFit(s *step, c candidate, now time.Duration) *worker {
 	var best *worker
 	var bestLeft int64
-	bestInRack := false
+	bestInRack, bestPlace := false, 0
 	if s.spec.Size.CPU() > p.maxFreeCPU {
 		return nil
 	}
+	preference := p.preferenceOf(s, c)
 	for w := range p.usableWorkers(s, now) {
 		if !s.spec.Size.Fits(w.free()) || !s.belowMaxPerWorker(w, 0) {
 			continue
 		}
 		inRack := s.spec.Rack != "" && w.hasLabel(s.spec.Rack)
+		place := preference.place(w)
 		left := w.free().Sub(s.spec.Size).CPU()
-		if best == nil || inRack && !bestInRack || inRack == bestInRack && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID) {
-			best, bestLeft, bestInRack = w, left, inRack
+		if best == nil || inRack && !bestInRack || inRack == bestInRack && (place < bestPlace || place == bestPlace && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID)) {
+			best, bestLeft, bestInRack, bestPlace = w, left, inRack, place
 		}
 	}
 	return best
@@ -356,6 +360,7 @@
 	t := &s.tasks[index]
 	j := s.occurrence.job
 	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now, startedAt: now, incarnation: w.reg.Incarnation}
+	r.resumed = t.checkpoint != ""
 	ticket := s.advice.ticketText(w)
 	r.ticket = ticket != ""
 	t.lastRun = number
@@ -367,7 +372,7 @@
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
-	reason := "room"
+	reason := w.startReason()
 	if separate {
 		if w.separateRuns == 0 && w.keptFor == nil {
 			p.separateWorkers++
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -214,6 +214,7 @@
 // setIncarnation replaces the known incarnation of a worker.
 func (p *Planner) setIncarnation(w *worker, incarnation int64, now time.Duration) {
 	known := w.reg.Incarnation
+	w.speed = nil
 	w.reg.Incarnation, w.incarnationSeenAt, w.doubted = incarnation, now, 0
 	if w.doubtedEntry.Incarnation == incarnation {
 		w.applyEntry(w.doubtedEntry)
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -26,7 +26,7 @@
 	if s.waitingTasks < len(s.tasks) || !s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
 		return // members of an earlier run have not ended, or the gang is over the team's limit
 	}
-	placements := p.findPlacements(s, len(s.tasks), s.fitCount, now)
+	placements := p.findPlacements(s, c, len(s.tasks), s.fitCount, now)
 	if placements == nil {
 		p.requestAdvice(s, c, now)
 		if c.rank != expiredRank {
@@ -67,8 +67,9 @@
 
 // findPlacements returns placements for that many tasks of a gang on usable workers, of
 // which each takes as many as room returns, nil if they don't all fit. If the gang prefers
-// one rack, it uses one that takes all of them, if any does.
-func (p *Planner) findPlacements(s *step, tasks int, room func(*worker) int, now time.Duration) []placement {
+// one rack, it uses one that takes all of them, if any does. Of the workers left, it uses those
+// whose speed it prefers.
+func (p *Planner) findPlacements(s *step, c candidate, tasks int, room func(*worker) int, now time.Duration) []placement {
 	if tasks == 0 || s.spec.Size.CPU() > p.maxFreeCPU {
 		return nil
 	}
@@ -91,6 +92,7 @@
 			placements = sameRack
 		}
 	}
+	placements = p.preferenceOf(s, c).preferred(placements, tasks)
 	// The largest first, so that the gang takes few workers.
 	slices.Reverse(placements)
 	return trimPlacements(placements, tasks)
--- a/planner/job.go
+++ b/planner/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthaven.example/placer"
+	"filberthaven.example/profiler"
 )
 
 // State is the state of a job as callers see it.
@@ -81,8 +82,9 @@
 	lastRun           int   // newest run number of any task
 	failedRuns        []int // numbers of the failed runs of a gang; empty if the step is none
 	advice            advice
-	startedAt         time.Duration // when the newest start of a task was decided by this owner, else 0
-	reportedAt        time.Duration // when TakeWaits last returned it, else 0
+	startedAt         time.Duration  // when the newest start of a task was decided by this owner, else 0
+	reportedAt        time.Duration  // when TakeWaits last returned it, else 0
+	peers             profiler.Group // finished runs whose times are not compared yet
 }
 
 // task is one task of a step.
@@ -136,6 +138,7 @@
 	incarnation       int64         // of the worker, the first that may have it: as known when the start was decided; 0 if unknown
 	listed            bool          // the known incarnation of the worker has listed it
 	started           bool          // the worker has answered the start or listed the run to this owner
+	resumed           bool          // it began from a checkpoint
 	separate          bool          // no run but those of its gang may be on its worker
 	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
 }
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -208,6 +208,7 @@
 		s.tasks[r.taskIndex].checkpoint = checkpoint
 	}
 	p.learnRunTime(r, result, now)
+	p.learnSpeed(r, result, now)
 	switch result {
 	case Done:
 		p.completeTask(s, r.taskIndex, r.number, now)
@@ -267,6 +268,7 @@
 		return
 	}
 	s.openPrerequisites = -1 // prevents finishing it twice
+	p.comparePeers(s, now)
 	o.finish(s)
 	if o.unfinished > 0 {
 		return
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"filberthaven.example/profiler"
 )
 
 // Planner holds the jobs, workers and teams of a fleet. It is not safe for
@@ -46,12 +48,14 @@
 	startLimit      int             // most starts in a decision
 	startsLeft      int             // of startLimit, in the current decision; below 0 after a gang
 	startsDeferred  bool            // whether the current decision has left starts to the next one
-	restoredAt      time.Duration   // when the state of earlier owners was restored, else 0
+	speeds          speeds
+	restoredAt      time.Duration // when the state of earlier owners was restored, else 0
 }
 
 // settings holds what options set.
 type settings struct {
-	retention time.Duration // how long the state of an ended job stays available
+	retention   time.Duration // how long the state of an ended job stays available
+	learnSpeeds bool          // how fast workers are is learned
 }
 
 // Option configures a Planner.
@@ -69,7 +73,7 @@
 	for _, option := range options {
 		option(&s)
 	}
-	return &Planner{
+	p := &Planner{
 		settings:       s,
 		queues:         map[string]Queue{},
 		teams:          map[string]*team{},
@@ -84,6 +88,10 @@
 		awaited:        map[string]bool{},
 		startLimit:     math.MaxInt,
 	}
+	if s.learnSpeeds {
+		p.speeds.profiler = profiler.New()
+	}
+	return p
 }
 
 // Version returns the version of the configuration in force, 0 before the first.
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -153,14 +153,14 @@
 		}
 	}
 	others = append(others, suspects[room:]...)
-	shared := p.findPlacements(s, len(others), func(w *worker) int {
+	shared := p.findPlacements(s, c, len(others), func(w *worker) int {
 		if taken[w] > 0 {
 			return 0
 		}
 		return s.fitCount(w)
 	}, now)
 	if shared == nil {
-		shared = p.findPlacements(s, len(others), func(w *worker) int { return s.fitCount(w) - taken[w] }, now)
+		shared = p.findPlacements(s, c, len(others), func(w *worker) int { return s.fitCount(w) - taken[w] }, now)
 	}
 	if shared == nil && len(others) > 0 {
 		p.requestAdvice(s, c, now)
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthaven.example/placer"
+	"filberthaven.example/profiler"
 )
 
 // Registration is a worker's entry in the platform's list.
@@ -56,6 +57,7 @@
 	lossNoted           bool          // the loss of its known incarnation counts towards the rate of crashes
 	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
+	speed               *profiler.Worker // of its known incarnation; nil if nothing is known
 }
 
 // runKey identifies a run on a worker.
