profiler: Recognise a change of speed in both directions

The mean followed a worker that had become slow and masked that it was fast again: after 8 slow runs, it took up to 43 usual ones. The recent eight runs are now compared with the runs before these, and the older ones are dropped on a change.

--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -68,6 +68,7 @@
 	starts   int
 	digest   io.Writer // gets each action
 	decideIn func(func())
+	runTime  func(a Action, estimate time.Duration) time.Duration // of a run, in full
 }
 
 // newReplay returns a replay of that part of the load on that number of workers.
@@ -81,6 +82,9 @@
 		idleAt: make([]time.Duration, max(1, int(replayVMs*scale))), serials: map[string]uint64{}, ends: map[string][]EndEntry{}, lasts: map[string]time.Duration{},
 		digest: io.Discard, decideIn: func(decide func()) { decide() },
 	}
+	r.runTime = func(_ Action, estimate time.Duration) time.Duration {
+		return time.Duration(float64(estimate.Milliseconds())*math.Exp(0.3*r.random.NormFloat64())) * time.Millisecond
+	}
 	var teams []Team
 	for n := range replayTeams {
 		teams = append(teams, Team{Name: "t" + strconv.Itoa(n), Weight: 100})
@@ -169,7 +173,7 @@
 	case Start:
 		r.starts++
 		s, _ := r.p.stepOf(a.Task)
-		runTime := time.Duration(float64(s.spec.Estimate)*math.Exp(0.3*r.random.NormFloat64())) * time.Millisecond
+		runTime := r.runTime(a, time.Duration(s.spec.Estimate)*time.Millisecond)
 		r.after(replayAnswer, func() { r.p.ReportStart(a, Accepted, r.now) })
 		r.after(replayAnswer+runTime, func() { r.end(a, Done) })
 	case Stop:
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -33,7 +33,7 @@
 	// decay is the part of its weight that an observation of a worker keeps at the next one.
 	decay = 0.97
 	// priorWeight is the weight of the assumption that a new worker is as fast as the others.
-	// It decays like an observation. A lasting one would pull the factors of workers that only
+	// It decays like an observation, and ends with the first change of speed. A lasting one would pull the factors of workers that only
 	// meet their like to 1 again and again.
 	priorWeight = 2
 	// maxDifference is the largest logarithm of the ratio of two run times that counts.
@@ -110,8 +110,8 @@
 				continue
 			}
 			difference += clamp(a.time - b.time)
-			predicted += a.worker.logFactor() - b.worker.logFactor()
-			residuals[i] += clamp(a.time-b.time+b.worker.logFactor()) / others
+			predicted += a.worker.mean - b.worker.mean
+			residuals[i] += clamp(a.time-b.time+b.worker.mean) / others
 		}
 		evidence += difference * predicted / others / others
 	}
@@ -121,7 +121,7 @@
 	p.noise, p.weight = noiseDecay*p.noise, noiseDecay*p.weight
 	for i, run := range runs {
 		if run.worker.runs >= minRuns {
-			deviation := residuals[i] - run.worker.logFactor()
+			deviation := residuals[i] - run.worker.mean
 			p.noise += weight * deviation * deviation
 			p.weight++
 		}
@@ -159,7 +159,7 @@
 			*w = Worker{}
 		}
 		if w.runs >= minRuns {
-			p.factors = append(p.factors, w.logFactor())
+			p.factors = append(p.factors, w.mean)
 		}
 	}
 	median := medianOf(p.factors)
--- a/profiler/worker.go
+++ b/profiler/worker.go
@@ -9,9 +9,9 @@
 	// recentRuns is the number of runs by which a change of speed is recognised: their
 	// median follows a change after five of them.
 	recentRuns = 8
-	// changeErrors and minChange are the least distance of that median from the factor, in standard
-	// errors of the median and as a logarithm, that is a change.
-	changeErrors, minChange = 4, 0.3
+	// changeErrors and minChange are the least distance of that median from the mean of the older
+	// runs that is a change, in standard errors and as a logarithm.
+	changeErrors, minChange = 3, 0.3
 	// medianError is the standard error of the median of n values times the square root of n,
 	// as a multiple of their standard deviation.
 	medianError = 1.25
@@ -26,14 +26,36 @@
 
 // Worker holds what is known of the speed of one incarnation of a worker.
 type Worker struct {
-	sum, weight float64 // of the residuals of its runs, which are logarithms of run times relative to those of others
-	squares     float64 // sum of the squared weights of the runs, each relative to a run of weight 1
-	recent      [recentRuns]float64
-	runs        int           // since the first; recent[(runs-1)%recentRuns] is of the newest
-	observedAt  time.Duration // when the newest run was compared
-	class       Class
-	factor      float64 // as of the last Classify; 0 before the first
-	slower      bool    // it is slow by its recent runs
+	older      evidence // of runs before the recent ones; without those before a change of speed
+	recent     [recentRuns]observation
+	runs       int           // since the first; recent[(runs-1)%recentRuns] is the newest one
+	observedAt time.Duration // when the newest run was compared
+	mean       float64       // of the residuals of older and recent runs
+	spread     float64       // standard error of mean, as a multiple of the deviation of a run of weight 1
+	class      Class
+	factor     float64 // as of the last Classify; 0 before the first
+	slower     bool    // it is slow by its recent runs
+}
+
+// observation is a run: the logarithm of its run time relative to those of others, and its weight.
+type observation struct{ residual, weight float64 }
+
+// evidence sums up observations with weights that decay.
+type evidence struct {
+	sum, weight float64 // of the residuals
+	squares     float64 // sum of the squared weights of the runs, as multiples of the one that a run of weight 1 has
+}
+
+// add adds an observation.
+func (e *evidence) add(o observation) {
+	e.sum += o.weight * o.residual
+	e.weight += o.weight
+	e.squares += o.weight
+}
+
+// decay reduces the weight of the observations so far.
+func (e *evidence) decay() {
+	e.sum, e.weight, e.squares = decay*e.sum, decay*e.weight, decay*decay*e.squares
 }
 
 // Class returns the class of the worker as of the last Classify.
@@ -48,41 +70,49 @@
 	return w.factor
 }
 
-// logFactor returns the mean of the residuals.
-func (w *Worker) logFactor() float64 {
-	if w.weight == 0 {
-		return 0
-	}
-	return w.sum / w.weight
-}
-
 // observe adds the residual of a run. The deviation is that of a run of weight 1.
 func (w *Worker) observe(residual, weight, deviation float64, now time.Duration) {
-	residual = clamp(residual)
-	if w.runs == 0 {
-		w.weight = priorWeight
+	newest := &w.recent[w.runs%recentRuns]
+	switch {
+	case w.runs == 0:
+		w.older.weight = priorWeight
+	case w.runs >= recentRuns:
+		w.older.decay()
+		w.older.add(*newest)
 	}
-	w.sum = decay*w.sum + weight*residual
-	w.weight = decay*w.weight + weight
-	w.squares = decay*decay*w.squares + weight
-	w.recent[w.runs%recentRuns] = residual
+	*newest = observation{clamp(residual), weight}
 	w.runs++
 	w.observedAt = now
-	if w.runs < recentRuns {
-		return
+	if w.hasChanged(deviation) {
+		w.older = evidence{}
+	}
+	all := w.older
+	for _, o := range w.recent[:min(w.runs, recentRuns)] {
+		all.add(o)
+	}
+	w.mean, w.spread = all.sum/all.weight, math.Sqrt(all.squares)/all.weight
+}
+
+// hasChanged reports whether the recent runs differ significantly from the older ones.
+func (w *Worker) hasChanged(deviation float64) bool {
+	if w.runs <= recentRuns || w.older.weight == 0 {
+		return false
 	}
-	recent := w.recent
-	median := medianOf(recent[:])
-	if change := math.Abs(median - w.logFactor()); change > max(minChange, changeErrors*medianError*deviation/math.Sqrt(recentRuns*weight)) {
-		w.weight, w.squares = recentRuns*weight, recentRuns*weight*medianError*medianError
-		w.sum = median * w.weight
+	var residuals [recentRuns]float64
+	weight := 0.0
+	for i, o := range w.recent {
+		residuals[i] = o.residual
+		weight += o.weight
 	}
+	change := math.Abs(medianOf(residuals[:]) - w.older.sum/w.older.weight)
+	err := deviation * math.Hypot(medianError/math.Sqrt(weight), math.Sqrt(w.older.squares)/w.older.weight)
+	return change > max(minChange, changeErrors*err)
 }
 
 // classify sets the class and the factor by the fleet's median and the deviation of a run
 // of weight 1. If not open, only recent runs count that were far slower than others.
 func (w *Worker) classify(open bool, median, deviation float64) {
-	distance := w.logFactor() - median
+	distance := w.mean - median
 	w.factor = math.Exp(distance)
 	w.slower = w.isSlower()
 	by, errors := enterBy, float64(enterErrors)
@@ -92,7 +122,7 @@
 	switch {
 	case w.slower:
 		w.class = Slow
-	case !open || w.runs < minRuns || math.Abs(distance) < max(by, errors*deviation*math.Sqrt(w.squares)/w.weight):
+	case !open || w.runs < minRuns || math.Abs(distance) < max(by, errors*deviation*w.spread):
 		w.class = Usual
 	case distance < 0:
 		w.class = Fast
@@ -107,8 +137,8 @@
 		return false
 	}
 	n := 0
-	for _, residual := range w.recent {
-		if residual > farSlower {
+	for _, o := range w.recent {
+		if o.residual > farSlower {
 			n++
 		}
 	}
