planner: Spread concurrent advice requests over the workers with room

Cause: in a burst all requests name the workers with the most free capacity. Change: beside two requests of the same urgency in flight, a request names the next ones in turn of the workers with room, urgent ones at most 16; while advice is scarce, expired steps request it in one decision of 16. Key spread of section planning; off, decisions are as before.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -191,7 +191,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		answer := planner.AdviceResult{Step: a.Step, Workers: a.Workers, Failed: err != nil}
+		answer := planner.AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Failed: err != nil}
 		if err != nil {
 			c.metrics.adviceFailures.Inc(1)
 			c.log.Info("advice request failed", "step", a.Step, "vm", member.ID(), "error", err)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -58,6 +58,7 @@
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
 	learnSpeeds   bool
+	spread        bool // concurrent advice requests name different workers
 	calibrator    *Calibrator
 	log           hclog.Logger
 	registry      metrics.Registry
@@ -99,6 +100,9 @@
 // duration that workers accept.
 func WithLease(d time.Duration) Option { return func(c *Conductor) { c.leaseDuration = d } }
 
+// WithSpreadRequests sets whether concurrent advice requests name different workers.
+func WithSpreadRequests(on bool) Option { return func(c *Conductor) { c.spread = on } }
+
 // WithLearnedSpeeds sets whether tasks are placed by how fast workers have been.
 func WithLearnedSpeeds(on bool) Option { return func(c *Conductor) { c.learnSpeeds = on } }
 
@@ -167,7 +171,7 @@
 		c.calibrator = NewCalibrator(c.now)
 	}
 	c.metrics = newOwnerMetrics(c.registry)
-	c.planner = planner.New(planner.WithLearnedSpeeds(c.learnSpeeds))
+	c.planner = planner.New(planner.WithLearnedSpeeds(c.learnSpeeds), planner.WithSpreadRequests(c.spread))
 	c.balancer = newAdviceBalancer()
 	journal, err := journaler.New(store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -109,6 +109,9 @@
 	if cost == nil {
 		return
 	}
+	if c.rank == expiredRank && p.spreader.skipsExpired(p.decisions, now) {
+		return
+	}
 	p.observeLack(s, urgent, room, now)
 	if now < p.noAdviceBefore[urgent] {
 		return
@@ -145,6 +148,7 @@
 		return Action{}, false
 	}
 	s.advice.requests++
+	p.spreader.inFlight[urgent]++
 	if s.advice.queried == nil {
 		s.advice.queried = map[*worker]bool{}
 	}
@@ -247,6 +251,9 @@
 	if len(s.advice.known) >= len(workers) {
 		return nil
 	}
+	if found := p.spreadQuery(s, limit, urgent, room); found != nil {
+		return found
+	}
 	found := make([]*worker, 0, limit)
 	if urgent && p.isUneven() {
 		found = s.appendUnqueried(found, limit, p.bySpeed(), func(w *worker) bool { return room(w) > 0 })
@@ -277,7 +284,8 @@
 // take it. Steps of the same urgency then back off. Without that, a backlog without
 // advice would repeat all its requests at each decision.
 func (p *Planner) ReportAdviceSkipped(a Action, now time.Duration) {
-	p.endRequest(a.Step, a.Workers)
+	p.endRequest(a.Step, a.Workers, a.Urgent)
+	p.spreader.noteSkipped(a.Urgent, now)
 	p.noAdviceBefore[a.Urgent] = now + adviceBackoff
 	switch {
 	case a.Overdue:
@@ -291,6 +299,7 @@
 type AdviceResult struct {
 	Step    string
 	Workers []string          // ids of the workers in the request, from Action.Workers
+	Urgent  bool              // from Action.Urgent
 	Failed  bool              // the request failed; Tickets and Until are unset
 	Tickets map[string]string // by worker id, for those that may run the step
 	Until   time.Duration     // when the tickets expire
@@ -298,7 +307,8 @@
 
 // endRequest notes that a request for advice about these workers is over, and returns its
 // step, nil if that is not known any more.
-func (p *Planner) endRequest(name string, workers []string) *step {
+func (p *Planner) endRequest(name string, workers []string, urgent bool) *step {
+	p.spreader.inFlight[urgent]--
 	s, _ := p.stepOf(name + ".0")
 	if s == nil {
 		return nil
@@ -312,7 +322,7 @@
 
 // ReportAdvice applies the result of an advice request.
 func (p *Planner) ReportAdvice(a AdviceResult) {
-	s := p.endRequest(a.Step, a.Workers)
+	s := p.endRequest(a.Step, a.Workers, a.Urgent)
 	if s == nil {
 		return
 	}
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -62,7 +62,7 @@
 			left = append(left, r)
 			continue
 		}
-		result := AdviceResult{Step: r.action.Step, Workers: r.action.Workers, Tickets: map[string]string{}, Until: s.now + 1500*time.Millisecond}
+		result := AdviceResult{Step: r.action.Step, Workers: r.action.Workers, Urgent: r.action.Urgent, Tickets: map[string]string{}, Until: s.now + 1500*time.Millisecond}
 		for _, id := range r.action.Workers {
 			result.Tickets[id] = "ticket"
 		}
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -93,7 +93,7 @@
 	}
 	f.Assert(f.adviceRequests(), quicktest.HasLen, 0)
 	for _, a := range requests {
-		f.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Failed: true})
+		f.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Failed: true})
 	}
 	f.Assert(f.adviceRequests(), quicktest.HasLen, len(requests))
 	for _, a := range requests {
@@ -101,7 +101,7 @@
 		for _, id := range a.Workers[:len(a.Workers)*3/10] {
 			tickets[id] = "ticket"
 		}
-		f.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Tickets: tickets, Until: 2 * second})
+		f.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Tickets: tickets, Until: 2 * second})
 	}
 	f.Assert(f.starts(), quicktest.HasLen, 16)
 }
@@ -180,7 +180,7 @@
 		for _, id := range a.Workers {
 			tickets[id] = "t"
 		}
-		p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Tickets: tickets, Until: time.Hour})
+		p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Tickets: tickets, Until: time.Hour})
 	}
 	p.Decide(0, wall)
 	b.ResetTimer()
--- a/planner/late_test.go
+++ b/planner/late_test.go
@@ -46,7 +46,7 @@
 			for _, id := range a.Workers {
 				tickets[id] = "ticket"
 			}
-			f.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Tickets: tickets, Until: time.Hour})
+			f.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Tickets: tickets, Until: time.Hour})
 		}
 	}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -26,7 +26,8 @@
 	load            load
 	maxFreeCPU      int64 // most free thousandths of a processor on a worker when the current decision began
 	byFreeCPU       freeIndex
-	decisions       uint64                 // number of the current decision, from 1
+	decisions       uint64 // number of the current decision, from 1
+	spreader        requestSpreader
 	noAdviceBefore  map[bool]time.Duration // earliest time of the next advice request, for urgent steps (true) and others
 	adviceBudget    map[bool]int           // advice requests left in the current decision, for urgent steps (true) and others
 	overdue         []overdueStep          // steps that have lacked advice for long, in the current decision
@@ -54,8 +55,9 @@
 
 // settings holds what options set.
 type settings struct {
-	retention   time.Duration // how long the state of an ended job stays available
-	learnSpeeds bool          // how fast workers are is learned
+	retention      time.Duration // how long the state of an ended job stays available
+	spreadRequests bool          // concurrent advice requests name different workers
+	learnSpeeds    bool          // how fast workers are is learned
 }
 
 // Option configures a Planner.
@@ -83,6 +85,7 @@
 		jobs:           map[string]*job{},
 		stats:          map[string]*queueStats{},
 		noAdviceBefore: map[bool]time.Duration{},
+		spreader:       newRequestSpreader(s.spreadRequests),
 		adviceBudget:   map[bool]int{},
 		waiters:        map[waiterKey][]func(error){},
 		awaited:        map[string]bool{},
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -222,7 +222,7 @@
 	}
 	answeredAt := r.idleAt[best]
 	r.after(answeredAt-r.now, func() {
-		r.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Tickets: tickets, Until: answeredAt + l.queue.AdviceCost.TicketValidity})
+		r.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Tickets: tickets, Until: answeredAt + l.queue.AdviceCost.TicketValidity})
 	})
 }
 
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -26,6 +26,7 @@
 	bootstrap  bool          // the whole system starts for the first time
 	memory     int64         // bytes that the process may use, 0 if not configured
 	files      int           // descriptors that the process may open, 0 if not configured
+	spread     bool          // concurrent advice requests name different workers
 	speeds     bool          // tasks are placed by how fast workers have been
 	rate       int           // lines with the same message logged per second, 0 for no limit
 }
@@ -93,6 +94,7 @@
 	s.lease = loader.Get(platform, "lease", loader.Duration, defaultLease, loader.Between(time.Second, time.Minute))
 	planning := d.Section("planning")
 	s.speeds = loader.Get(planning, "speeds", loader.Bool, false)
+	s.spread = loader.Get(planning, "spread", loader.Bool, false)
 	log := d.Section("log")
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
