--- a/profiler/worker.go
+++ b/profiler/worker.go
@@ -11,7 +11,7 @@
 	recentRuns = 8
 	// changeErrors and minChange are the least distance of that median from the mean of the older
 	// runs that is a change, in standard errors and as a logarithm.
-	changeErrors, minChange = 3, 0.3
+	changeErrors, minChange = 2.5, 0.3
 	// medianError is the standard error of the median of n values times the square root of n,
 	// as a multiple of their standard deviation.
 	medianError = 1.25
@@ -35,6 +35,7 @@
 	class      Class
 	factor     float64 // as of the last Classify; 0 before the first
 	slower     bool    // it is slow by its recent runs
+	changed    bool    // its speed has changed since the last Classify
 }
 
 // observation is a run: the logarithm of its run time relative to those of others, and its weight.
@@ -61,6 +62,9 @@
 // Class returns the class of the worker as of the last Classify.
 func (w *Worker) Class() Class { return w.class }
 
+// Runs returns the number of its runs that were compared with others.
+func (w *Worker) Runs() int { return w.runs }
+
 // Factor returns the run time of a task on the worker as a multiple of the fleet's median,
 // as of the last Classify. It is 1 for workers of the Usual class.
 func (w *Worker) Factor() float64 {
@@ -84,7 +88,7 @@
 	w.runs++
 	w.observedAt = now
 	if w.hasChanged(deviation) {
-		w.older = evidence{}
+		w.older, w.changed = evidence{}, true
 	}
 	all := w.older
 	for _, o := range w.recent[:min(w.runs, recentRuns)] {
@@ -114,11 +118,14 @@
 func (w *Worker) classify(open bool, median, deviation float64) {
 	distance := w.mean - median
 	w.factor = math.Exp(distance)
-	w.slower = w.isSlower()
+	slower := w.isSlower()
+	w.changed = w.changed || slower != w.slower
+	w.slower = slower
 	by, errors := enterBy, float64(enterErrors)
-	if w.class != Usual {
+	if w.class != Usual && !w.changed {
 		by, errors = leaveBy, leaveErrors
 	}
+	w.changed = false
 	switch {
 	case w.slower:
 		w.class = Slow
