--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,7 +57,7 @@
 	hasLargerPeer func() bool
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
-	learnSpeeds   bool
+	learnSpeeds   bool          // tasks are placed by how fast workers have been
 	calibrator    *Calibrator
 	log           hclog.Logger
 	registry      metrics.Registry
@@ -362,13 +362,16 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// updateGauges updates the gauges of pending jobs.
+// updateGauges updates the gauges of pending jobs and of the speeds of workers.
 func (c *Conductor) updateGauges() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
 	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
 	fast, slow := c.planner.SpeedClasses()
+	if int64(fast) != c.metrics.fastWorkers.Value() || int64(slow) != c.metrics.slowWorkers.Value() {
+		c.log.Info("speeds of workers", "fast", fast, "slow", slow)
+	}
 	c.metrics.fastWorkers.Update(int64(fast))
 	c.metrics.slowWorkers.Update(int64(slow))
 }
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -247,7 +247,7 @@
 	if len(s.advice.known) >= len(workers) {
 		return nil
 	}
-	found := make([]*worker, 0, limit)
+	var found []*worker
 	if urgent && p.isUneven() {
 		found = s.appendUnqueried(found, limit, p.bySpeed(), func(w *worker) bool { return room(w) > 0 })
 		return s.appendUnqueried(found, limit, workers, func(w *worker) bool { return !slices.Contains(found, w) })
