--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -1,7 +1,6 @@
 package estimator
 
 import (
-	"container/list"
 	"errors"
 	"fmt"
 	"time"
@@ -19,14 +18,12 @@
 type Estimator struct {
 	settings settings
 	rng      rng
-	entries  map[key]*list.Element     // of *entry
-	lru      *list.List                // most recently observed first
+	entries  *recent[key, *entry]
 	ratios   map[string]*rollingSketch // by team: actual run time divided by declared run time
 }
 
 // entry holds the observations of one name of a team.
 type entry struct {
-	key      key
 	runTimes *rollingSketch // seconds
 	memory   *rollingSketch // peak of a run in MiB
 }
@@ -61,7 +58,7 @@
 	if s.maxNames < 1 || s.window < 1 || s.minRuns < 1 {
 		return nil, fmt.Errorf("%w: max names, window and min runs must be at least 1", ErrBadOption)
 	}
-	return &Estimator{settings: s, rng: newRNG(), entries: map[key]*list.Element{}, lru: list.New(), ratios: map[string]*rollingSketch{}}, nil
+	return &Estimator{settings: s, rng: newRNG(), entries: newRecent[key, *entry](s.maxNames), ratios: map[string]*rollingSketch{}}, nil
 }
 
 // ObserveRunTime records the actual run time of a task and the declared one, 0 if
@@ -97,7 +94,7 @@
 // of the team's ratios of actual to declared run times. With too few ratios as well,
 // it returns the declared run time, which is 0 if none was declared.
 func (e *Estimator) RunTime(team, name string, quantile float64, declared time.Duration) time.Duration {
-	if found := e.lookup(key{team, name}); found != nil && found.runTimes.count() >= e.settings.minRuns {
+	if found, known := e.entries.get(key{team, name}); known && found.runTimes.count() >= e.settings.minRuns {
 		return secondsToDuration(found.runTimes.quantile(quantile))
 	}
 	ratio := e.ratios[team]
@@ -110,39 +107,21 @@
 // Memory returns the quantile, from 0 to 1, of the peak memory of a task in MiB, or
 // 0 with too few runs of the name.
 func (e *Estimator) Memory(team, name string, quantile float64) int64 {
-	found := e.lookup(key{team, name})
-	if found == nil || found.memory.count() < e.settings.minRuns {
+	found, known := e.entries.get(key{team, name})
+	if !known || found.memory.count() < e.settings.minRuns {
 		return 0
 	}
 	return int64(found.memory.quantile(quantile))
 }
 
 // NameCount returns the number of names kept.
-func (e *Estimator) NameCount() int { return e.lru.Len() }
-
-func (e *Estimator) lookup(k key) *entry {
-	element := e.entries[k]
-	if element == nil {
-		return nil
-	}
-	return element.Value.(*entry)
-}
+func (e *Estimator) NameCount() int { return e.entries.len() }
 
 // entryFor returns the entry of a name and marks it as the most recently observed.
-// It creates a missing entry, and evicts another one if maxNames are kept already.
 func (e *Estimator) entryFor(k key) *entry {
-	if element := e.entries[k]; element != nil {
-		e.lru.MoveToFront(element)
-		return element.Value.(*entry)
-	}
-	if e.lru.Len() >= e.settings.maxNames {
-		oldest := e.lru.Back()
-		e.lru.Remove(oldest)
-		delete(e.entries, oldest.Value.(*entry).key)
-	}
-	created := &entry{key: k, runTimes: newRollingSketch(e.settings, e.rng), memory: newRollingSketch(e.settings, e.rng)}
-	e.entries[k] = e.lru.PushFront(created)
-	return created
+	return e.entries.at(k, func() *entry {
+		return &entry{runTimes: newRollingSketch(e.settings, e.rng), memory: newRollingSketch(e.settings, e.rng)}
+	})
 }
 
 func secondsToDuration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/estimator/sketch.go
+++ b/estimator/sketch.go
@@ -1,8 +1,10 @@
 package estimator
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/caio/go-tdigest/v4"
 )
@@ -30,7 +32,10 @@
 
 func newRollingSketch(s settings, r rng) *rollingSketch { return &rollingSketch{settings: s, rng: r} }
 
-func (r *rollingSketch) add(value float64) error {
+func (r *rollingSketch) add(value float64) error { return r.addWeighted(value, 1) }
+
+// addWeighted adds a value as though it had been added that many times.
+func (r *rollingSketch) addWeighted(value float64, weight uint64) error {
 	if r.current == nil || int(r.current.Count()) >= r.settings.window {
 		next, err := tdigest.New(tdigest.Compression(r.settings.compression), tdigest.RandomNumberGenerator(r.rng))
 		if err != nil {
@@ -38,7 +43,7 @@
 		}
 		r.current, r.previous = next, r.current
 	}
-	if err := r.current.Add(value); err != nil {
+	if err := r.current.AddWeighted(value, weight); err != nil {
 		return fmt.Errorf("add %v: %w", value, err)
 	}
 	return nil
@@ -62,6 +67,42 @@
 	if r.previous == nil {
 		return value
 	}
-	weight := min(float64(r.current.Count())/float64(r.settings.window), 1)
+	weight := r.currentWeight()
 	return weight*value + (1-weight)*r.previous.Quantile(q)
 }
+
+// currentWeight returns the weight of the current window, from 0 to 1; that of the previous
+// window is the rest. The sketch must not be empty.
+func (r *rollingSketch) currentWeight() float64 {
+	if r.previous == nil {
+		return 1
+	}
+	return min(float64(r.current.Count())/float64(r.settings.window), 1)
+}
+
+// centroids returns the sorted values of the sketch with their weights, which add up to 1. It
+// returns nil if the sketch is empty.
+func (r *rollingSketch) centroids() []centroid {
+	if r.current == nil {
+		return nil
+	}
+	var list []centroid
+	collect := func(digest *tdigest.TDigest, weight float64) {
+		if digest == nil {
+			return
+		}
+		total := float64(digest.Count())
+		digest.ForEachCentroid(func(mean float64, count uint64) bool {
+			list = append(list, centroid{mean, weight * float64(count) / total})
+			return true
+		})
+	}
+	weight := r.currentWeight()
+	collect(r.current, weight)
+	collect(r.previous, 1-weight)
+	slices.SortFunc(list, func(a, b centroid) int { return cmp.Compare(a.value, b.value) })
+	return list
+}
+
+// centroid is a value with its weight.
+type centroid struct{ value, weight float64 }
