planner: Forecast run times from learned ones

Declared run times are off by factors of up to e^0.9. They were used as they are for objectives and critical paths, and corrected by one ratio for each queue elsewhere; a run that was older than that counted as ending at once.

With WithLearnedRunTimes, estimator.RunTimes learns from done runs with a plain start, and expected and remainingTime use its forecasts: objectives and critical paths as of the admission of the job, work ahead and ends of runs by the newest knowledge. Without the option, which is the default, decisions are the same (TestReplayDecisions).

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -394,3 +394,12 @@
 	r.step.setSuspect(r.taskIndex, false)
 	r.step.occurrence.job.cleared = true
 }
+
+// store returns the crashes for a snapshot.
+func (h *crashHistory) store(now time.Duration, wall int64) []Crash {
+	stored := slices.Clone(h.crashes)
+	for i := range stored {
+		stored[i].At = wall - (now - stored[i].at).Milliseconds()
+	}
+	return stored
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -356,6 +356,7 @@
 	t := &s.tasks[index]
 	j := s.occurrence.job
 	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now, startedAt: now, incarnation: w.reg.Incarnation}
+	r.resumed = t.checkpoint != ""
 	ticket := s.advice.ticketText(w)
 	r.ticket = ticket != ""
 	t.lastRun = number
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -159,8 +159,13 @@
 // BenchmarkBacklog measures a decision on a full fleet of 350 workers while 500 steps
 // with tickets wait, as after a takeover under load.
 func BenchmarkBacklog(b *testing.B) {
+	b.Run("declared run times", func(b *testing.B) { benchmarkBacklog(b) })
+	b.Run("learned run times", func(b *testing.B) { benchmarkBacklog(b, WithLearnedRunTimes()) })
+}
+
+func benchmarkBacklog(b *testing.B, options ...Option) {
 	cost := &AdviceCost{Base: 10 * time.Millisecond, PerWorker: 100 * time.Microsecond, TicketValidity: 2 * second}
-	p := New()
+	p := New(options...)
 	p.Configure(Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s", Stretch: 99, Objective: 99 * second, Priority: 1, AdviceCost: cost}}}, 0)
 	for n := range 350 {
 		id := "w" + strconv.Itoa(n)
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -217,6 +217,9 @@
 
 // remainingTime returns how long a run is expected to go on.
 func (p *Planner) remainingTime(r *run, now time.Duration) time.Duration {
+	if p.learns(r.step) {
+		return p.learnedRemainingTime(r, now)
+	}
 	expected := time.Duration(float64(r.step.spec.Estimate)*r.step.occurrence.job.stats.runTimeRatio()) * time.Millisecond
 	if r.decidedAt == 0 {
 		return expected * time.Duration(100-min(r.progress, 100)) / 100
--- a/planner/job.go
+++ b/planner/job.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"filberthaven.example/estimator"
 	"filberthaven.example/placer"
 )
 
@@ -33,14 +34,15 @@
 	finalState   State         // Completed, Failed or Cancelled; empty if the job has not ended
 	endStored    bool          // the journal holds the end, so callers may see it
 	endedAt      time.Duration
-	failure      Failure       // why the job has failed, if this owner has failed it
-	occurrences  []*occurrence // those that have begun and are not finished
-	next         int           // index of the next occurrence to begin
-	unfinished   int           // number of occurrences not finished, including future ones
-	criticalPath time.Duration // estimate for one whole occurrence; 0 until computed
-	suspects     int           // tasks that may have crashed a worker
-	separateRuns int           // runs that have workers of their own
-	cleared      bool          // a suspect has turned out not to crash its worker
+	failure      Failure         // why the job has failed, if this owner has failed it
+	occurrences  []*occurrence   // those that have begun and are not finished
+	next         int             // index of the next occurrence to begin
+	unfinished   int             // number of occurrences not finished, including future ones
+	criticalPath time.Duration   // estimate for one whole occurrence; 0 until computed
+	expected     []time.Duration // run times of the tasks of each step as expected on admission or takeover; nil if none are learned
+	suspects     int             // tasks that may have crashed a worker
+	separateRuns int             // runs that have workers of their own
+	cleared      bool            // a suspect has turned out not to crash its worker
 }
 
 // isOver reports whether the job has ended and the journal holds its end, so that callers
@@ -76,10 +78,13 @@
 	tasks             []task
 	waitingTasks      int // tasks that are not done and have no run
 	doneTasks         int
-	ready             bool  // all steps named in After are finished; not maintained once this step is finished
-	openPrerequisites int   // number of steps named in After that are not finished; -1 once this step is finished
-	lastRun           int   // newest run number of any task
-	failedRuns        []int // numbers of the failed runs of a gang; empty if the step is none
+	ready             bool               // all steps named in After are finished; not maintained once this step is finished
+	openPrerequisites int                // number of steps named in After that are not finished; -1 once this step is finished
+	lastRun           int                // newest run number of any task
+	failedRuns        []int              // numbers of the failed runs of a gang; empty if the step is none
+	siblings          estimator.Siblings // finished tasks with a known run time
+	forecast          stepForecast       // the newest one
+	queueStats        *queueStats        // of its queue; nil if it declares no run time
 	advice            advice
 	startedAt         time.Duration // when the newest start of a task was decided by this owner, else 0
 	reportedAt        time.Duration // when TakeWaits last returned it, else 0
@@ -121,6 +126,9 @@
 	stopOrdered       bool          // a stop was ordered
 	progress          int           // percent, as last listed by the worker
 	progressAt        time.Duration // when progress was listed
+	firstProgress     int           // as first listed to this owner, or 0 at confirmedAt if that run began at 0
+	firstProgressAt   time.Duration // when the run had firstProgress
+	resumed           bool          // it began from a checkpoint, or may have
 	checkpoint        string        // as last listed by the worker
 	team              *team         // team to which its size is allocated; nil if none or once released
 	workerRestartedAt time.Duration // when its worker restarted without having answered the start; else 0
@@ -201,6 +209,13 @@
 		s := &step{
 			occurrence: o, index: i, spec: spec, tasks: make([]task, spec.Tasks), waitingTasks: spec.Tasks,
 			name: taskPrefix(j.spec.ID, k, i), openPrerequisites: len(spec.After),
+			siblings: estimator.NewSiblings(spec.Tasks, 0, 0),
+		}
+		if spec.Estimate > 0 {
+			s.queueStats = j.stats
+		}
+		if spec.Gang {
+			s.siblings = estimator.NewSiblings(1, 0, 0)
 		}
 		s.ready = s.openPrerequisites == 0
 		o.steps = append(o.steps, s)
@@ -234,7 +249,7 @@
 		}
 		ends[i] = begin
 		if s.doneTasks < s.spec.Tasks {
-			ends[i] += time.Duration(s.spec.Estimate) * time.Millisecond
+			ends[i] += s.expectedAtAdmission()
 			if a := o.job.queue.AdviceCost; a != nil {
 				ends[i] += a.Base + typicalQueried*a.PerWorker
 			}
--- a/planner/learn.go
+++ b/planner/learn.go
@@ -8,6 +8,7 @@
 // ratio, because runs declared too short have large ratios but little declared work.
 type queueStats struct {
 	actualWork, declaredWork float64 // exponential moving means over the runs that are done
+	runs                     uint64  // from which this owner has learned a run time
 	eligibleFraction         float64 // moving mean, over advice requests, of the fraction of workers that may run the step; 0 before the first
 }
 
--- a/planner/load.go
+++ b/planner/load.go
@@ -132,18 +132,18 @@
 	return float64(amount) / float64(whole)
 }
 
-// demandOf returns the demand of a job's waiting tasks, by their declared run times
-// and the queue's run time ratio.
+// demandOf returns the demand of a job's waiting tasks, by their expected run times.
 func (p *Planner) demandOf(j *job) demand {
 	d := demand{latestStart: j.latestStart()}
-	ratio := j.stats.runTimeRatio()
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			waiting := s.spec.Size.DominantShare(p.load.meanWorker) * float64(s.waitingTasks)
 			if s.ready {
 				d.capacity += waiting
 			}
-			d.work += waiting * float64(s.spec.Estimate) * ratio
+			if s.waitingTasks > 0 {
+				d.work += waiting * p.expected(s)
+			}
 		}
 	}
 	return d
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -196,6 +196,7 @@
 // an earlier order may still be executed.
 func (p *Planner) endRun(r *run, result, checkpoint string, now time.Duration) {
 	s := r.step
+	p.observeRunTime(r, result, now)
 	if now < r.earlierUntil && s.occurrence.job.finalState == "" {
 		r.holdRepeated()
 	} else {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"filberthaven.example/estimator"
 )
 
 // Planner holds the jobs, workers and teams of a fleet. It is not safe for
@@ -21,6 +23,7 @@
 	jobs            map[string]*job // including ended jobs until PruneJobs removes them
 	live            []*job          // stored jobs, oldest first; Decide removes those that are over
 	stats           map[string]*queueStats
+	runTimes        *estimator.RunTimes // nil unless run times are learned
 	load            load
 	maxFreeCPU      int64 // most free thousandths of a processor on a worker when the current decision began
 	byFreeCPU       freeIndex
@@ -51,7 +54,8 @@
 
 // settings holds what options set.
 type settings struct {
-	retention time.Duration // how long the state of an ended job stays available
+	retention     time.Duration // how long the state of an ended job stays available
+	learnRunTimes bool          // run times are learned for each queue, team and step
 }
 
 // Option configures a Planner.
@@ -69,7 +73,7 @@
 	for _, option := range options {
 		option(&s)
 	}
-	return &Planner{
+	p := &Planner{
 		settings:       s,
 		queues:         map[string]Queue{},
 		teams:          map[string]*team{},
@@ -84,6 +88,10 @@
 		awaited:        map[string]bool{},
 		startLimit:     math.MaxInt,
 	}
+	if s.learnRunTimes {
+		p.runTimes = estimator.NewRunTimes()
+	}
+	return p
 }
 
 // Version returns the version of the configuration in force, 0 before the first.
@@ -178,6 +186,7 @@
 	if spec.Team != "" {
 		j.team = p.team(spec.Team)
 	}
+	p.forecastJob(j)
 	if spec.Occurrences <= 0 {
 		j.beginNext(acceptedAt)
 	}
--- a/planner/record.go
+++ b/planner/record.go
@@ -80,6 +80,7 @@
 	Losses  []Loss      `cbor:"4,keyasint,omitempty"` // of workers
 
 	Leftovers []storedRun `cbor:"5,keyasint,omitempty"` // runs of jobs that have ended
+	RunTimes  []byte      `cbor:"6,keyasint,omitempty"` // learned, as the estimator encodes them
 }
 
 // storedEnd is a job that has ended.
@@ -102,6 +103,8 @@
 	BegunOccurrences      []int        `cbor:"5,keyasint,omitempty"` // indexes of the occurrences that have begun and are not finished
 	Tasks                 []storedTask `cbor:"4,keyasint,omitempty"` // those that have started or are done
 	Begun                 bool         `cbor:"6,keyasint,omitempty"` // a worker is known to have begun a task
+
+	Siblings []storedSiblings `cbor:"7,keyasint,omitempty"` // finished tasks of steps that have others
 }
 
 // storedTask is the state of a task.
@@ -144,6 +147,9 @@
 		s.Losses = append(s.Losses, l)
 	}
 	s.Leftovers = p.storeLeftovers(now, wall)
+	if err := p.storeRunTimes(&s); err != nil {
+		return nil, err
+	}
 	for _, j := range p.jobs {
 		if !j.stored {
 			continue
@@ -162,6 +168,7 @@
 	for _, o := range j.occurrences {
 		stored.BegunOccurrences = append(stored.BegunOccurrences, o.index)
 		for _, st := range o.steps {
+			stored.Siblings = st.storeSiblings(stored.Siblings)
 			for i := range st.tasks {
 				t := &st.tasks[i]
 				if t.lastRun == 0 && !t.done {
@@ -218,6 +225,7 @@
 }
 
 func (p *Planner) restoreSnapshot(s snapshot, now time.Duration, wall int64) {
+	p.restoreRunTimes(s)
 	for _, id := range s.Workers {
 		p.persisted[id] = true
 	}
@@ -240,6 +248,7 @@
 		for _, k := range stored.BegunOccurrences {
 			j.occurrences = append(j.occurrences, newOccurrence(j, k, j.dueTime(k, now, wall)))
 		}
+		j.restoreSiblings(stored.Siblings)
 		for _, t := range stored.Tasks {
 			p.restoreTask(j, t, now-time.Duration(wall-t.StartedAt)*time.Millisecond, now, wall)
 		}
@@ -305,7 +314,7 @@
 	}
 	r := &run{
 		step: s, taskIndex: index, number: b.Number, worker: p.worker(b.Worker), size: s.spec.Size, phase: phaseInherited,
-		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled, repeated: b.Repeated,
+		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled, repeated: b.Repeated, resumed: t.checkpoint != "",
 	}
 	if len(t.runs) == 0 && !t.done {
 		s.waitingTasks--
@@ -473,15 +482,6 @@
 	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses, p.newSettled = nil, nil, nil, nil, nil
 }
 
-// store returns the crashes for a snapshot.
-func (h *crashHistory) store(now time.Duration, wall int64) []Crash {
-	stored := slices.Clone(h.crashes)
-	for i := range stored {
-		stored[i].At = wall - (now - stored[i].at).Milliseconds()
-	}
-	return stored
-}
-
 // restoreCrashes restores the crashes under a task from a snapshot.
 func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
 	for _, c := range t.Crashes {
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -66,19 +66,22 @@
 	jobs     int
 	refused  int
 	starts   int
-	digest   io.Writer // gets each action
+	noise    float64          // spread of the logarithms of the run times within a step
+	declared float64          // spread of the logarithms of the errors of declared run times
+	truths   map[string]int64 // run times of the tasks by job in ms, where the declared ones are off
+	digest   io.Writer        // gets each action
 	decideIn func(func())
 }
 
 // newReplay returns a replay of that part of the load on that number of workers.
-func newReplay(t testing.TB, load []queueLoad, workers int, scale float64, seed uint64) *replay {
+func newReplay(t testing.TB, load []queueLoad, workers int, scale float64, seed uint64, options ...Option) *replay {
 	var queues []Queue
 	for _, l := range load {
 		queues = append(queues, l.queue)
 	}
 	r := &replay{
-		fixture: &fixture{C: quicktest.New(t), p: New()}, load: load, scale: scale, random: rand.New(rand.NewPCG(seed, 1)),
-		idleAt: make([]time.Duration, max(1, int(replayVMs*scale))), serials: map[string]uint64{}, ends: map[string][]EndEntry{}, lasts: map[string]time.Duration{},
+		fixture: &fixture{C: quicktest.New(t), p: New(options...)}, load: load, scale: scale, random: rand.New(rand.NewPCG(seed, 1)),
+		idleAt: make([]time.Duration, max(1, int(replayVMs*scale))), serials: map[string]uint64{}, ends: map[string][]EndEntry{}, lasts: map[string]time.Duration{}, truths: map[string]int64{}, noise: 0.3,
 		digest: io.Discard, decideIn: func(decide func()) { decide() },
 	}
 	var teams []Team
@@ -138,6 +141,10 @@
 	vary := func(spread float64) float64 { return math.Exp(spread * r.random.NormFloat64()) }
 	size := l.size.CPU() * int64(50+r.random.IntN(100)) / 100
 	step := StepSpec{Tasks: max(1, min(240, int(l.tasks*vary(0.8)))), CPU: min(size, 15_000), Memory: l.size.Memory(), Estimate: int64(float64(l.runTime.Milliseconds()) * vary(0.5)), Gang: r.random.Float64() < l.gang}
+	if r.declared > 0 {
+		r.truths[id] = step.Estimate
+		step.Estimate = max(1, int64(float64(step.Estimate)*vary(r.declared)))
+	}
 	spec := JobSpec{ID: id, Queue: l.queue.Name, Team: "t" + strconv.Itoa(r.random.IntN(replayTeams)), Payload: "p", Steps: []StepSpec{step}, AcceptedAt: wall + r.now.Milliseconds()}
 	if _, err := r.p.Submit(spec, r.now); err != nil {
 		r.refused++
@@ -169,7 +176,7 @@
 	case Start:
 		r.starts++
 		s, _ := r.p.stepOf(a.Task)
-		runTime := time.Duration(float64(s.spec.Estimate)*math.Exp(0.3*r.random.NormFloat64())) * time.Millisecond
+		runTime := time.Duration(float64(cmp.Or(r.truths[a.Job()], s.spec.Estimate))*math.Exp(r.noise*r.random.NormFloat64())) * time.Millisecond
 		r.after(replayAnswer, func() { r.p.ReportStart(a, Accepted, r.now) })
 		r.after(replayAnswer+runTime, func() { r.end(a, Done) })
 	case Stop:
@@ -244,22 +251,27 @@
 // burst that left a backlog, with more workers and as much more load.
 func BenchmarkDecide(b *testing.B) {
 	for _, workers := range []int{350, 1100, 2400} {
-		b.Run(strconv.Itoa(workers), func(b *testing.B) {
-			r := newReplay(b, largeLoad(), workers, float64(workers)/1100, 1)
-			r.run(3*second, 1)
-			r.run(3*second, 2)
-			decisions := 0
-			r.decideIn = func(decide func()) {
-				b.StartTimer()
-				decide()
-				b.StopTimer()
-				decisions++
-			}
-			b.ResetTimer()
-			b.StopTimer()
-			for range b.N {
-				r.run(replayTick, 1.2)
-			}
-		})
+		benchmarkDecide(b, strconv.Itoa(workers), workers)
+		benchmarkDecide(b, strconv.Itoa(workers)+" with learned run times", workers, WithLearnedRunTimes())
 	}
 }
+
+func benchmarkDecide(b *testing.B, name string, workers int, options ...Option) {
+	b.Run(name, func(b *testing.B) {
+		r := newReplay(b, largeLoad(), workers, float64(workers)/1100, 1, options...)
+		r.run(3*second, 1)
+		r.run(3*second, 2)
+		decisions := 0
+		r.decideIn = func(decide func()) {
+			b.StartTimer()
+			decide()
+			b.StopTimer()
+			decisions++
+		}
+		b.ResetTimer()
+		b.StopTimer()
+		for range b.N {
+			r.run(replayTick, 1.2)
+		}
+	})
+}
--- a/planner/status.go
+++ b/planner/status.go
@@ -129,7 +129,7 @@
 // run is allocated now and stopped.
 func (p *Planner) applyRunning(w *worker, e RunningEntry, sentAt time.Duration, named bool, now time.Duration) {
 	if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-		r.progress, r.progressAt = e.Progress, now
+		r.observeProgress(e.Progress, now)
 		r.crash, r.started, r.listed = nil, true, named
 		if now >= r.earlierUntil {
 			r.earlierUntil = 0
