--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,7 @@
 	hasLargerPeer func() bool
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
+	planning      []planner.Option
 	calibrator    *Calibrator
 	log           hclog.Logger
 	registry      metrics.Registry
@@ -79,6 +80,7 @@
 	routing        routingTable
 	tookOverAt     time.Duration // when the journal had been read
 	orderLatency   latencyWindow
+	runTimesAt     time.Duration // when the learned run times were last logged; set and read by runDecisions only
 	waitsAt        time.Duration // when decide last looked for jobs that wait
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
@@ -98,6 +100,11 @@
 // duration that workers accept.
 func WithLease(d time.Duration) Option { return func(c *Conductor) { c.leaseDuration = d } }
 
+// WithPlanning sets options of the planner.
+func WithPlanning(options ...planner.Option) Option {
+	return func(c *Conductor) { c.planning = options }
+}
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option {
 	return func(c *Conductor) { c.log = log.Named("conductor") }
@@ -163,7 +170,7 @@
 		c.calibrator = NewCalibrator(c.now)
 	}
 	c.metrics = newOwnerMetrics(c.registry)
-	c.planner = planner.New()
+	c.planner = planner.New(c.planning...)
 	c.balancer = newAdviceBalancer()
 	journal, err := journaler.New(store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
@@ -229,6 +236,8 @@
 	}
 	c.metrics.pending.Update(0)
 	c.metrics.pendingOrdered.Update(0)
+	c.metrics.forecastError.Update(0)
+	c.metrics.declaredError.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -378,10 +387,12 @@
 		c.persist(planner.Record{RemovedWorker: id}, nil)
 	}
 	c.flush()
+	runTimes := c.planner.LearnedRunTimes()
 	c.mu.Unlock()
 	for _, id := range removed {
 		c.log.Info("worker removed", "worker", id)
 	}
+	c.reportRunTimes(runTimes, now)
 }
 
 // flush persists begun and ended jobs and crashes that no record holds yet. The caller
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -16,8 +16,9 @@
 	closedConnections                            metrics.Counter // missed heartbeats whose worker's machine refused or closed the connection
 	invalidEntries                               metrics.Counter // changes of entries that name no worker
 	adviceRequests, adviceFailures               metrics.Counter
-	adviceTime                                   metrics.Timer // of requests that succeeded
-	acceptTime                                   metrics.Timer // from a job's arrival until the journal holds it
+	adviceTime                                   metrics.Timer        // of requests that succeeded
+	acceptTime                                   metrics.Timer        // from a job's arrival until the journal holds it
+	forecastError, declaredError                 metrics.GaugeFloat64 // mean absolute errors of the logarithms of forecast and declared run times
 }
 
 func newOwnerMetrics(r metrics.Registry) ownerMetrics {
@@ -45,5 +46,7 @@
 		adviceFailures:    metrics.GetOrRegisterCounter("advice.failed", r),
 		adviceTime:        metrics.GetOrRegisterTimer("advice.time", r),
 		acceptTime:        metrics.GetOrRegisterTimer("jobs.accept.time", r),
+		forecastError:     metrics.GetOrRegisterGaugeFloat64("runtimes.error", r),
+		declaredError:     metrics.GetOrRegisterGaugeFloat64("runtimes.error.declared", r),
 	}
 }
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberthaven.example/loader"
+	"filberthaven.example/planner"
 	"filberthaven.example/platform"
 	"filberthaven.example/spooler"
 	"github.com/samber/oops"
@@ -27,6 +28,7 @@
 	memory     int64         // bytes that the process may use, 0 if not configured
 	files      int           // descriptors that the process may open, 0 if not configured
 	rate       int           // lines with the same message logged per second, 0 for no limit
+	runTimes   bool          // run times are learned for each queue, team and step
 }
 
 // ID returns the id of the VM.
@@ -45,6 +47,15 @@
 // limit.
 func (s *Settings) Rate() int { return s.rate }
 
+// planning returns the options of the planner.
+func (s *Settings) planning() []planner.Option {
+	var options []planner.Option
+	if s.runTimes {
+		options = append(options, planner.WithLearnedRunTimes())
+	}
+	return options
+}
+
 // descriptorReserve is the number of descriptors kept for connections in use: a call
 // that waits at each of 1,100 workers, orders, callers and peers.
 const descriptorReserve = 2400
@@ -90,6 +101,8 @@
 	s.store = loader.Require(platform, "store", loader.Address)
 	s.advice = loader.Get(platform, "advice", loader.Address, "")
 	s.lease = loader.Get(platform, "lease", loader.Duration, defaultLease, loader.Between(time.Second, time.Minute))
+	planning := d.Section("planning")
+	s.runTimes = loader.Get(planning, "runtimes", loader.Bool, false)
 	log := d.Section("log")
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
