--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,8 +57,7 @@
 	hasLargerPeer func() bool
 	now           func() time.Duration
 	leaseDuration time.Duration // of the leases given to workers
-	learnSpeeds   bool          // tasks are placed by how fast workers have been
-	spread        bool          // concurrent advice requests name different workers
+	planning      []planner.Option
 	calibrator    *Calibrator
 	log           hclog.Logger
 	registry      metrics.Registry
@@ -81,6 +80,7 @@
 	routing        routingTable
 	tookOverAt     time.Duration // when the journal had been read
 	orderLatency   latencyWindow
+	runTimesAt     time.Duration // when the learned run times were last logged; set and read by runDecisions only
 	waitsAt        time.Duration // when decide last looked for jobs that wait
 	decisionTime   time.Duration // how long the last decision took; set and read by runDecisions only
 	quietLatency   latencyWindow // of orders sent while few were in flight
@@ -100,11 +100,10 @@
 // duration that workers accept.
 func WithLease(d time.Duration) Option { return func(c *Conductor) { c.leaseDuration = d } }
 
-// WithSpreadRequests sets whether concurrent advice requests name different workers.
-func WithSpreadRequests(on bool) Option { return func(c *Conductor) { c.spread = on } }
-
-// WithLearnedSpeeds sets whether tasks are placed by how fast workers have been.
-func WithLearnedSpeeds(on bool) Option { return func(c *Conductor) { c.learnSpeeds = on } }
+// WithPlanning sets options of the planner.
+func WithPlanning(options ...planner.Option) Option {
+	return func(c *Conductor) { c.planning = options }
+}
 
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option {
@@ -171,7 +170,7 @@
 		c.calibrator = NewCalibrator(c.now)
 	}
 	c.metrics = newOwnerMetrics(c.registry)
-	c.planner = planner.New(planner.WithLearnedSpeeds(c.learnSpeeds), planner.WithSpreadRequests(c.spread))
+	c.planner = planner.New(c.planning...)
 	c.balancer = newAdviceBalancer()
 	journal, err := journaler.New(store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
@@ -239,6 +238,8 @@
 	c.metrics.pendingOrdered.Update(0)
 	c.metrics.fastWorkers.Update(0)
 	c.metrics.slowWorkers.Update(0)
+	c.metrics.forecastError.Update(0)
+	c.metrics.declaredError.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -394,10 +395,12 @@
 		c.persist(planner.Record{RemovedWorker: id}, nil)
 	}
 	c.flush()
+	runTimes := c.planner.LearnedRunTimes()
 	c.mu.Unlock()
 	for _, id := range removed {
 		c.log.Info("worker removed", "worker", id)
 	}
+	c.reportRunTimes(runTimes, now)
 }
 
 // flush persists begun and ended jobs and crashes that no record holds yet. The caller
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"filberthaven.example/estimator"
 	"filberthaven.example/profiler"
 )
 
@@ -23,6 +24,7 @@
 	jobs            map[string]*job // including ended jobs until PruneJobs removes them
 	live            []*job          // stored jobs, oldest first; Decide removes those that are over
 	stats           map[string]*queueStats
+	runTimes        *estimator.RunTimes // nil unless run times are learned
 	load            load
 	maxFreeCPU      int64 // most free thousandths of a processor on a worker when the current decision began
 	byFreeCPU       freeIndex
@@ -58,6 +60,7 @@
 	retention      time.Duration // how long the state of an ended job stays available
 	spreadRequests bool          // concurrent advice requests name different workers
 	learnSpeeds    bool          // how fast workers are is learned
+	learnRunTimes  bool          // run times are learned for each queue, team and step
 }
 
 // Option configures a Planner.
@@ -94,6 +97,9 @@
 	if s.learnSpeeds {
 		p.speeds.profiler = profiler.New()
 	}
+	if s.learnRunTimes {
+		p.runTimes = estimator.NewRunTimes()
+	}
 	return p
 }
 
@@ -189,6 +195,7 @@
 	if spec.Team != "" {
 		j.team = p.team(spec.Team)
 	}
+	p.forecastJob(j)
 	if spec.Occurrences <= 0 {
 		j.beginNext(acceptedAt)
 	}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberthaven.example/loader"
+	"filberthaven.example/planner"
 	"filberthaven.example/platform"
 	"filberthaven.example/spooler"
 	"github.com/samber/oops"
@@ -29,6 +30,7 @@
 	spread     bool          // concurrent advice requests name different workers
 	speeds     bool          // tasks are placed by how fast workers have been
 	rate       int           // lines with the same message logged per second, 0 for no limit
+	runTimes   bool          // run times are learned for each queue, team and step
 }
 
 // ID returns the id of the VM.
@@ -47,6 +49,21 @@
 // limit.
 func (s *Settings) Rate() int { return s.rate }
 
+// planning returns the options of the planner.
+func (s *Settings) planning() []planner.Option {
+	var options []planner.Option
+	if s.runTimes {
+		options = append(options, planner.WithLearnedRunTimes())
+	}
+	if s.speeds {
+		options = append(options, planner.WithLearnedSpeeds(true))
+	}
+	if s.spread {
+		options = append(options, planner.WithSpreadRequests(true))
+	}
+	return options
+}
+
 // descriptorReserve is the number of descriptors kept for connections in use: a call
 // that waits at each of 1,100 workers, orders, callers and peers.
 const descriptorReserve = 2400
@@ -95,6 +112,7 @@
 	planning := d.Section("planning")
 	s.speeds = loader.Get(planning, "speeds", loader.Bool, false)
 	s.spread = loader.Get(planning, "spread", loader.Bool, false)
+	s.runTimes = loader.Get(planning, "runtimes", loader.Bool, false)
 	log := d.Section("log")
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
