--- a/planner/advice.go
+++ b/planner/advice.go
@@ -139,7 +139,7 @@
 	cost := s.occurrence.job.queue.AdviceCost
 	workers, reason := s.renewableTickets(room, now), "tickets have run out"
 	if len(workers) == 0 && !p.requestsSuffice(s) {
-		workers, reason = p.unqueried(s, cost, urgent, room), "not known which workers are allowed"
+		workers, reason = p.unqueried(s, cost, urgent, room)
 		if !s.spec.Gang && s.hasWaitingSuspect() && s.knowsEligible() && !slices.ContainsFunc(workers, func(w *worker) bool { return room(w) > 0 }) {
 			workers = nil // a suspect knows a worker to be emptied for it, and could not use these
 		}
@@ -241,7 +241,8 @@
 // unqueried returns workers about which the step has no advice and no request in
 // flight, those with the most free CPU first. Urgent steps name fast workers with room before
 // these.
-func (p *Planner) unqueried(s *step, cost *AdviceCost, urgent bool, room func(*worker) int) []*worker {
+func (p *Planner) unqueried(s *step, cost *AdviceCost, urgent bool, room func(*worker) int) (found []*worker, reason string) {
+	reason = "not known which workers are allowed"
 	limit := maxQueried
 	if cost.PerWorker > 0 {
 		limit = int(workerCostFactor * float64(cost.Base) / float64(cost.PerWorker))
@@ -249,17 +250,16 @@
 	limit = min(max(limit, minQueried), maxQueried)
 	workers := p.byFreeCPU.sorted(p.decisions)
 	if len(s.advice.known) >= len(workers) {
-		return nil
+		return nil, reason
 	}
-	if found := p.spreadQuery(s, limit, urgent, room); found != nil {
-		return found
+	if found = p.spreadQuery(s, limit, urgent, room); found != nil {
+		return found, reason + "; spread over workers with room"
 	}
-	var found []*worker
 	if urgent && p.isUneven() {
 		found = s.appendUnqueried(found, limit, p.bySpeed(), func(w *worker) bool { return room(w) > 0 })
-		return s.appendUnqueried(found, limit, workers, func(w *worker) bool { return !slices.Contains(found, w) })
+		return s.appendUnqueried(found, limit, workers, func(w *worker) bool { return !slices.Contains(found, w) }), reason
 	}
-	return s.appendUnqueried(found, limit, workers, func(*worker) bool { return true })
+	return s.appendUnqueried(found, limit, workers, func(*worker) bool { return true }), reason
 }
 
 // appendUnqueried appends workers that match and that unqueried may return, in their order and up
