limiter: Bound request bodies and connections

Nothing bounds how many bodies a process reads at once, for how long, or how many connections it has. A Limiter charges the buffers of bodies to a shared budget as they grow, sheds those that are furthest behind when it is used up, and refuses those without progress. A Listener closes the most idle connection for a new one at its limit. The charge ends with the request, also on a panic.

--- /dev/null
+++ b/limiter/handler.go
@@ -0,0 +1,131 @@
+package limiter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// maxFields is the largest number of header fields of a request. Parsed, a field takes some
+// 100 bytes however short it is, so that a header of 16 KB could take half a megabyte.
+const maxFields = 128
+
+// streamBuffer is the number of bytes that a body takes that is passed on while it is read:
+// the buffers of both connections.
+const streamBuffer = 64 << 10
+
+// Policy says how the bodies of a handler's requests are charged and limited.
+type Policy struct {
+	// Factor is the number of bytes charged for each byte that the handler reads, 0 for a
+	// handler that reads bodies with Body.All.
+	Factor int64
+	// Timeout returns the time in which a body has to arrive, 0 for any. It may be nil.
+	Timeout func(*http.Request) time.Duration
+	// Whole is the largest body of known length in bytes that the handler reads whole. It
+	// passes others on while it reads them, so that these are refused at the beginning or
+	// not at all. 0 stands for any body.
+	Whole int64
+	// Refusal turns the error of a refused body into that of a Read. It may be nil.
+	Refusal func(error) error
+	// Refuse writes the response to a request that is refused before the handler is called.
+	Refuse func(w http.ResponseWriter, status int, reason string)
+}
+
+// connKey is the context key of a *Conn.
+type connKey struct{}
+
+// ConnContext is the ConnContext of http.Servers whose listener is from Listen.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok { // TLS
+		conn = wrapper.NetConn()
+	}
+	if c, ok := conn.(*Conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// BodyFrom returns the body of a request of a Limiter's handler, nil if it has none.
+func BodyFrom(request *http.Request) *Body {
+	b, _ := request.Body.(*Body)
+	return b
+}
+
+// Handler returns a handler that limits the bodies of the requests to next.
+func (l *Limiter) Handler(next http.Handler, policy Policy) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		conn, _ := request.Context().Value(connKey{}).(*Conn)
+		defer conn.release()
+		if len(request.Header) > maxFields {
+			refuse(w, policy, http.StatusRequestHeaderFieldsTooLarge, "too many header fields")
+			return
+		}
+		if request.ContentLength == 0 {
+			conn.protect()
+			next.ServeHTTP(w, request)
+			return
+		}
+		b := &Body{
+			limiter: l, source: request.Body, w: w, conn: conn, path: request.URL.Path, expected: request.ContentLength,
+			factor: policy.Factor, refusal: policy.Refusal,
+		}
+		if policy.Timeout != nil {
+			if timeout := policy.Timeout(request); timeout > 0 {
+				b.deadline = l.now().Add(timeout)
+			}
+		}
+		l.begin(b)
+		defer b.finish()
+		if policy.Whole > 0 && (b.expected < 0 || b.expected > policy.Whole) {
+			b.factor = 0
+			if err := l.charge(b, streamBuffer); err != nil {
+				refuse(w, policy, http.StatusServiceUnavailable, err.Error())
+				return
+			}
+			conn.protect()
+		}
+		request.Body = b
+		next.ServeHTTP(w, request)
+	})
+}
+
+// refuse writes a response and closes the connection, so that the rest of the body is not read.
+func refuse(w http.ResponseWriter, policy Policy, status int, reason string) {
+	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	if policy.Refuse != nil {
+		policy.Refuse(w, status, reason)
+		return
+	}
+	http.Error(w, reason, status)
+}
+
+// finish ends the charges of the body when its handler returns, also by a panic.
+func (b *Body) finish() {
+	b.limiter.mu.Lock()
+	b.ended = true
+	b.limiter.mu.Unlock()
+	b.end()
+}
+
+// Bodiless returns a handler for requests without a body. The connection of a request that has
+// one is closed after the response, so that net/http doesn't wait for the body.
+func Bodiless(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		conn, _ := request.Context().Value(connKey{}).(*Conn)
+		defer conn.release()
+		if request.ContentLength != 0 || len(request.Header) > maxFields {
+			w.Header().Set("Connection", "close")
+		} else {
+			conn.protect()
+		}
+		next.ServeHTTP(w, request)
+	})
+}
+
+// IsRefused reports whether the error of a Read is that of a refused body.
+func IsRefused(err error) bool { return errors.Is(err, ErrRefused) }
