runner, receiver: Limit bodies and connections of entry VMs

Callers' bodies share a budget of a quarter of the memory and have to arrive within the caller's timeout; those of other entry VMs share half as much. Each listener has a limit of connections, from the memory and descriptors of the settings, and small receive buffers. The owner refuses unknown paths and keys before it reads the body. Copies of large bodies, made while these are forwarded or decoded, wait for room. The connection of a body that was not read whole is closed.

--- a/conductor/request.go
+++ b/conductor/request.go
@@ -94,12 +94,11 @@
 	queue, found := c.routing.queue(request.Host, request.Path)
 	team, known := c.routing.teams[request.Key]
 	c.mu.Unlock()
+	if response, refused := screen(queue, found, known); refused {
+		return response
+	}
 	jobID := strings.TrimPrefix(request.Path, queue.Prefix)
 	switch {
-	case !found:
-		return errorResponse(http.StatusNotFound, "no such queue")
-	case !queue.Public && !known:
-		return errorResponse(http.StatusUnauthorized, "unknown key")
 	case jobID == "" && request.Method == http.MethodGet:
 		c.mu.Lock()
 		n := c.planner.Pending(queue.Name)
@@ -124,6 +123,31 @@
 	}
 }
 
+// Screen returns the response to a request that is refused whatever its body holds, because of
+// an unknown path or key, and whether it is. The owner calls it before it reads the body.
+func (c *Conductor) Screen(request Request) (Response, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return Response{}, false
+	}
+	queue, found := c.routing.queue(request.Host, request.Path)
+	_, known := c.routing.teams[request.Key]
+	return screen(queue, found, known)
+}
+
+// screen returns the response to a request without a queue, or without a known key to a queue
+// that requires one, and whether there is such a response.
+func screen(queue planner.Queue, found, known bool) (Response, bool) {
+	switch {
+	case !found:
+		return errorResponse(http.StatusNotFound, "no such queue"), true
+	case !queue.Public && !known:
+		return errorResponse(http.StatusUnauthorized, "unknown key"), true
+	}
+	return Response{}, false
+}
+
 func (c *Conductor) jobState(queue planner.Queue, team, id string) Response {
 	c.mu.Lock()
 	state, known := c.planner.State(id, queue.Name, team)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"filberthaven.example/claimer"
 	"filberthaven.example/conductor"
 	"filberthaven.example/keeper"
+	"filberthaven.example/limiter"
 	"filberthaven.example/messenger"
 	"filberthaven.example/platform"
 	"github.com/go-chi/chi/v5"
@@ -130,21 +131,7 @@
 // ServeHTTP forwards a caller's request and writes the response.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	start := r.now()
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, bodyLimit))
-	var response conductor.Response
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		response = conductor.Response{Status: http.StatusRequestEntityTooLarge, Body: platform.ErrorBody("body is too large")}
-	case err != nil:
-		response = conductor.Response{Status: http.StatusBadRequest, Body: platform.ErrorBody("body can't be read")}
-	default:
-		ctx, cancel := context.WithTimeout(request.Context(), platform.RequestTimeout(request.Header, defaultRequestTimeout))
-		response = r.forward(ctx, conductor.Request{
-			Method: request.Method, Host: request.Host, Path: request.URL.Path, Key: platform.APIKey(request.Header), Body: body,
-		})
-		cancel()
-	}
+	response, complete := r.respond(w, request)
 	r.requestTime.Update(r.now() - start)
 	r.countStatus(response.Status)
 	header := w.Header()
@@ -152,7 +139,7 @@
 	if response.RetryAfter > 0 {
 		header["Retry-After"] = []string{strconv.Itoa(response.RetryAfter)}
 	}
-	if r.draining.Load() {
+	if r.draining.Load() || !complete {
 		header["Connection"] = []string{"close"}
 	}
 	w.WriteHeader(response.Status)
@@ -161,6 +148,64 @@
 	}
 }
 
+// respond returns the response to a caller's request, and whether its body was read whole. The
+// connection of another one has to be closed, since what has arrived takes memory until it is
+// read.
+func (r *Receiver) respond(w http.ResponseWriter, request *http.Request) (conductor.Response, bool) {
+	forwarded := conductor.Request{
+		Method: request.Method, Host: request.Host, Path: request.URL.Path, Key: platform.APIKey(request.Header),
+	}
+	if request.ContentLength != 0 {
+		if c := r.localConductor.Load(); c != nil {
+			if response, refused := c.Screen(forwarded); refused {
+				return response, false
+			}
+		}
+		var err error
+		if forwarded.Body, err = readBody(w, request); err != nil {
+			return bodyFailure(err), false
+		}
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), requestTimeout(request))
+	defer cancel()
+	return r.forward(ctx, forwarded), true
+}
+
+// readBody reads the body of a request, and waits until there is room for the copies that are
+// made of it. A body that comes through no limiter.Limiter is limited in size only.
+func readBody(w http.ResponseWriter, request *http.Request) ([]byte, error) {
+	body := limiter.BodyFrom(request)
+	if body == nil {
+		return io.ReadAll(http.MaxBytesReader(w, request.Body, bodyLimit))
+	}
+	data, err := body.All(bodyLimit)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), requestTimeout(request))
+	defer cancel()
+	return data, body.Hold(ctx, len(data))
+}
+
+// requestTimeout returns how long the caller of a request waits for the response.
+func requestTimeout(request *http.Request) time.Duration {
+	return platform.RequestTimeout(request.Header, defaultRequestTimeout)
+}
+
+// bodyFailure returns the response to a request whose body was not read. The request has not
+// run.
+func bodyFailure(err error) conductor.Response {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return conductor.Response{Status: http.StatusRequestEntityTooLarge, Body: platform.ErrorBody("body is too large")}
+	case limiter.IsRefused(err):
+		return conductor.Response{Status: http.StatusServiceUnavailable, Body: platform.ErrorBody(err.Error()), RetryAfter: retryAfterSeconds}
+	default:
+		return conductor.Response{Status: http.StatusBadRequest, Body: platform.ErrorBody("body can't be read")}
+	}
+}
+
 // forward sends a request to the owner and returns its response. As the owner may be
 // changing, it retries failed attempts until ownerWait has passed or ctx is done. Every
 // request may be repeated, because the id of a job is chosen by its caller.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 	"filberthaven.example/claimer"
 	"filberthaven.example/conductor"
 	"filberthaven.example/exporter"
+	"filberthaven.example/limiter"
 	"filberthaven.example/messenger"
 	"filberthaven.example/planner"
 	"filberthaven.example/platform"
@@ -39,6 +40,9 @@
 	idleTimeout = 15 * time.Second
 	// headerLimit is the largest header of a request in bytes.
 	headerLimit = 16 << 10
+	// defaultCallerTimeout is the time in which the body of a request whose header gives no
+	// timeout has to arrive.
+	defaultCallerTimeout = 3 * time.Second
 	// shutdownTimeout limits the wait for requests in flight when the VM stops.
 	shutdownTimeout = 2500 * time.Millisecond
 	// peerConnections is the largest number of connections to one entry VM.
@@ -60,6 +64,9 @@
 	claimer      *claimer.Claimer
 	receiver     *receiver.Receiver
 	relayer      *relayer.Relayer
+
+	callerLimiter *limiter.Limiter // of callers, the readiness check and the metrics page
+	peerLimiter   *limiter.Limiter // of other entry VMs
 }
 
 // adviceRequest is the request to an entry VM for the advice which of the workers may run
@@ -86,6 +93,9 @@
 // New returns an entry VM with those settings. It registers its metrics in registry.
 func New(settings *Settings, log hclog.Logger, registry metrics.Registry) (*Runner, error) {
 	r := &Runner{settings: settings, log: log, registry: registry, calibrator: conductor.NewCalibrator(claimer.Now)}
+	if err := r.newLimiters(); err != nil {
+		return nil, err
+	}
 	r.store = platform.NewStore(settings.store, memberWatchTimeout, r.registry)
 	r.executors = platform.NewExecutorClient(settings.idleConnections())
 	if settings.advice != "" {
@@ -166,7 +176,7 @@
 // newServer returns an HTTP server with limits on slow connections and large headers.
 func (r *Runner) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit, ConnContext: limiter.ConnContext,
 		ErrorLog: r.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
@@ -205,26 +215,18 @@
 	var servers []*http.Server
 	var listeners []net.Listener
 	failed := make(chan error, 4)
-	for _, binding := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{r.settings.callers, r.receiver},
-		{r.settings.ready, r.receiver.ReadinessHandler()},
-		{r.settings.internal, r.internalHandler()},
-		{r.settings.metrics, exporter.Handler(r.registry)},
-	} {
+	for _, binding := range r.bindings(exporter.Handler(r.registry)) {
 		if binding.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", binding.address)
+		listener, err := binding.listen()
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
 			}
 			return nil, nil, oops.In("runner").With("address", binding.address).Wrapf(err, "can't listen on address")
 		}
-		servers, listeners = append(servers, r.newServer(binding.handler)), append(listeners, listener)
+		servers, listeners = append(servers, binding.server), append(listeners, listener)
 	}
 	for i, server := range servers {
 		go func() {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -27,6 +27,7 @@
 	memory     int64         // bytes that the process may use, 0 if not configured
 	files      int           // descriptors that the process may open, 0 if not configured
 	rate       int           // lines with the same message logged per second, 0 for no limit
+	limits     Limits
 }
 
 // ID returns the id of the VM.
@@ -94,6 +95,7 @@
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
 	s.rate = loader.Get(log, "rate", loader.Int, spooler.DefaultRate, loader.Between(0, 1_000_000))
+	s.limits.decode(d.Section("limits"), defaultLimits(s.memory, s.files))
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
