server, router: Limit bodies and connections of serve

The bodies of each listener share a budget and may make no progress for a limited time; each listener has a limit of connections, and small receive buffers. A body that is passed on while it is read is refused at the beginning or when it stalls, never for others. The settings are bodies, connections and stall of section limits.

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -28,6 +28,7 @@
 	expected int64 // bytes; -1 if unknown
 	factor   int64 // bytes charged for each byte that Read returns
 	held     int64 // bytes of the copies, acquired by Hold
+	streams  bool  // the body is passed on while it is read
 	refusal  func(error) error
 
 	charged  int64     // bytes
@@ -66,6 +67,9 @@
 
 // Read reads from the body and charges what it returns.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.streams {
+		b.conn.protect()
+	}
 	n, err := b.readSome(p)
 	if n > 0 && b.factor > 0 {
 		if refused := b.limiter.charge(b, b.factor*int64(n)); refused != nil {
--- a/limiter/handler.go
+++ b/limiter/handler.go
@@ -23,10 +23,9 @@
 	Factor int64
 	// Timeout returns the time in which a body has to arrive, 0 for any. It may be nil.
 	Timeout func(*http.Request) time.Duration
-	// Whole is the largest body of known length in bytes that the handler reads whole. It
-	// passes others on while it reads them, so that these are refused at the beginning or
-	// not at all. 0 stands for any body.
-	Whole int64
+	// Streams reports whether the body of a request is passed on while it is read. Such a body
+	// is refused at the beginning, or when it makes no progress. It may be nil.
+	Streams func(*http.Request) bool
 	// Refusal turns the error of a refused body into that of a Read. It may be nil.
 	Refusal func(error) error
 	// Refuse writes the response to a request that is refused before the handler is called.
@@ -78,13 +77,12 @@
 		}
 		l.begin(b)
 		defer b.finish()
-		if policy.Whole > 0 && (b.expected < 0 || b.expected > policy.Whole) {
-			b.factor = 0
+		if policy.Streams != nil && policy.Streams(request) {
+			b.factor, b.streams = 0, true
 			if err := l.charge(b, streamBuffer); err != nil {
 				refuse(w, policy, http.StatusServiceUnavailable, err.Error())
 				return
 			}
-			conn.protect()
 		}
 		request.Body = b
 		next.ServeHTTP(w, request)
@@ -104,9 +102,13 @@
 	http.Error(w, reason, status)
 }
 
-// finish ends the charges of the body when its handler returns, also by a panic.
+// finish ends the charges of the body when its handler returns, also by a panic. net/http then
+// doesn't wait for the rest of the body, and closes the connection unless all has arrived.
 func (b *Body) finish() {
 	b.limiter.mu.Lock()
+	if !b.complete {
+		b.interrupt()
+	}
 	b.ended = true
 	b.limiter.mu.Unlock()
 	b.end()
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -150,7 +150,7 @@
 	now := l.now()
 	best := b
 	for other := range l.bodies {
-		if other == b || other.cause != nil || other.complete || other.charged <= smallBody {
+		if other == b || other.cause != nil || other.complete || other.streams || other.charged <= smallBody {
 			continue
 		}
 		if best == b && size <= smallBody || other.isBehind(best, now) {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -45,7 +46,7 @@
 	})
 	server := &http.Server{Handler: f.limiter.Handler(handler, Policy{}), ConnContext: ConnContext, ErrorLog: f.limiter.log.StandardLogger(nil)}
 	go func() {
-		_ = server.Serve(f.limiter.Listen(listener, "tests", connections, WithWriteTimeout(), WithSocketBuffer(32<<10)))
+		_ = server.Serve(f.limiter.Listen(listener, "tests", connections, WithWriteTimeout(time.Second), WithSocketBuffer(32<<10)))
 	}()
 	f.Cleanup(func() { _ = server.Close() })
 	return f
@@ -164,6 +165,26 @@
 	f.Assert(f.status(served), quicktest.Equals, http.StatusOK)
 }
 
+// TestStreamIsNotShed guards against refusing a body that was passed on already, of which nobody
+// can say that it did not run.
+func TestStreamIsNotShed(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := New(WithBudget(100 << 10))
+	c.Assert(err, quicktest.IsNil)
+	handler := l.Handler(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		body := BodyFrom(request)
+		_, err := body.Read(make([]byte, 1))
+		c.Check(err, quicktest.IsNil)
+		other := &Body{limiter: l, w: httptest.NewRecorder()}
+		l.begin(other)
+		c.Check(l.charge(other, 90<<10), quicktest.ErrorIs, ErrNoRoom)
+		l.end(other)
+		c.Check(body.cause, quicktest.IsNil)
+	}), Policy{Streams: func(*http.Request) bool { return true }})
+	handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader("abc")))
+	c.Assert(l.Used(), quicktest.Equals, int64(0))
+}
+
 // BenchmarkRequest measures a request with an ordinary body, with and without limits.
 func BenchmarkRequest(b *testing.B) {
 	l, _ := New()
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -13,8 +13,6 @@
 	// Under a flood of new connections, those of ordinary callers that wait for their next
 	// request are kept while there are others that never sent one.
 	settleTime = 50 * time.Millisecond
-	// writeTimeout is how long a client may leave a response unread.
-	writeTimeout = 5 * time.Second
 )
 
 // Listener is a listener with a limited number of open connections. At the limit, it closes
@@ -27,7 +25,7 @@
 	name    string // for the log
 	limit   int    // open connections, at least 1
 	started time.Time
-	timeout bool // writes have a time-out
+	timeout time.Duration // of a write, 0 for none
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{} // open ones
@@ -36,9 +34,9 @@
 // ListenerOption changes a Listener under construction.
 type ListenerOption func(*Listener)
 
-// WithWriteTimeout closes connections whose client leaves a response unread. It is not for
-// servers that set write deadlines.
-func WithWriteTimeout() ListenerOption { return func(l *Listener) { l.timeout = true } }
+// WithWriteTimeout sets how long a client may leave what is written unread. It doesn't hold
+// while the server sets a write deadline of its own.
+func WithWriteTimeout(d time.Duration) ListenerOption { return func(l *Listener) { l.timeout = d } }
 
 // WithSocketBuffer sets the size of the receive buffer of connections in bytes. The buffers hold
 // what clients have sent and nobody has read, and grow to megabytes by default.
@@ -141,6 +139,7 @@
 	progress atomic.Int64 // ns from the start of the listener to the last byte read
 	serving  atomic.Bool  // a request may have been handed on, and has no response yet
 	served   atomic.Bool  // a request was served
+	deadline atomic.Bool  // the server has set a write deadline
 }
 
 // older returns the one of both without progress for longer. other may be nil.
@@ -165,12 +164,19 @@
 
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.listener.timeout {
-		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if c.listener.timeout > 0 && !c.deadline.Load() {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.listener.timeout))
 	}
 	return c.Conn.Write(p)
 }
 
+// SetWriteDeadline sets a deadline that holds instead of the time-out of writes; the zero time
+// ends that.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.deadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.listener.mu.Lock()
--- a/router/decode.go
+++ b/router/decode.go
@@ -14,6 +14,7 @@
 	"unicode"
 	"unicode/utf8"
 
+	"filberthaven.example/limiter"
 	"filberthaven.example/placer"
 )
 
@@ -89,6 +90,9 @@
 	if errors.As(err, &tooLarge) {
 		return NewProblem(http.StatusRequestEntityTooLarge, "large", fmt.Sprintf("the body is over %d bytes", tooLarge.Limit))
 	}
+	if limiter.IsRefused(err) {
+		return NewProblem(http.StatusServiceUnavailable, "busy", err.Error())
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return NewProblem(http.StatusRequestTimeout, "slow", "the body came too slowly")
 	}
--- a/router/payload.go
+++ b/router/payload.go
@@ -77,7 +77,7 @@
 		return &payload{}, nil
 	}
 	body := http.MaxBytesReader(w, request.Body, limit)
-	if length < 0 || length > maxBufferedBytes {
+	if Streams(length) {
 		return &payload{stream: body, length: length, upload: &upload{controller: http.NewResponseController(w)}}, nil
 	}
 	stop := setReadTimeout(w, bodyTimeout)
@@ -89,6 +89,10 @@
 	return &payload{data: data, length: length}, nil
 }
 
+// Streams reports whether the body of an urgent request is passed on while it is read. length is
+// that of the body in bytes, -1 if unknown.
+func Streams(length int64) bool { return length < 0 || length > maxBufferedBytes }
+
 // setReadTimeout limits how long reads from the caller may take. The returned function
 // removes the limit.
 func setReadTimeout(w http.ResponseWriter, d time.Duration) func() {
--- a/router/problem.go
+++ b/router/problem.go
@@ -121,6 +121,11 @@
 	_, _ = w.Write(body)
 }
 
+// WriteRefusal writes the response to a request that is refused before any handler saw it.
+func WriteRefusal(w http.ResponseWriter, status int, reason string) {
+	NewProblem(status, "busy", reason).write(w)
+}
+
 // problemOf returns the response to send for err.
 func problemOf(err error) *ProblemError {
 	var problem *ProblemError
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -54,6 +54,8 @@
 	defaultRead = 30 * time.Second
 	// operatorTimeout limits reading a request of the readiness check or the metrics page.
 	operatorTimeout = 5 * time.Second
+	// writeTimeout is how long a client may leave a response unread.
+	writeTimeout = 5 * time.Second
 	// callerBuffer and peerBuffer are the sizes of the receive buffers of connections in
 	// bytes. The kernel doubles them. Calls between data centres carry larger messages.
 	callerBuffer = 16 << 10
@@ -146,7 +148,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", b.name, err)
 	}
-	return b.limiter.Listen(listener, b.name, b.connections, limiter.WithWriteTimeout(), limiter.WithSocketBuffer(b.buffer)), nil
+	return b.limiter.Listen(listener, b.name, b.connections, limiter.WithWriteTimeout(writeTimeout), limiter.WithSocketBuffer(b.buffer)), nil
 }
 
 // bodyTimeout returns the time in which the body of a caller's request has to arrive.
--- a/server/run.go
+++ b/server/run.go
@@ -29,6 +29,10 @@
 // cleanly: /readyz fails, shards are handed over, and requests in flight end. It returns
 // the first error of a component, except context.Canceled.
 func (s *Server) Run(ctx context.Context) error {
+	callers, peers, err := s.newServers()
+	if err != nil {
+		return err
+	}
 	baseCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s.baseCtx = baseCtx
@@ -37,19 +41,17 @@
 		group.Go(func() error { return run(groupCtx) })
 	}
 	group.Go(func() error { s.replicator.Run(groupCtx); return nil })
-	callers := router.NewServer(s.router, s.security.callerTLS(), s.logger)
-	peers := router.NewServer(s.internalHandler(), s.security.peerTLS(), s.logger)
-	group.Go(func() error { return router.Serve(callers, s.listener) })
-	group.Go(func() error { return router.Serve(peers, s.internal) })
+	group.Go(func() error { return router.Serve(callers.server, callers.listener) })
+	group.Go(func() error { return router.Serve(peers.server, peers.listener) })
 	s.log.Info("serving", "vm", s.settings.ID(), "centre", s.settings.Centre(), "callers", s.Address(), "internal", s.InternalAddress())
 	select {
 	case <-ctx.Done():
-		s.shutDown(baseCtx, callers, peers)
+		s.shutDown(baseCtx, callers.server, peers.server)
 	case <-groupCtx.Done():
 		s.closeListeners()
 	}
 	cancel()
-	err := group.Wait()
+	err = group.Wait()
 	s.group.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/server/settings.go
+++ b/server/settings.go
@@ -20,6 +20,12 @@
 	defaultCallTimeout    = 2 * time.Second
 	defaultDrainTimeout   = 30 * time.Second
 	defaultReloadInterval = 10 * time.Second
+	// defaultConnections allows for all callers of an entry VM, and for the long polls of
+	// jobs.
+	defaultConnections = 4000
+	// defaultBodies is the number of bytes of all bodies that a listener reads at once: those
+	// of 340 jobs of the largest size.
+	defaultBodies = 64 << 20
 )
 
 // ErrPlaintext means that a VM would serve an address beyond loopback without TLS,
@@ -76,14 +82,18 @@
 // JSON reports whether log lines are JSON objects.
 func (l Logging) JSON() bool { return l.json }
 
-// Limits holds the settings for requests of callers and for calls to other processes. Only
-// the timeout of calls is applied at present; the router has fixed bounds for requests.
+// Limits holds the settings for requests of callers and for calls to other processes. Of
+// those for requests, bodies, connections and stall are applied; the router has fixed bounds
+// for the others.
 type Limits struct {
 	maxBody     int64         // largest body of a request in bytes
 	maxHeader   int           // largest header of a request in bytes
 	readTimeout time.Duration // timeout for reading a request's header and body
 	idleTimeout time.Duration // timeout of a connection without requests
 	callTimeout time.Duration // timeout of a call to the platform or another entry VM
+	bodies      int64         // bytes of the bodies that are read at once, of each listener
+	connections int           // largest number of open connections of each listener
+	stall       time.Duration // longest time without progress of a body
 }
 
 // MaxBody returns the largest body of a request in bytes.
@@ -98,6 +108,15 @@
 // IdleTimeout returns how long a connection without requests stays open.
 func (l Limits) IdleTimeout() time.Duration { return l.idleTimeout }
 
+// Bodies returns how many bytes the bodies that are read at once may take, for each listener.
+func (l Limits) Bodies() int64 { return l.bodies }
+
+// Connections returns the largest number of open connections of each listener.
+func (l Limits) Connections() int { return l.connections }
+
+// Stall returns the longest time without progress of a body.
+func (l Limits) Stall() time.Duration { return l.stall }
+
 // CallTimeout returns the timeout of calls to the platform and to other entry VMs.
 func (l Limits) CallTimeout() time.Duration { return l.callTimeout }
 
@@ -195,11 +214,14 @@
 
 func defaultSettings() *Settings {
 	return &Settings{
-		id:           "vm-" + rand.Text()[:10],
-		listen:       "127.0.0.1:0",
-		internal:     "127.0.0.1:0",
-		logging:      Logging{level: "info"},
-		limits:       Limits{maxBody: defaultMaxBody, maxHeader: defaultMaxHeader, readTimeout: defaultReadTimeout, idleTimeout: defaultIdleTimeout, callTimeout: defaultCallTimeout},
+		id:       "vm-" + rand.Text()[:10],
+		listen:   "127.0.0.1:0",
+		internal: "127.0.0.1:0",
+		logging:  Logging{level: "info"},
+		limits: Limits{
+			maxBody: defaultMaxBody, maxHeader: defaultMaxHeader, readTimeout: defaultReadTimeout, idleTimeout: defaultIdleTimeout, callTimeout: defaultCallTimeout,
+			bodies: defaultBodies, connections: defaultConnections, stall: defaultReadTimeout,
+		},
 		tls:          TLS{reloadInterval: defaultReloadInterval, coversWorkers: true},
 		drainTimeout: defaultDrainTimeout,
 	}
--- a/server/settings_load.go
+++ b/server/settings_load.go
@@ -79,6 +79,9 @@
 	limits.maxHeader = int(header)
 	limits.readTimeout = loader.Get(section, "read", loader.Duration, limits.readTimeout, loader.Between(100*time.Millisecond, time.Hour))
 	limits.idleTimeout = loader.Get(section, "idle", loader.Duration, limits.idleTimeout, loader.Between(time.Second, time.Hour))
+	limits.bodies = loader.Get(section, "bodies", loader.Size, limits.bodies, loader.Between[int64](1<<20, 1<<40))
+	limits.connections = loader.Get(section, "connections", loader.Int, limits.connections, loader.Between(1, 1<<20))
+	limits.stall = loader.Get(section, "stall", loader.Duration, limits.stall, loader.Between(10*time.Millisecond, time.Hour))
 	limits.callTimeout = loader.Get(section, "call", loader.Duration, limits.callTimeout, loader.Between(10*time.Millisecond, time.Minute))
 }
 
