limiter, receiver: Read small bodies beyond the budget; refusals by the owner

While complete bodies hold the budget, small ones were refused, as nothing was left to shed. They are read beyond it now, bounded by the number of connections. A body that the owner refuses is answered 503 without counting the owner as failed, which would have held back other requests. The bytes and connections of all limiters are counted together.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -58,7 +58,7 @@
 	sweeping bool // a sweep is scheduled
 	logged   map[string]*logState
 
-	usedBytes  metrics.Gauge
+	usedBytes  metrics.Counter // goes up and down, as open does
 	shedBodies metrics.Counter
 	slowBodies metrics.Counter
 	closed     metrics.Counter
@@ -106,7 +106,7 @@
 }
 
 func (l *Limiter) register(registry metrics.Registry) {
-	l.usedBytes = metrics.GetOrRegisterGauge("limits.bytes", registry)
+	l.usedBytes = metrics.GetOrRegisterCounter("limits.bytes", registry)
 	l.shedBodies = metrics.GetOrRegisterCounter("limits.shed", registry)
 	l.slowBodies = metrics.GetOrRegisterCounter("limits.slow", registry)
 	l.closed = metrics.GetOrRegisterCounter("limits.closed", registry)
@@ -121,12 +121,16 @@
 }
 
 // charge adds n bytes to the charge of a body. If the budget is used up, it sheds the bodies
-// that are furthest behind. It returns the cause if the body itself is shed.
+// that are furthest behind. It returns the cause if the body itself is shed. A small body is
+// read beyond the budget rather than shed.
 func (l *Limiter) charge(b *Body, n int64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for b.cause == nil && l.used-l.leaving+n > l.budget {
 		victim := l.furthestBehind(b, b.charged+n)
+		if victim == b && !b.streams && b.charged+n <= smallBody {
+			break // the number of connections bounds what small bodies take beyond the budget
+		}
 		l.shed(victim, ErrNoRoom)
 	}
 	if b.cause != nil {
@@ -140,7 +144,7 @@
 // add changes the number of bytes charged.
 func (l *Limiter) add(n int64) {
 	l.used += n
-	l.usedBytes.Update(l.used)
+	l.usedBytes.Inc(n)
 }
 
 // furthestBehind returns the body to shed so that the body b can grow to size: the one without
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -99,6 +99,25 @@
 	f.await(0)
 }
 
+// TestSmallBodyBesideCompleteOnes guards against refusing ordinary requests while complete
+// bodies, which are not shed, hold the budget.
+func TestSmallBodyBesideCompleteOnes(t *testing.T) {
+	arrived, done := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, 10, func(request *http.Request) {
+		if request.ContentLength > smallBody {
+			close(arrived)
+			<-done
+		}
+	}, WithBudget(64<<10))
+	large := f.open(64<<10-1, 0)
+	<-arrived
+	f.Assert(f.status(f.open(3000, 0)), quicktest.Equals, http.StatusOK)
+	f.Assert(f.status(f.open(32<<10, 1)), quicktest.Equals, http.StatusServiceUnavailable)
+	close(done)
+	f.Assert(f.status(large), quicktest.Equals, http.StatusOK)
+	f.await(0)
+}
+
 // TestChargeEnds guards against charges that outlive their request, which would in the end
 // refuse everybody.
 func TestChargeEnds(t *testing.T) {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -290,6 +290,12 @@
 	connected := false
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	response, err := messenger.Call[conductor.Request, conductor.Response](traced, r.messenger, owner.Address(), procedure, &request)
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted {
+		// The owner has refused the body, and works.
+		r.unreachableSince.Store(0)
+		r.breaker.record(term, true, r.now())
+		return bodyFailure(fmt.Errorf("%w by the owner", limiter.ErrRefused)), nil
+	}
 	if err != nil {
 		r.failedOwnerCalls.Inc(1)
 		r.breaker.record(term, false, r.now())
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"filberthaven.example/claimer"
 	"filberthaven.example/conductor"
+	"filberthaven.example/limiter"
 	"filberthaven.example/messenger"
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
@@ -86,6 +88,29 @@
 	quicktest.Assert(t, postJob(t, address), quicktest.Equals, http.StatusServiceUnavailable)
 }
 
+// TestOwnerRefusesBody checks that a request whose body the owner has refused is reported as not
+// run, and that the owner doesn't count as failed, which would hold back other requests.
+func TestOwnerRefusesBody(t *testing.T) {
+	m, err := messenger.New()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	limits, err := limiter.New(limiter.WithBudget(1))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	mux := http.NewServeMux()
+	messenger.Handle(m, mux, procedure, func(context.Context, *conductor.Request) (*conductor.Response, error) {
+		t.Error("the request has run")
+		return &conductor.Response{}, nil
+	})
+	refusal := func(cause error) error { return connect.NewError(connect.CodeResourceExhausted, cause) }
+	server := httptest.NewServer(limits.Handler(mux, limiter.Policy{Factor: 64 << 10, Refusal: refusal}))
+	defer server.Close()
+	owner := func() (claimer.Member, uint64, bool) {
+		return claimer.NewMember("owner", strings.TrimPrefix(server.URL, "http://"), "c"), 1, true
+	}
+	r := New(m, "self", owner, hclog.NewNullLogger(), metrics.NewRegistry())
+	quicktest.Check(t, serveJob(r), quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, r.failedOwnerCalls.Count(), quicktest.Equals, int64(0))
+}
+
 // TestFormerOwner checks that a request to a VM that is no longer the owner is reported as
 // not run.
 func TestFormerOwner(t *testing.T) {
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	r.peerLimiter, err = limiter.New(limiter.WithBudget(limits.bodies/peerShare), limiter.WithStall(limits.stall), limiter.WithLogger(r.log.Named("peers")))
+	r.peerLimiter, err = limiter.New(limiter.WithBudget(limits.bodies/peerShare), limiter.WithStall(limits.stall), limiter.WithLogger(r.log), limiter.WithRegistry(r.registry))
 	return err
 }
 
@@ -129,10 +129,10 @@
 			_, _ = w.Write(platform.ErrorBody(reason)) // the connection is closed anyway
 		},
 	})
-	// A peer reads this error as that of a call that was not carried out.
-	unavailable := func(cause error) error { return connect.NewError(connect.CodeUnavailable, cause) }
+	// A peer reads this error as that of a call that was not carried out by a VM that works.
+	exhausted := func(cause error) error { return connect.NewError(connect.CodeResourceExhausted, cause) }
 	internal := r.peerLimiter.Handler(r.internalHandler(), limiter.Policy{
-		Factor: messageFactor, Refusal: unavailable, Timeout: func(*http.Request) time.Duration { return limits.read },
+		Factor: messageFactor, Refusal: exhausted, Timeout: func(*http.Request) time.Duration { return limits.read },
 	})
 	return []binding{
 		{"callers", r.settings.callers, r.newServer(callers), r.callerLimiter, limits.connections, callerBuffer},
