--- a/runner/settings.go
+++ b/runner/settings.go
@@ -31,6 +31,7 @@
 	speeds     bool          // tasks are placed by how fast workers have been
 	rate       int           // lines with the same message logged per second, 0 for no limit
 	runTimes   bool          // run times are learned for each queue, team and step
+	limits     Limits
 }
 
 // ID returns the id of the VM.
@@ -117,6 +118,7 @@
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
 	s.rate = loader.Get(log, "rate", loader.Int, spooler.DefaultRate, loader.Between(0, 1_000_000))
+	s.limits.decode(d.Section("limits"), defaultLimits(s.memory, s.files))
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
