reserver: Keep reservations of gangs, bound them, and backfill

Each waiting gang reserves workers afresh in each decision, and all together hold most of the fleet. With the key backfill of section planning, a gang keeps its workers from one decision to the next, at most a fifth of the fleet is reserved, and other work uses the reserved workers where it should end before the gang starts.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -61,6 +61,7 @@
 	log           hclog.Logger
 	registry      metrics.Registry
 	metrics       ownerMetrics
+	planning      []planner.Option
 
 	journal    *journaler.Journaler
 	ctx        context.Context // of Run; ends with the ownership
@@ -137,6 +138,12 @@
 // could own the fleet.
 func WithHasLargerPeer(has func() bool) Option { return func(c *Conductor) { c.hasLargerPeer = has } }
 
+// WithBackfill sets whether gangs keep bounded reservations, which other work may use
+// meanwhile.
+func WithBackfill(on bool) Option {
+	return func(c *Conductor) { c.planning = append(c.planning, planner.WithBackfill(on)) }
+}
+
 // WithMembers sets the function that lists the entry VMs, and the function that requests
 // advice through one of them. The latter returns tickets by worker id and how long they
 // are valid.
@@ -163,7 +170,7 @@
 		c.calibrator = NewCalibrator(c.now)
 	}
 	c.metrics = newOwnerMetrics(c.registry)
-	c.planner = planner.New()
+	c.planner = planner.New(c.planning...)
 	c.balancer = newAdviceBalancer()
 	journal, err := journaler.New(store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
@@ -229,6 +236,8 @@
 	}
 	c.metrics.pending.Update(0)
 	c.metrics.pendingOrdered.Update(0)
+	c.metrics.reservedWorkers.Update(0)
+	c.metrics.reservedIdle.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -333,6 +342,9 @@
 		case planner.Start:
 			c.log.Info("start", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
 			c.metrics.starts.Inc(1)
+			if a.Backfill {
+				c.metrics.backfilled.Inc(1)
+			}
 			starts = append(starts, a)
 		case planner.Stop:
 			c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
@@ -356,12 +368,15 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// updateGauges updates the gauges of pending jobs.
+// updateGauges updates the gauges of pending jobs and of reservations.
 func (c *Conductor) updateGauges() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
 	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
+	workers, idle := c.planner.Reservations()
+	c.metrics.reservedWorkers.Update(int64(workers))
+	c.metrics.reservedIdle.Update(idle)
 }
 
 // sweep removes deregistered workers and ended jobs past their retention, and persists
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -5,16 +5,19 @@
 // ownerMetrics are the metrics of one ownership. Operators read some of them under names
 // that differ from those of the fields.
 type ownerMetrics struct {
-	accepted, refused, unavailable               metrics.Counter // submitted jobs
-	completed, failed, cancelled                 metrics.Counter // ended jobs
-	pending, pendingOrdered                      metrics.Gauge   // jobs of which no task has begun; of these, those with a decided start
-	starts, stops                                metrics.Counter // orders that the planner decided on
-	startsAccepted, startsRefused, startsUnknown metrics.Counter // outcomes of start orders
-	runsEnded                                    metrics.Counter // ended runs that workers reported
-	heartbeats, missedHeartbeats                 metrics.Counter // heartbeats sent, and those that failed
-	crashes                                      metrics.Counter // runs whose worker crashed
-	closedConnections                            metrics.Counter // missed heartbeats whose worker's machine refused or closed the connection
-	invalidEntries                               metrics.Counter // changes of entries that name no worker
+	accepted, refused, unavailable               metrics.Counter      // submitted jobs
+	completed, failed, cancelled                 metrics.Counter      // ended jobs
+	pending, pendingOrdered                      metrics.Gauge        // jobs of which no task has begun; of these, those with a decided start
+	reservedWorkers                              metrics.Gauge        // workers reserved for gangs
+	reservedIdle                                 metrics.GaugeFloat64 // free processors on them
+	backfilled                                   metrics.Counter      // decided starts on workers that were reserved for gangs
+	starts, stops                                metrics.Counter      // orders that the planner decided on
+	startsAccepted, startsRefused, startsUnknown metrics.Counter      // outcomes of start orders
+	runsEnded                                    metrics.Counter      // ended runs that workers reported
+	heartbeats, missedHeartbeats                 metrics.Counter      // heartbeats sent, and those that failed
+	crashes                                      metrics.Counter      // runs whose worker crashed
+	closedConnections                            metrics.Counter      // missed heartbeats whose worker's machine refused or closed the connection
+	invalidEntries                               metrics.Counter      // changes of entries that name no worker
 	adviceRequests, adviceFailures               metrics.Counter
 	adviceTime                                   metrics.Timer // of requests that succeeded
 	acceptTime                                   metrics.Timer // from a job's arrival until the journal holds it
@@ -30,6 +33,9 @@
 		cancelled:         metrics.GetOrRegisterCounter("jobs.cancelled", r),
 		pending:           metrics.GetOrRegisterGauge("jobs.pending", r),
 		pendingOrdered:    metrics.GetOrRegisterGauge("jobs.pending.ordered", r),
+		reservedWorkers:   metrics.GetOrRegisterGauge("workers.reserved", r),
+		reservedIdle:      metrics.GetOrRegisterGaugeFloat64("workers.reserved.idle", r),
+		backfilled:        metrics.GetOrRegisterCounter("orders.backfilled", r),
 		starts:            metrics.GetOrRegisterCounter("orders.starts", r),
 		stops:             metrics.GetOrRegisterCounter("orders.stops", r),
 		startsAccepted:    metrics.GetOrRegisterCounter("starts.begun", r),
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -37,6 +37,7 @@
 	Incarnation int64         // of a start: of the worker, as known now
 	Separate    bool          // of a start: nothing else may start on the worker beside it
 	Gang        bool          // of a start: of a member of a gang
+	Backfill    bool          // of a start: other than urgent work, on a worker that is reserved for a gang
 	Repeated    bool          // of a start: the run was ordered before
 }
 
@@ -84,7 +85,7 @@
 	p.maxFreeCPU = 0
 	p.adviceBudget[true], p.adviceBudget[false] = maxAdviceRequests, maxAdviceRequests
 	for _, w := range p.fleet {
-		w.reservedFor = nil
+		w.reservedFor, w.share = nil, gangShare{}
 		w.noteSilence(now)
 		w.open = w.acceptsTasks(now) && w.separateRuns == 0 && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
 		if w.listed {
@@ -95,6 +96,9 @@
 	p.keepSeparate(now)
 	p.repeatStarts(now)
 	candidates := p.candidates(now)
+	if p.settings.backfill {
+		p.reserveGangs(candidates, now)
+	}
 	for _, s := range p.waitingSuspects(candidates, now) {
 		p.placeSuspects(s.step, s.candidate, now)
 	}
@@ -323,14 +327,16 @@
 
 // mayUse reports whether tasks of the step may start on the worker in the current
 // decision, whatever its free capacity and the advice. A worker reserved for another
-// step takes only urgent steps, and none if the other step is long-running or the worker is
-// kept for a suspect.
+// step takes only urgent steps and backfill, and none if the other step is long-running or
+// the worker is kept for a suspect.
 func (s *step) mayUse(w *worker) bool {
 	if !w.open || w.reg.Service != s.occurrence.job.queue.Service {
 		return false
 	}
-	if w.reservedFor != nil && w.reservedFor != s && (s.occurrence.job.queue.Priority > 0 || w.reservedFor.spec.LongRunning || w.keptFor != nil) {
-		return false
+	if w.reservedFor != nil && w.reservedFor != s {
+		if w.reservedFor.spec.LongRunning || w.keptFor != nil || s.occurrence.job.queue.Priority > 0 && !s.mayBackfill(w) {
+			return false
+		}
 	}
 	return s.spec.Label == "" || w.hasLabel(s.spec.Label)
 }
@@ -367,7 +373,10 @@
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
-	reason := "room"
+	reason, backfill := "room", w.reservedFor != nil && w.reservedFor != s && j.queue.Priority > 0
+	if backfill {
+		reason = "backfill"
+	}
 	if separate {
 		if w.separateRuns == 0 && w.keptFor == nil {
 			p.separateWorkers++
@@ -379,7 +388,7 @@
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
 		Checkpoint: t.checkpoint, Ticket: ticket, Queue: j.spec.Queue, Reason: reason,
-		Incarnation: w.reg.Incarnation, Separate: separate, Gang: s.spec.Gang,
+		Incarnation: w.reg.Incarnation, Separate: separate, Gang: s.spec.Gang, Backfill: backfill,
 	})
 }
 
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -28,12 +28,10 @@
 	}
 	placements := p.findPlacements(s, len(s.tasks), s.fitCount, now)
 	if placements == nil {
-		p.requestAdvice(s, c, now)
-		if c.rank != expiredRank {
-			p.reserve(s, now)
-		}
+		p.awaitRoom(s, c, now)
 		return
 	}
+	s.lacksRoom = false
 	number, checkpoint := s.nextGangRun()
 	members := make([]int, len(s.tasks))
 	for i := range members {
--- a/planner/job.go
+++ b/planner/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthaven.example/placer"
+	"filberthaven.example/reserver"
 )
 
 // State is the state of a job as callers see it.
@@ -81,8 +82,10 @@
 	lastRun           int   // newest run number of any task
 	failedRuns        []int // numbers of the failed runs of a gang; empty if the step is none
 	advice            advice
-	startedAt         time.Duration // when the newest start of a task was decided by this owner, else 0
-	reportedAt        time.Duration // when TakeWaits last returned it, else 0
+	startedAt         time.Duration        // when the newest start of a task was decided by this owner, else 0
+	reportedAt        time.Duration        // when TakeWaits last returned it, else 0
+	lacksRoom         bool                 // a gang that did not fit when it was last looked at
+	reservation       reserver.Reservation // of a gang in the current decision; without allotments if it has none
 }
 
 // task is one task of a step.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"filberthaven.example/reserver"
 )
 
 // Planner holds the jobs, workers and teams of a fleet. It is not safe for
@@ -46,12 +48,16 @@
 	startLimit      int             // most starts in a decision
 	startsLeft      int             // of startLimit, in the current decision; below 0 after a gang
 	startsDeferred  bool            // whether the current decision has left starts to the next one
-	restoredAt      time.Duration   // when the state of earlier owners was restored, else 0
+	reserver        *reserver.Reserver
+	reservedWorkers int           // by gangs, when the current decision began
+	reservedIdle    int64         // free thousandths of a processor on these workers at that time
+	restoredAt      time.Duration // when the state of earlier owners was restored, else 0
 }
 
 // settings holds what options set.
 type settings struct {
 	retention time.Duration // how long the state of an ended job stays available
+	backfill  bool          // reservations of gangs are kept and bounded, and used meanwhile
 }
 
 // Option configures a Planner.
@@ -83,6 +89,7 @@
 		waiters:        map[waiterKey][]func(error){},
 		awaited:        map[string]bool{},
 		startLimit:     math.MaxInt,
+		reserver:       reserver.New(),
 	}
 }
 
--- /dev/null
+++ b/planner/reservation.go
@@ -0,0 +1,199 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filberthaven.example/placer"
+	"filberthaven.example/reserver"
+)
+
+// gangShare is what a reservation holds on one worker in the current decision. The zero value
+// holds nothing.
+type gangShare struct {
+	tasks    int              // of the gang; 0 if no reservation of a gang holds the worker
+	startsIn time.Duration    // from now until the gang can start
+	need     placer.Resources // of these tasks
+	released placer.Resources // by runs that should end before the gang starts
+}
+
+// spare returns what the gang leaves free on the worker from its start on.
+func (w *worker) spare() placer.Resources {
+	return w.free().Add(w.share.released).Sub(w.share.need)
+}
+
+// WithBackfill keeps the reservations of gangs from one decision to the next, within bounds,
+// and lets other work use the reserved workers as long as it does not delay the gangs.
+func WithBackfill(on bool) Option { return func(s *settings) { s.backfill = on } }
+
+const (
+	// backfillMargin is added to the expected run time of a task that uses a reserved worker,
+	// as a fraction of it. Declared times of small deferred tasks are off by a factor of about
+	// e^0.2, and orders take some 50 ms.
+	backfillMargin = 0.3
+	// ticketLead is how long before its start a gang should have the tickets. They are valid for
+	// some 2 s, so the start may be half a second early or a second late.
+	ticketLead = 500 * time.Millisecond
+)
+
+// expectedRunTime returns how long a task of the step is expected to run, 0 if that is not
+// known.
+func (s *step) expectedRunTime() time.Duration {
+	return time.Duration(float64(s.spec.Estimate)*s.occurrence.job.stats.runTimeRatio()) * time.Millisecond
+}
+
+// reserveGangs reserves workers for the waiting gangs that did not fit in an earlier decision,
+// in the order of the candidates. Expired ones get none.
+func (p *Planner) reserveGangs(candidates []candidate, now time.Duration) {
+	var gangs []reserver.Gang
+	steps := map[string]*step{}
+	for _, c := range candidates {
+		for _, s := range c.occurrence.steps {
+			s.reservation = reserver.Reservation{}
+			if c.rank == expiredRank || c.occurrence.job.holdsBack() {
+				continue
+			}
+			if s.lacksRoom && s.spec.Gang && s.ready && s.waitingTasks == len(s.tasks) && !s.hasSuspect() && s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
+				gangs = append(gangs, p.gangOf(s, c, now))
+				steps[s.name] = s
+			}
+		}
+	}
+	p.reservedWorkers, p.reservedIdle = 0, 0
+	for _, r := range p.reserver.Plan(gangs, len(p.fleet), now) {
+		p.applyReservation(steps[r.Gang], r, now)
+	}
+}
+
+// gangOf describes a gang to the reserver.
+func (p *Planner) gangOf(s *step, c candidate, now time.Duration) reserver.Gang {
+	latest := now + c.slack
+	if c.slack < 0 {
+		// It is worth something until it expires.
+		latest += (expiredFactor - 1) * s.occurrence.job.objective()
+	}
+	return reserver.Gang{
+		Name: s.name, Tasks: len(s.tasks), Latest: latest,
+		Workers: func(yield func(string) bool) {
+			for w := range p.reservableWorkers(s) {
+				if !yield(w.reg.ID) {
+					return
+				}
+			}
+		},
+		Fits: func(id string) []time.Duration { return p.fitTimes(s, p.workers[id], now) },
+	}
+}
+
+// fitTimes returns when the first, the second and each further task of the step fits on the
+// worker, by the expected ends of its runs. It is empty if the worker is of no use.
+func (p *Planner) fitTimes(s *step, w *worker, now time.Duration) []time.Duration {
+	if w == nil || w.keptFor != nil || w.reservedFor != nil || !s.mayUse(w) || s.occurrence.job.queue.AdviceCost != nil && s.advice.known[w] == nil {
+		return nil
+	}
+	var times []time.Duration
+	at, free := now, w.free()
+	releases := p.releasesOf(w, now)
+	for i := 0; ; i++ {
+		for len(times) < len(s.tasks) && s.spec.Size.Fits(free) && (s.spec.MaxPerWorker == 0 || len(times) < s.spec.MaxPerWorker) {
+			free = free.Sub(s.spec.Size)
+			times = append(times, at)
+		}
+		if i >= len(releases) || len(times) == len(s.tasks) {
+			return times
+		}
+		at, free = releases[i].at, free.Add(releases[i].size)
+	}
+}
+
+// applyReservation makes the workers of a reservation reserved in the current decision.
+func (p *Planner) applyReservation(s *step, r reserver.Reservation, now time.Duration) {
+	s.reservation = r
+	for _, a := range r.Allotments {
+		w := p.workers[a.Worker]
+		w.reservedFor = s
+		w.share = gangShare{tasks: a.Tasks, startsIn: r.Start - now, need: s.spec.Size.Scale(int64(a.Tasks))}
+		for _, release := range p.releasesOf(w, now) {
+			if release.at <= r.Start {
+				w.share.released = w.share.released.Add(release.size)
+			}
+		}
+		p.reservedWorkers++
+		p.reservedIdle += max(0, w.free().CPU())
+	}
+}
+
+// mayBackfill reports whether a task of the step may start on a worker that is reserved for a
+// gang: it should end before the gang starts, or fits beside the gang.
+func (s *step) mayBackfill(w *worker) bool {
+	expected := s.expectedRunTime()
+	if w.share.tasks == 0 || expected <= 0 || s.spec.LongRunning {
+		return false
+	}
+	if expected+time.Duration(backfillMargin*float64(expected)) <= w.share.startsIn {
+		return true
+	}
+	return !s.spec.Gang && s.spec.Size.Fits(w.spare())
+}
+
+// awaitRoom requests advice for a gang that doesn't fit, and lets it reserve workers.
+func (p *Planner) awaitRoom(s *step, c candidate, now time.Duration) {
+	if !p.settings.backfill {
+		p.requestAdvice(s, c, now)
+		if c.rank != expiredRank {
+			p.reserve(s, now)
+		}
+		return
+	}
+	s.lacksRoom = true
+	if len(s.reservation.Allotments) == 0 {
+		p.requestAdvice(s, c, now)
+		return
+	}
+	// The workers are known, so only tickets for them are requested, and these so that the
+	// gang has them shortly before its start.
+	room := s.fitCount
+	cost := s.occurrence.job.queue.AdviceCost
+	if cost != nil && s.reservation.Start-now <= cost.duration(len(s.reservation.Allotments))+ticketLead {
+		room = func(w *worker) int {
+			if w.reservedFor == s {
+				return w.share.tasks
+			}
+			return s.fitCount(w)
+		}
+	}
+	if cost != nil && len(s.renewableTickets(room, now)) > 0 {
+		p.requestAdviceFor(s, c, room, now)
+	}
+}
+
+// release is the expected end of a run.
+type release struct {
+	at   time.Duration
+	size placer.Resources
+}
+
+// releasesOf returns the expected ends of the worker's runs, soonest first. Long-running ones
+// have none.
+func (p *Planner) releasesOf(w *worker, now time.Duration) []release {
+	if w.releasesIn == p.decisions {
+		return w.releases
+	}
+	w.releasesIn, w.releases = p.decisions, w.releases[:0]
+	for _, r := range w.runs {
+		if !r.step.spec.LongRunning && !r.step.unknown {
+			w.releases = append(w.releases, release{now + p.remainingTime(r, now), r.size})
+		}
+	}
+	slices.SortFunc(w.releases, func(a, b release) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.size.CPU(), b.size.CPU()))
+	})
+	return w.releases
+}
+
+// Reservations returns how many workers the newest decision has reserved for gangs, and how
+// many processors were free on them when it began.
+func (p *Planner) Reservations() (workers int, idle float64) {
+	return p.reservedWorkers, float64(p.reservedIdle) / 1000
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -56,6 +56,9 @@
 	lossNoted           bool          // the loss of its known incarnation counts towards the rate of crashes
 	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
+	share               gangShare // of the reservation that holds it in the current decision
+	releases            []release // as releasesOf returns them
+	releasesIn          uint64    // decision in which releases was computed
 }
 
 // runKey identifies a run on a worker.
--- /dev/null
+++ b/reserver/reserver.go
@@ -0,0 +1,237 @@
+package reserver
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+	"time"
+)
+
+const (
+	// Share is the largest part of the fleet that is reserved, apart from what the first gang
+	// needs. A worker that drains evenly is half idle on average, so a fifth of the fleet
+	// keeps a tenth of its capacity idle at most.
+	Share = 0.2
+	// Horizon is how far ahead the start of a gang may lie that is not the first in the order.
+	// What runs then hardly depends on what is reserved now: most runs take less.
+	Horizon = 3 * time.Second
+	// slip is by how much the start of a reservation may be later than planned before other
+	// workers are looked for. Forecasts of ends err by this much in normal operation.
+	slip = 500 * time.Millisecond
+	// retryInterval is the least time between two searches for workers for the same gang. A
+	// search visits all workers that may run the gang.
+	retryInterval = 50 * time.Millisecond
+)
+
+// Gang is a set of equal tasks that wait to start together.
+type Gang struct {
+	Name    string
+	Tasks   int              // at least 1
+	Latest  time.Duration    // from then on a start is out of reach
+	Workers iter.Seq[string] // those that are known to be eligible, each once
+	// Fits returns when the first, the second and each further task of the gang fits on the
+	// worker if nothing else starts there, in ascending order; none if it takes no tasks.
+	Fits func(worker string) []time.Duration
+}
+
+// Allotment is a number of a gang's tasks on one worker.
+type Allotment struct {
+	Worker string
+	Tasks  int // at least 1
+}
+
+// Reservation holds workers for one gang.
+type Reservation struct {
+	Gang       string
+	Start      time.Duration // when all tasks are expected to fit
+	Allotments []Allotment   // of as many tasks as the gang has, each worker once
+}
+
+// held is the state of a gang that has, or has looked for, a reservation.
+type held struct {
+	Reservation               // without allotments if it has none
+	planned     time.Duration // Start when the workers were chosen
+	retryAt     time.Duration // earliest time of the next search
+}
+
+// Reserver keeps the reservations of one fleet.
+type Reserver struct {
+	gangs   map[string]*held
+	holders map[string]*held // by worker
+}
+
+// New returns a reserver without reservations.
+func New() *Reserver {
+	return &Reserver{gangs: map[string]*held{}, holders: map[string]*held{}}
+}
+
+// Plan returns the reservations of the gangs, which are in the order in which they are served,
+// in a fleet of that many workers. A worker is in one reservation at most.
+func (r *Reserver) Plan(gangs []Gang, workers int, now time.Duration) []Reservation {
+	r.dropOthers(gangs)
+	limit := int(Share * float64(workers))
+	used := 0
+	var plan []Reservation
+	for i := range gangs {
+		g, first := &gangs[i], len(plan) == 0
+		h := r.gangs[g.Name]
+		if h == nil {
+			h = &held{Reservation: Reservation{Gang: g.Name}}
+			r.gangs[g.Name] = h
+		}
+		room := limit - used
+		if room <= 0 && !first {
+			r.release(h)
+			continue
+		}
+		r.renew(g, h, first, now)
+		if len(h.Allotments) == 0 {
+			continue
+		}
+		if !first && (len(h.Allotments) > room || h.Start > min(g.Latest, now+Horizon)) {
+			r.release(h)
+			continue
+		}
+		used += len(h.Allotments)
+		plan = append(plan, Reservation{h.Gang, h.Start, slices.Clone(h.Allotments)})
+	}
+	return plan
+}
+
+// dropOthers drops what is held for gangs that do not wait any more.
+func (r *Reserver) dropOthers(gangs []Gang) {
+	if len(r.gangs) == 0 {
+		return
+	}
+	waiting := make(map[string]bool, len(gangs))
+	for i := range gangs {
+		waiting[gangs[i].Name] = true
+	}
+	for name, h := range r.gangs {
+		if !waiting[name] {
+			r.release(h)
+			delete(r.gangs, name)
+		}
+	}
+}
+
+// release frees the workers of a reservation.
+func (r *Reserver) release(h *held) {
+	for _, a := range h.Allotments {
+		delete(r.holders, a.Worker)
+	}
+	h.Allotments = nil
+}
+
+// renew computes the start of a reservation anew. If workers are missing or the start has
+// slipped, it looks for others. The first gang may take those of later gangs if it would
+// otherwise start too late.
+func (r *Reserver) renew(g *Gang, h *held, first bool, now time.Duration) {
+	kept := make([]room, 0, len(h.Allotments))
+	for _, a := range h.Allotments {
+		if fits := g.Fits(a.Worker); len(fits) > 0 {
+			kept = append(kept, room{a.Worker, fits, true})
+		}
+	}
+	start, enough := startTime(kept, g.Tasks)
+	if enough && start <= h.planned+slip {
+		r.hold(h, kept, start, g.Tasks)
+		return
+	}
+	if now < h.retryAt {
+		if enough {
+			r.hold(h, kept, start, g.Tasks)
+		} else {
+			r.release(h)
+		}
+		return
+	}
+	h.retryAt = now + retryInterval
+	rooms, start, enough := r.search(g, h, false)
+	if first && (!enough || start > g.Latest) {
+		rooms, start, enough = r.search(g, h, true)
+	}
+	if !enough {
+		r.release(h)
+		return
+	}
+	r.hold(h, rooms, start, g.Tasks)
+	h.planned = start
+}
+
+// room is what a worker offers to a gang.
+type room struct {
+	worker string
+	fits   []time.Duration // as Gang.Fits returns them
+	held   bool            // the worker is reserved for the gang already
+}
+
+// tasks returns how many tasks fit at the given time.
+func (r *room) tasks(at time.Duration) int {
+	n, _ := slices.BinarySearch(r.fits, at+1)
+	return n
+}
+
+// search returns the rooms of the workers that may be reserved for a gang, and when it can
+// start on them. Workers of other reservations count only if it may take them.
+func (r *Reserver) search(g *Gang, h *held, take bool) (rooms []room, start time.Duration, enough bool) {
+	for w := range g.Workers {
+		holder := r.holders[w]
+		if holder != nil && holder != h && !take {
+			continue
+		}
+		if fits := g.Fits(w); len(fits) > 0 {
+			rooms = append(rooms, room{w, fits, holder == h})
+		}
+	}
+	start, enough = startTime(rooms, g.Tasks)
+	return rooms, start, enough
+}
+
+// startTime returns when that many tasks fit in the rooms, and whether they ever do.
+func startTime(rooms []room, tasks int) (start time.Duration, enough bool) {
+	var times []time.Duration
+	for i := range rooms {
+		times = append(times, rooms[i].fits...)
+	}
+	if len(times) < tasks {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[tasks-1], true
+}
+
+// hold reserves rooms in which that many tasks fit at start, and no more: those that are held
+// already first, then those in which most tasks fit. It releases the others.
+func (r *Reserver) hold(h *held, rooms []room, start time.Duration, tasks int) {
+	slices.SortFunc(rooms, func(a, b room) int {
+		if a.held != b.held {
+			if a.held {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.tasks(start), a.tasks(start)), cmp.Compare(a.worker, b.worker))
+	})
+	r.release(h)
+	h.Start = start
+	for i := range rooms {
+		n := min(tasks, rooms[i].tasks(start))
+		if n == 0 {
+			continue
+		}
+		r.take(rooms[i].worker, h)
+		h.Allotments = append(h.Allotments, Allotment{rooms[i].worker, n})
+		if tasks -= n; tasks == 0 {
+			return
+		}
+	}
+}
+
+// take reserves a worker, which another gang loses if it had it.
+func (r *Reserver) take(worker string, h *held) {
+	if other := r.holders[worker]; other != nil {
+		other.Allotments = slices.DeleteFunc(other.Allotments, func(a Allotment) bool { return a.Worker == worker })
+	}
+	r.holders[worker] = h
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -111,7 +111,7 @@
 func (r *Runner) runFleet(ctx context.Context, term uint64) {
 	c, err := conductor.New(r.relayer.Wrap(r.store.WithWatchTimeout(ownerWatchTimeout).KV()), r.executors, r.settings.id, term,
 		conductor.WithLease(r.settings.lease), conductor.WithLogger(r.log), conductor.WithRegistry(r.registry),
-		conductor.WithCalibrator(r.calibrator),
+		conductor.WithCalibrator(r.calibrator), conductor.WithBackfill(r.settings.backfill),
 		conductor.WithIsOwner(func() bool { return r.claimer.IsOwner(term) }),
 		conductor.WithResign(r.claimer.ResignCentre), conductor.WithResignSlow(r.claimer.ResignVM), conductor.WithResignRefused(r.claimer.ResignRefused),
 		conductor.WithHasLargerPeer(r.claimer.HasLargerPeer),
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -26,6 +26,7 @@
 	bootstrap  bool          // the whole system starts for the first time
 	memory     int64         // bytes that the process may use, 0 if not configured
 	files      int           // descriptors that the process may open, 0 if not configured
+	backfill   bool          // gangs keep bounded reservations, which other work may use meanwhile
 	rate       int           // lines with the same message logged per second, 0 for no limit
 }
 
@@ -90,6 +91,8 @@
 	s.store = loader.Require(platform, "store", loader.Address)
 	s.advice = loader.Get(platform, "advice", loader.Address, "")
 	s.lease = loader.Get(platform, "lease", loader.Duration, defaultLease, loader.Between(time.Second, time.Minute))
+	planning := d.Section("planning")
+	s.backfill = loader.Get(planning, "backfill", loader.Bool, false)
 	log := d.Section("log")
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
