--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -55,19 +55,21 @@
 // seed repeats the load.
 type replay struct {
 	*fixture
-	load     []queueLoad
-	scale    float64 // part of the load that is played
-	random   *rand.Rand
-	events   []replayEvent
-	idleAt   []time.Duration // by entry VM, when its advice requests are answered
-	serials  map[string]uint64
-	ends     map[string][]EndEntry // by worker, not reported yet
-	lasts    map[string]time.Duration
-	jobs     int
-	refused  int
-	starts   int
-	digest   io.Writer // gets each action
-	decideIn func(func())
+	load      []queueLoad
+	scale     float64 // part of the load that is played
+	random    *rand.Rand
+	events    []replayEvent
+	idleAt    []time.Duration // by entry VM, when its advice requests are answered
+	serials   map[string]uint64
+	ends      map[string][]EndEntry // by worker, not reported yet
+	lasts     map[string]time.Duration
+	jobs      int
+	refused   int
+	starts    int
+	digest    io.Writer // gets each action
+	decideIn  func(func())
+	runTime   func(a Action, s *step) float64 // of a run, as a multiple of the declared one
+	urgentVMs int                             // of idleAt, the first ones, which answer urgent requests only; 0 if all answer any
 }
 
 // newReplay returns a replay of that part of the load on that number of workers.
@@ -81,6 +83,7 @@
 		idleAt: make([]time.Duration, max(1, int(replayVMs*scale))), serials: map[string]uint64{}, ends: map[string][]EndEntry{}, lasts: map[string]time.Duration{},
 		digest: io.Discard, decideIn: func(decide func()) { decide() },
 	}
+	r.runTime = func(Action, *step) float64 { return math.Exp(0.3 * r.random.NormFloat64()) }
 	var teams []Team
 	for n := range replayTeams {
 		teams = append(teams, Team{Name: "t" + strconv.Itoa(n), Weight: 100})
@@ -169,7 +172,7 @@
 	case Start:
 		r.starts++
 		s, _ := r.p.stepOf(a.Task)
-		runTime := time.Duration(float64(s.spec.Estimate)*math.Exp(0.3*r.random.NormFloat64())) * time.Millisecond
+		runTime := time.Duration(float64(s.spec.Estimate)*r.runTime(a, s)) * time.Millisecond
 		r.after(replayAnswer, func() { r.p.ReportStart(a, Accepted, r.now) })
 		r.after(replayAnswer+runTime, func() { r.end(a, Done) })
 	case Stop:
@@ -191,17 +194,21 @@
 
 // answerAdvice lets the idlest entry VM answer a request.
 func (r *replay) answerAdvice(a Action) {
+	vms := r.idleAt[r.urgentVMs:]
+	if a.Urgent && r.urgentVMs > 0 {
+		vms = r.idleAt[:r.urgentVMs]
+	}
 	best := 0
-	for i := range r.idleAt {
-		if r.idleAt[i] < r.idleAt[best] {
+	for i := range vms {
+		if vms[i] < vms[best] {
 			best = i
 		}
 	}
-	if r.idleAt[best]-r.now > replayBacklog {
+	if vms[best]-r.now > replayBacklog {
 		r.p.ReportAdviceSkipped(a, r.now)
 		return
 	}
-	r.idleAt[best] = max(r.now, r.idleAt[best]) + a.Cost
+	vms[best] = max(r.now, vms[best]) + a.Cost
 	var l queueLoad
 	for _, l = range r.load {
 		if l.queue.Name == a.Queue {
@@ -216,7 +223,7 @@
 			tickets[id] = "ticket"
 		}
 	}
-	answeredAt := r.idleAt[best]
+	answeredAt := vms[best]
 	r.after(answeredAt-r.now, func() {
 		r.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Tickets: tickets, Until: answeredAt + l.queue.AdviceCost.TicketValidity})
 	})
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -47,7 +47,7 @@
 // in the order of the candidates. Expired ones get none.
 func (p *Planner) reserveGangs(candidates []candidate, now time.Duration) {
 	var gangs []reserver.Gang
-	steps := map[string]*step{}
+	steps, ranks := map[string]*step{}, map[string]candidate{}
 	for _, c := range candidates {
 		for _, s := range c.occurrence.steps {
 			s.reservation = reserver.Reservation{}
@@ -56,14 +56,18 @@
 			}
 			if s.lacksRoom && s.spec.Gang && s.ready && s.waitingTasks == len(s.tasks) && !s.hasSuspect() && s.occurrence.job.team.allows(s.spec.Size, int64(s.waitingTasks)) {
 				gangs = append(gangs, p.gangOf(s, c, now))
-				steps[s.name] = s
+				steps[s.name], ranks[s.name] = s, c
 			}
 		}
 	}
 	p.reservedWorkers, p.reservedIdle = 0, 0
-	for _, r := range p.reserver.Plan(gangs, len(p.fleet), now) {
+	plan := p.reserver.Plan(gangs, len(p.fleet), now)
+	for _, r := range plan {
 		p.applyReservation(steps[r.Gang], r, now)
 	}
+	for _, r := range plan {
+		p.requestReservedTickets(steps[r.Gang], ranks[r.Gang], now)
+	}
 }
 
 // gangOf describes a gang to the reserver.
@@ -94,11 +98,16 @@
 	}
 	var times []time.Duration
 	at, free := now, w.free()
+	ticketAt, ticketUntil := s.ticketTimes(w, now)
 	releases := p.releasesOf(w, now)
 	for i := 0; ; i++ {
 		for len(times) < len(s.tasks) && s.spec.Size.Fits(free) && (s.spec.MaxPerWorker == 0 || len(times) < s.spec.MaxPerWorker) {
 			free = free.Sub(s.spec.Size)
-			times = append(times, at)
+			if at >= ticketUntil {
+				times = append(times, max(at, ticketAt))
+			} else {
+				times = append(times, at)
+			}
 		}
 		if i >= len(releases) || len(times) == len(s.tasks) {
 			return times
@@ -107,6 +116,19 @@
 	}
 }
 
+// ticketTimes returns when a ticket for the worker could be had that is requested now, and until
+// when the step needs no such ticket.
+func (s *step) ticketTimes(w *worker, now time.Duration) (at, until time.Duration) {
+	cost := s.occurrence.job.queue.AdviceCost
+	if cost == nil || s.advice.queried[w] {
+		return 0, 0
+	}
+	if e := s.advice.known[w]; e != nil && e.hasTicket(now) {
+		until = e.expiry
+	}
+	return now + cost.duration(1), until
+}
+
 // applyReservation makes the workers of a reservation reserved in the current decision.
 func (p *Planner) applyReservation(s *step, r reserver.Reservation, now time.Duration) {
 	s.reservation = r
@@ -148,22 +170,32 @@
 	}
 	s.lacksRoom = true
 	if len(s.reservation.Allotments) == 0 {
-		p.requestAdvice(s, c, now)
+		if !p.knowsEnough(s) || len(s.renewableTickets(s.fitCount, now)) > 0 {
+			p.requestAdvice(s, c, now)
+		}
 		return
 	}
-	// The workers are known, so only tickets for them are requested, and these so that the
-	// gang has them shortly before its start.
-	room := s.fitCount
+	// The workers are known. If it fits on others too, it is not to wait for its own.
+	if len(s.renewableTickets(s.fitCount, now)) > 0 {
+		p.requestAdvice(s, c, now)
+	}
+}
+
+// requestReservedTickets requests the tickets for a reservation, so that the gang has them
+// shortly before its start. It comes before all other requests of a decision: the reserved
+// workers idle while the tickets are awaited.
+func (p *Planner) requestReservedTickets(s *step, c candidate, now time.Duration) {
 	cost := s.occurrence.job.queue.AdviceCost
-	if cost != nil && s.reservation.Start-now <= cost.duration(len(s.reservation.Allotments))+ticketLead {
-		room = func(w *worker) int {
-			if w.reservedFor == s {
-				return w.share.tasks
-			}
-			return s.fitCount(w)
+	if cost == nil || s.reservation.Start-now > cost.duration(len(s.reservation.Allotments))+ticketLead {
+		return
+	}
+	room := func(w *worker) int {
+		if w.reservedFor == s {
+			return w.share.tasks
 		}
+		return 0
 	}
-	if cost != nil && len(s.renewableTickets(room, now)) > 0 {
+	if len(s.renewableTickets(room, now)) > 0 {
 		p.requestAdviceFor(s, c, room, now)
 	}
 }
@@ -197,3 +229,22 @@
 func (p *Planner) Reservations() (workers int, idle float64) {
 	return p.reservedWorkers, float64(p.reservedIdle) / 1000
 }
+
+// knowsEnough reports whether a gang knows that many eligible workers that a reservation will
+// find room on them. What more workers it asks about only takes advice from others.
+func (p *Planner) knowsEnough(s *step) bool {
+	if s.occurrence.job.queue.AdviceCost == nil {
+		return true
+	}
+	n := 0
+	for _, e := range s.advice.eligible {
+		if e.worker.open {
+			n += s.tasksPerWorker(e.worker.reg.Capacity)
+		}
+	}
+	return n >= knownFactor*len(s.tasks)
+}
+
+// knownFactor is the capacity of eligible workers that a gang knows before it asks about no
+// others, as a multiple of what it needs.
+var knownFactor = 6
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -70,7 +70,6 @@
 func (r *Reserver) Plan(gangs []Gang, workers int, now time.Duration) []Reservation {
 	r.dropOthers(gangs)
 	limit := int(Share * float64(workers))
-	used := 0
 	var plan []Reservation
 	for i := range gangs {
 		g, first := &gangs[i], len(plan) == 0
@@ -79,20 +78,21 @@
 			h = &held{Reservation: Reservation{Gang: g.Name}}
 			r.gangs[g.Name] = h
 		}
-		room := limit - used
-		if room <= 0 && !first {
-			r.release(h)
-			continue
+		if len(h.Allotments) == 0 && len(r.holders) >= limit && !first {
+			continue // those that hold workers keep them, or else they would drain for nobody
+		}
+		most := len(h.Allotments) + max(0, limit-len(r.holders))
+		if first {
+			most = workers
 		}
-		r.renew(g, h, first, now)
+		r.renew(g, h, first, most, now)
 		if len(h.Allotments) == 0 {
 			continue
 		}
-		if !first && (len(h.Allotments) > room || h.Start > min(g.Latest, now+Horizon)) {
+		if !first && h.Start > min(g.Latest, now+Horizon) {
 			r.release(h)
 			continue
 		}
-		used += len(h.Allotments)
 		plan = append(plan, Reservation{h.Gang, h.Start, slices.Clone(h.Allotments)})
 	}
 	return plan
@@ -126,7 +126,7 @@
 // renew computes the start of a reservation anew. If workers are missing or the start has
 // slipped, it looks for others. The first gang may take those of later gangs if it would
 // otherwise start too late.
-func (r *Reserver) renew(g *Gang, h *held, first bool, now time.Duration) {
+func (r *Reserver) renew(g *Gang, h *held, first bool, most int, now time.Duration) {
 	kept := make([]room, 0, len(h.Allotments))
 	for _, a := range h.Allotments {
 		if fits := g.Fits(a.Worker); len(fits) > 0 {
@@ -138,25 +138,23 @@
 		r.hold(h, kept, start, g.Tasks)
 		return
 	}
-	if now < h.retryAt {
-		if enough {
-			r.hold(h, kept, start, g.Tasks)
-		} else {
-			r.release(h)
+	if now >= h.retryAt {
+		h.retryAt = now + retryInterval
+		rooms, at, found := r.search(g, h, false)
+		if first && (!found || at > g.Latest) {
+			rooms, at, found = r.search(g, h, true)
+		}
+		if found && len(chosen(rooms, at, g.Tasks)) <= most {
+			r.hold(h, rooms, at, g.Tasks)
+			h.planned = at
+			return
 		}
-		return
-	}
-	h.retryAt = now + retryInterval
-	rooms, start, enough := r.search(g, h, false)
-	if first && (!enough || start > g.Latest) {
-		rooms, start, enough = r.search(g, h, true)
 	}
 	if !enough {
 		r.release(h)
 		return
 	}
-	r.hold(h, rooms, start, g.Tasks)
-	h.planned = start
+	r.hold(h, kept, start, g.Tasks)
 }
 
 // room is what a worker offers to a gang.
@@ -201,9 +199,9 @@
 	return times[tasks-1], true
 }
 
-// hold reserves rooms in which that many tasks fit at start, and no more: those that are held
-// already first, then those in which most tasks fit. It releases the others.
-func (r *Reserver) hold(h *held, rooms []room, start time.Duration, tasks int) {
+// chosen returns allotments of that many tasks that fit at start, in the rooms that are held
+// already and then in those that take most tasks.
+func chosen(rooms []room, start time.Duration, tasks int) []Allotment {
 	slices.SortFunc(rooms, func(a, b room) int {
 		if a.held != b.held {
 			if a.held {
@@ -213,19 +211,27 @@
 		}
 		return cmp.Or(cmp.Compare(b.tasks(start), a.tasks(start)), cmp.Compare(a.worker, b.worker))
 	})
-	r.release(h)
-	h.Start = start
+	var allotments []Allotment
 	for i := range rooms {
 		n := min(tasks, rooms[i].tasks(start))
 		if n == 0 {
 			continue
 		}
-		r.take(rooms[i].worker, h)
-		h.Allotments = append(h.Allotments, Allotment{rooms[i].worker, n})
+		allotments = append(allotments, Allotment{rooms[i].worker, n})
 		if tasks -= n; tasks == 0 {
-			return
+			break
 		}
 	}
+	return allotments
+}
+
+// hold reserves the chosen rooms and releases the others.
+func (r *Reserver) hold(h *held, rooms []room, start time.Duration, tasks int) {
+	r.release(h)
+	h.Start, h.Allotments = start, chosen(rooms, start, tasks)
+	for _, a := range h.Allotments {
+		r.take(a.Worker, h)
+	}
 }
 
 // take reserves a worker, which another gang loses if it had it.
