--- a/planner/decide.go
+++ b/planner/decide.go
@@ -282,12 +282,13 @@
 }
 
 // bestFit returns the worker on which one task of the step leaves the least CPU free,
-// so that large gaps stay for large tasks. Workers in the step's preferred rack go
-// first. It returns nil if the task fits on no usable worker.
+// so that large gaps stay for large tasks. Workers that no reservation of a gang holds go first,
+// so that urgent steps delay gangs only where there is no other room, and of these, workers in
+// the step's preferred rack. It returns nil if the task fits on no usable worker.
 func (p *Planner) bestFit(s *step, now time.Duration) *worker {
 	var best *worker
 	var bestLeft int64
-	bestInRack := false
+	bestInRack, bestHeld := false, false
 	if s.spec.Size.CPU() > p.maxFreeCPU {
 		return nil
 	}
@@ -297,8 +298,9 @@
 		}
 		inRack := s.spec.Rack != "" && w.hasLabel(s.spec.Rack)
 		left := w.free().Sub(s.spec.Size).CPU()
-		if best == nil || inRack && !bestInRack || inRack == bestInRack && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID) {
-			best, bestLeft, bestInRack = w, left, inRack
+		held := w.share.tasks > 0
+		if best == nil || !held && bestHeld || held == bestHeld && (inRack && !bestInRack || inRack == bestInRack && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID)) {
+			best, bestLeft, bestInRack, bestHeld = w, left, inRack, held
 		}
 	}
 	return best
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -35,6 +35,10 @@
 	// ticketLead is how long before its start a gang should have the tickets. They are valid for
 	// some 2 s, so the start may be half a second early or a second late.
 	ticketLead = 500 * time.Millisecond
+	// knownFactor is the capacity of the eligible workers that a gang knows before it asks about no
+	// others, as a multiple of what it needs. With 3, gangs found room later in replays of a burst;
+	// with 10, requests of other steps lacked time.
+	knownFactor = 8
 )
 
 // expectedRunTime returns how long a task of the step is expected to run, 0 if that is not
@@ -86,31 +90,37 @@
 				}
 			}
 		},
-		Fits: func(id string) []time.Duration { return p.fitTimes(s, p.workers[id], now) },
+		Room: func(id string) reserver.Room { return p.roomFor(s, p.workers[id], now) },
 	}
 }
 
-// fitTimes returns when the first, the second and each further task of the step fits on the
-// worker, by the expected ends of its runs. It is empty if the worker is of no use.
-func (p *Planner) fitTimes(s *step, w *worker, now time.Duration) []time.Duration {
+// roomFor returns when tasks of the step may start on the worker, by the expected ends of its
+// runs and the time that tickets take.
+func (p *Planner) roomFor(s *step, w *worker, now time.Duration) (room reserver.Room) {
 	if w == nil || w.keptFor != nil || w.reservedFor != nil || !s.mayUse(w) || s.occurrence.job.queue.AdviceCost != nil && s.advice.known[w] == nil {
-		return nil
+		return reserver.Room{}
+	}
+	most := len(s.tasks)
+	if s.spec.MaxPerWorker > 0 {
+		most = min(most, s.spec.MaxPerWorker)
 	}
-	var times []time.Duration
 	at, free := now, w.free()
 	ticketAt, ticketUntil := s.ticketTimes(w, now)
 	releases := p.releasesOf(w, now)
 	for i := 0; ; i++ {
-		for len(times) < len(s.tasks) && s.spec.Size.Fits(free) && (s.spec.MaxPerWorker == 0 || len(times) < s.spec.MaxPerWorker) {
+		for len(room.Starts) < most && s.spec.Size.Fits(free) {
 			free = free.Sub(s.spec.Size)
+			start := at
 			if at >= ticketUntil {
-				times = append(times, max(at, ticketAt))
-			} else {
-				times = append(times, at)
+				start = max(at, ticketAt)
 			}
+			room.Starts = append(room.Starts, start)
+		}
+		if i == 0 {
+			room.Free = len(room.Starts)
 		}
-		if i >= len(releases) || len(times) == len(s.tasks) {
-			return times
+		if i >= len(releases) || len(room.Starts) == most {
+			return room
 		}
 		at, free = releases[i].at, free.Add(releases[i].size)
 	}
@@ -244,7 +254,3 @@
 	}
 	return n >= knownFactor*len(s.tasks)
 }
-
-// knownFactor is the capacity of eligible workers that a gang knows before it asks about no
-// others, as a multiple of what it needs.
-var knownFactor = 6
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -9,12 +9,13 @@
 
 const (
 	// Share is the largest part of the fleet that is reserved, apart from what the first gang
-	// needs. A worker that drains evenly is half idle on average, so a fifth of the fleet
-	// keeps a tenth of its capacity idle at most.
-	Share = 0.2
+	// needs. A worker that drains evenly is half idle on average, and up to all idle while
+	// tickets are awaited, so this keeps about a tenth of the fleet idle at most.
+	Share = 0.15
 	// Horizon is how far ahead the start of a gang may lie that is not the first in the order.
-	// What runs then hardly depends on what is reserved now: most runs take less.
-	Horizon = 3 * time.Second
+	// It is about twice the time of a request for tickets. In replays of a burst, gangs that
+	// could start only after 2 or 3 s kept workers from those that could start sooner.
+	Horizon = time.Second
 	// slip is by how much the start of a reservation may be later than planned before other
 	// workers are looked for. Forecasts of ends err by this much in normal operation.
 	slip = 500 * time.Millisecond
@@ -29,9 +30,15 @@
 	Tasks   int              // at least 1
 	Latest  time.Duration    // from then on a start is out of reach
 	Workers iter.Seq[string] // those that are known to be eligible, each once
-	// Fits returns when the first, the second and each further task of the gang fits on the
-	// worker if nothing else starts there, in ascending order; none if it takes no tasks.
-	Fits func(worker string) []time.Duration
+	Room    func(worker string) Room
+}
+
+// Room is what a worker offers to a gang.
+type Room struct {
+	// Starts has when the first, the second and each further task of the gang may start on the
+	// worker if nothing else starts there, in ascending order. It is empty if none may.
+	Starts []time.Duration
+	Free   int // number of tasks that fit now, whether or not they may start
 }
 
 // Allotment is a number of a gang's tasks on one worker.
@@ -79,7 +86,7 @@
 			r.gangs[g.Name] = h
 		}
 		if len(h.Allotments) == 0 && len(r.holders) >= limit && !first {
-			continue // those that hold workers keep them, or else they would drain for nobody
+			continue // gangs that hold workers keep them, so that these drain for somebody
 		}
 		most := len(h.Allotments) + max(0, limit-len(r.holders))
 		if first {
@@ -124,13 +131,14 @@
 }
 
 // renew computes the start of a reservation anew. If workers are missing or the start has
-// slipped, it looks for others. The first gang may take those of later gangs if it would
-// otherwise start too late.
+// slipped, it looks for others, so that there are most workers at most. If it finds none, it
+// releases the reservation, but keeps that of the first gang as long as that has enough
+// workers. The first gang may take workers of later gangs if it would otherwise start too late.
 func (r *Reserver) renew(g *Gang, h *held, first bool, most int, now time.Duration) {
 	kept := make([]room, 0, len(h.Allotments))
 	for _, a := range h.Allotments {
-		if fits := g.Fits(a.Worker); len(fits) > 0 {
-			kept = append(kept, room{a.Worker, fits, true})
+		if o := g.Room(a.Worker); len(o.Starts) > 0 {
+			kept = append(kept, room{o, a.Worker, true})
 		}
 	}
 	start, enough := startTime(kept, g.Tasks)
@@ -150,26 +158,30 @@
 			return
 		}
 	}
-	if !enough {
+	if !enough || !first && start > h.planned+slip {
 		r.release(h)
 		return
 	}
 	r.hold(h, kept, start, g.Tasks)
 }
 
-// room is what a worker offers to a gang.
+// room is the room on a worker that may be reserved for a gang.
 type room struct {
+	Room
 	worker string
-	fits   []time.Duration // as Gang.Fits returns them
-	held   bool            // the worker is reserved for the gang already
+	held   bool // the worker is reserved for the gang already
 }
 
-// tasks returns how many tasks fit at the given time.
+// tasks returns how many tasks may start up to the given time.
 func (r *room) tasks(at time.Duration) int {
-	n, _ := slices.BinarySearch(r.fits, at+1)
+	n, _ := slices.BinarySearch(r.Starts, at+1)
 	return n
 }
 
+// gain returns how many tasks may start at the given time less those that fit now. Where it is
+// large, little idles until then.
+func (r *room) gain(at time.Duration) int { return r.tasks(at) - r.Free }
+
 // search returns the rooms of the workers that may be reserved for a gang, and when it can
 // start on them. Workers of other reservations count only if it may take them.
 func (r *Reserver) search(g *Gang, h *held, take bool) (rooms []room, start time.Duration, enough bool) {
@@ -178,8 +190,8 @@
 		if holder != nil && holder != h && !take {
 			continue
 		}
-		if fits := g.Fits(w); len(fits) > 0 {
-			rooms = append(rooms, room{w, fits, holder == h})
+		if o := g.Room(w); len(o.Starts) > 0 {
+			rooms = append(rooms, room{o, w, holder == h})
 		}
 	}
 	start, enough = startTime(rooms, g.Tasks)
@@ -188,9 +200,9 @@
 
 // startTime returns when that many tasks fit in the rooms, and whether they ever do.
 func startTime(rooms []room, tasks int) (start time.Duration, enough bool) {
-	var times []time.Duration
+	times := make([]time.Duration, 0, 4*len(rooms))
 	for i := range rooms {
-		times = append(times, rooms[i].fits...)
+		times = append(times, rooms[i].Starts...)
 	}
 	if len(times) < tasks {
 		return 0, false
@@ -200,7 +212,7 @@
 }
 
 // chosen returns allotments of that many tasks that fit at start, in the rooms that are held
-// already and then in those that take most tasks.
+// already, then in those with the largest gain and in those that take most tasks.
 func chosen(rooms []room, start time.Duration, tasks int) []Allotment {
 	slices.SortFunc(rooms, func(a, b room) int {
 		if a.held != b.held {
@@ -209,7 +221,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.tasks(start), a.tasks(start)), cmp.Compare(a.worker, b.worker))
+		return cmp.Or(cmp.Compare(b.gain(start), a.gain(start)), cmp.Compare(b.tasks(start), a.tasks(start)), cmp.Compare(a.worker, b.worker))
 	})
 	var allotments []Allotment
 	for i := range rooms {
