--- a/planner/burst_test.go
+++ b/planner/burst_test.go
@@ -18,6 +18,7 @@
 	burstWorkers = 350
 	burstVMs     = 25 // advice requests of other than urgent steps at a time
 	burstUrgent  = 8  // the same of urgent steps
+	burstSeeds   = 2
 )
 
 // contendedLoad is the load of 350 workers at which callers compete for too little capacity,
@@ -34,11 +35,11 @@
 // burst replays the seconds after a burst of urgent jobs.
 type burst struct {
 	*replay
-	ends      map[runKey]time.Duration // by run
-	free      float64                  // sum over ticks, of the free part of the fleet while work waits
-	reserved  float64                  // the same, of the free part on reserved workers
-	ticks     int                      // in which work waits
-	backfills int
+	ends       map[runKey]time.Duration // by run
+	free       float64                  // sum over ticks, of the free part of the fleet while work waits
+	reserved   float64                  // the same, of the free part on reserved workers
+	ticks      int                      // in which work waits
+	backfilled int                      // starts on workers that are reserved for gangs
 }
 
 // newBurst returns a replay with that seed. A step's run times are off from the declared one by
@@ -51,6 +52,9 @@
 	b.runTime = func(a Action, s *step) float64 {
 		speed := []float64{0.8, 1, 1.25}[hash("", a.Worker)%3]
 		factor := speed * math.Exp(spreads[a.Queue]*rand.New(rand.NewPCG(hash(s.name, ""), seed)).NormFloat64())
+		if a.Backfill {
+			b.backfilled++
+		}
 		b.ends[runKey{a.Task, a.Number}] = b.now + replayAnswer + time.Duration(float64(s.spec.Estimate)*factor)*time.Millisecond
 		return factor
 	}
@@ -94,11 +98,6 @@
 			b.reserved += free
 		}
 	}
-	for _, a := range b.p.actions {
-		if a.Backfill {
-			b.backfills++
-		}
-	}
 }
 
 // play plays a usual load, a burst of urgent jobs, and the half minute after it.
@@ -127,21 +126,52 @@
 	return inTime, accepted
 }
 
-func TestBurstTrial(t *testing.T) {
-	for seed := range uint64(3) {
-		for _, on := range []bool{false, true} {
-			t.Run(strconv.FormatUint(seed, 10)+strconv.FormatBool(on), func(t *testing.T) {
-				t.Parallel()
-				b := newBurst(t, seed, on)
-				b.play()
-				n := float64(b.ticks)
-				g, ga := b.inTime("gang")
-				s, sa := b.inTime("small")
-				u, ua := b.inTime("urgent")
-				t.Logf("on %t free %.3f reserved idle %.3f ticks %d gang %d/%d small %d/%d urgent %d/%d refused %d jobs %d starts %d", on, b.free/n, b.reserved/n, b.ticks, g, ga, s, sa, u, ua, b.refused, b.jobs, b.starts)
-			})
+// TestFleetAfterBurst guards against a fleet that idles after a burst while gangs wait: without
+// backfill, gangs reserve most of it. With backfill, no more than a tenth is reserved and idle,
+// less is free, and no fewer gangs and small jobs are in time.
+func TestFleetAfterBurst(t *testing.T) {
+	var free [2]float64
+	var gangs, small [2]int
+	for seed := range uint64(burstSeeds) {
+		for i, on := range []bool{false, true} {
+			b := newBurst(t, seed, on)
+			b.play()
+			ticks := float64(b.ticks)
+			g, acceptedGangs := b.inTime("gang")
+			s, acceptedSmall := b.inTime("small")
+			u, acceptedUrgent := b.inTime("urgent")
+			t.Logf("seed %d, backfill %t: free %.3f, reserved and free %.3f, in time: %d of %d gangs, %d of %d small, %d of %d urgent; %d backfilled",
+				seed, on, b.free/ticks, b.reserved/ticks, g, acceptedGangs, s, acceptedSmall, u, acceptedUrgent, b.backfilled)
+			free[i] += b.free / ticks
+			gangs[i] += g
+			small[i] += s
+			if on {
+				b.Check(b.reserved/ticks <= 0.1, quicktest.IsTrue)
+				b.Check(b.backfilled > 0, quicktest.IsTrue)
+			}
 		}
 	}
+	quicktest.Check(t, free[1] < free[0], quicktest.IsTrue)
+	quicktest.Check(t, gangs[1] >= gangs[0], quicktest.IsTrue)
+	quicktest.Check(t, small[1] >= small[0], quicktest.IsTrue)
 }
 
-var _ = quicktest.New
+// BenchmarkDecideAfterBurst measures a decision after a burst, with backfill and without.
+func BenchmarkDecideAfterBurst(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(strconv.FormatBool(on), func(b *testing.B) {
+			r := newBurst(b, 1, on)
+			r.play()
+			r.decideIn = func(decide func()) {
+				b.StartTimer()
+				decide()
+				b.StopTimer()
+			}
+			b.ResetTimer()
+			b.StopTimer()
+			for range b.N {
+				r.run(replayTick, 1)
+			}
+		})
+	}
+}
