--- a/planner/decide.go
+++ b/planner/decide.go
@@ -85,7 +85,10 @@
 	p.maxFreeCPU = 0
 	p.adviceBudget[true], p.adviceBudget[false] = maxAdviceRequests, maxAdviceRequests
 	for _, w := range p.fleet {
-		w.reservedFor, w.share = nil, gangShare{}
+		w.reservedFor = nil
+		if w.share.tasks > 0 {
+			w.share = gangShare{}
+		}
 		w.noteSilence(now)
 		w.open = w.acceptsTasks(now) && w.separateRuns == 0 && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
 		if w.listed {
