--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -114,6 +114,9 @@
 			if at >= ticketUntil {
 				start = max(at, ticketAt)
 			}
+			if room.Starts == nil {
+				room.Starts = make([]time.Duration, 0, 4)
+			}
 			room.Starts = append(room.Starts, start)
 		}
 		if i == 0 {
@@ -229,7 +232,7 @@
 		}
 	}
 	slices.SortFunc(w.releases, func(a, b release) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.size.CPU(), b.size.CPU()))
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.size.CPU(), b.size.CPU()), cmp.Compare(a.size.Memory(), b.size.Memory()))
 	})
 	return w.releases
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -21,7 +21,7 @@
 	slip = 500 * time.Millisecond
 	// retryInterval is the least time between two searches for workers for the same gang. A
 	// search visits all workers that may run the gang.
-	retryInterval = 50 * time.Millisecond
+	retryInterval = 100 * time.Millisecond
 )
 
 // Gang is a set of equal tasks that wait to start together.
@@ -65,6 +65,8 @@
 type Reserver struct {
 	gangs   map[string]*held
 	holders map[string]*held // by worker
+	times   []time.Duration  // scratch space of startTime
+	rooms   []room           // scratch space of search
 }
 
 // New returns a reserver without reservations.
@@ -141,9 +143,9 @@
 			kept = append(kept, room{o, a.Worker, true})
 		}
 	}
-	start, enough := startTime(kept, g.Tasks)
+	start, enough := r.startTime(kept, g.Tasks)
 	if enough && start <= h.planned+slip {
-		r.hold(h, kept, start, g.Tasks)
+		r.hold(h, chosen(kept, start, g.Tasks), start)
 		return
 	}
 	if now >= h.retryAt {
@@ -152,17 +154,19 @@
 		if first && (!found || at > g.Latest) {
 			rooms, at, found = r.search(g, h, true)
 		}
-		if found && len(chosen(rooms, at, g.Tasks)) <= most {
-			r.hold(h, rooms, at, g.Tasks)
-			h.planned = at
-			return
+		if found {
+			if allotments := chosen(rooms, at, g.Tasks); len(allotments) <= most {
+				r.hold(h, allotments, at)
+				h.planned = at
+				return
+			}
 		}
 	}
 	if !enough || !first && start > h.planned+slip {
 		r.release(h)
 		return
 	}
-	r.hold(h, kept, start, g.Tasks)
+	r.hold(h, chosen(kept, start, g.Tasks), start)
 }
 
 // room is the room on a worker that may be reserved for a gang.
@@ -185,6 +189,7 @@
 // search returns the rooms of the workers that may be reserved for a gang, and when it can
 // start on them. Workers of other reservations count only if it may take them.
 func (r *Reserver) search(g *Gang, h *held, take bool) (rooms []room, start time.Duration, enough bool) {
+	rooms = r.rooms[:0]
 	for w := range g.Workers {
 		holder := r.holders[w]
 		if holder != nil && holder != h && !take {
@@ -194,16 +199,18 @@
 			rooms = append(rooms, room{o, w, holder == h})
 		}
 	}
-	start, enough = startTime(rooms, g.Tasks)
+	r.rooms = rooms
+	start, enough = r.startTime(rooms, g.Tasks)
 	return rooms, start, enough
 }
 
 // startTime returns when that many tasks fit in the rooms, and whether they ever do.
-func startTime(rooms []room, tasks int) (start time.Duration, enough bool) {
-	times := make([]time.Duration, 0, 4*len(rooms))
+func (r *Reserver) startTime(rooms []room, tasks int) (start time.Duration, enough bool) {
+	times := r.times[:0]
 	for i := range rooms {
 		times = append(times, rooms[i].Starts...)
 	}
+	r.times = times
 	if len(times) < tasks {
 		return 0, false
 	}
@@ -237,10 +244,10 @@
 	return allotments
 }
 
-// hold reserves the chosen rooms and releases the others.
-func (r *Reserver) hold(h *held, rooms []room, start time.Duration, tasks int) {
+// hold reserves the workers of the allotments for a gang and releases its others.
+func (r *Reserver) hold(h *held, allotments []Allotment, start time.Duration) {
 	r.release(h)
-	h.Start, h.Allotments = start, chosen(rooms, start, tasks)
+	h.Start, h.Allotments = start, allotments
 	for _, a := range h.Allotments {
 		r.take(a.Worker, h)
 	}
