--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -240,6 +240,8 @@
 	c.metrics.slowWorkers.Update(0)
 	c.metrics.forecastError.Update(0)
 	c.metrics.declaredError.Update(0)
+	c.metrics.reservedWorkers.Update(0)
+	c.metrics.reservedIdle.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -344,6 +346,9 @@
 		case planner.Start:
 			c.log.Info("start", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
 			c.metrics.starts.Inc(1)
+			if a.Backfill {
+				c.metrics.backfilled.Inc(1)
+			}
 			starts = append(starts, a)
 		case planner.Stop:
 			c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
@@ -367,7 +372,7 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// updateGauges updates the gauges of pending jobs and of the speeds of workers.
+// updateGauges updates the gauges of pending jobs, of the speeds of workers and of reservations.
 func (c *Conductor) updateGauges() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -379,6 +384,9 @@
 	}
 	c.metrics.fastWorkers.Update(int64(fast))
 	c.metrics.slowWorkers.Update(int64(slow))
+	workers, idle := c.planner.Reservations()
+	c.metrics.reservedWorkers.Update(int64(workers))
+	c.metrics.reservedIdle.Update(idle)
 }
 
 // sweep removes deregistered workers and ended jobs past their retention, and persists
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -37,6 +37,7 @@
 	Incarnation int64         // of a start: of the worker, as known now
 	Separate    bool          // of a start: nothing else may start on the worker beside it
 	Gang        bool          // of a start: of a member of a gang
+	Backfill    bool          // of a start: other than urgent work, on a worker that is reserved for a gang
 	Repeated    bool          // of a start: the run was ordered before
 }
 
@@ -85,6 +86,9 @@
 	p.adviceBudget[true], p.adviceBudget[false] = maxAdviceRequests, maxAdviceRequests
 	for _, w := range p.fleet {
 		w.reservedFor = nil
+		if w.share.tasks > 0 {
+			w.share = gangShare{}
+		}
 		w.noteSilence(now)
 		w.open = w.acceptsTasks(now) && w.separateRuns == 0 && p.persisted[w.reg.ID] && (len(p.cordoned) == 0 || !p.cordoned[w.reg.Centre])
 		if w.listed {
@@ -96,6 +100,9 @@
 	p.keepSeparate(now)
 	p.repeatStarts(now)
 	candidates := p.candidates(now)
+	if p.settings.backfill {
+		p.reserveGangs(candidates, now)
+	}
 	for _, s := range p.waitingSuspects(candidates, now) {
 		p.placeSuspects(s.step, s.candidate, now)
 	}
@@ -279,13 +286,14 @@
 }
 
 // bestFit returns the worker on which one task of the step leaves the least CPU free,
-// so that large gaps stay for large tasks. Workers in the step's preferred rack go
-// first, and then those whose speed it prefers. It returns nil if the task fits on no usable
-// worker.
+// so that large gaps stay for large tasks. Workers that no reservation of a gang holds go first,
+// so that urgent steps delay gangs only where there is no other room; of these, workers in
+// the step's preferred rack, and then those whose speed it prefers. It returns nil if the task fits
+// on no usable worker.
 func (p *Planner) bestFit(s *step, c candidate, now time.Duration) *worker {
 	var best *worker
 	var bestLeft int64
-	bestInRack, bestPlace := false, 0
+	bestInRack, bestHeld, bestPlace := false, false, 0
 	if s.spec.Size.CPU() > p.maxFreeCPU {
 		return nil
 	}
@@ -297,8 +305,9 @@
 		inRack := s.spec.Rack != "" && w.hasLabel(s.spec.Rack)
 		place := preference.place(w)
 		left := w.free().Sub(s.spec.Size).CPU()
-		if best == nil || inRack && !bestInRack || inRack == bestInRack && (place < bestPlace || place == bestPlace && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID)) {
-			best, bestLeft, bestInRack, bestPlace = w, left, inRack, place
+		held := w.share.tasks > 0
+		if best == nil || !held && bestHeld || held == bestHeld && (inRack && !bestInRack || inRack == bestInRack && (place < bestPlace || place == bestPlace && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID))) {
+			best, bestLeft, bestInRack, bestHeld, bestPlace = w, left, inRack, held, place
 		}
 	}
 	return best
@@ -327,14 +336,16 @@
 
 // mayUse reports whether tasks of the step may start on the worker in the current
 // decision, whatever its free capacity and the advice. A worker reserved for another
-// step takes only urgent steps, and none if the other step is long-running or the worker is
-// kept for a suspect.
+// step takes only urgent steps and backfill, and none if the other step is long-running or
+// the worker is kept for a suspect.
 func (s *step) mayUse(w *worker) bool {
 	if !w.open || w.reg.Service != s.occurrence.job.queue.Service {
 		return false
 	}
-	if w.reservedFor != nil && w.reservedFor != s && (s.occurrence.job.queue.Priority > 0 || w.reservedFor.spec.LongRunning || w.keptFor != nil) {
-		return false
+	if w.reservedFor != nil && w.reservedFor != s {
+		if w.reservedFor.spec.LongRunning || w.keptFor != nil || s.occurrence.job.queue.Priority > 0 && !s.mayBackfill(w) {
+			return false
+		}
 	}
 	return s.spec.Label == "" || w.hasLabel(s.spec.Label)
 }
@@ -372,7 +383,10 @@
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
-	reason := w.startReason()
+	reason, backfill := w.startReason(), w.reservedFor != nil && w.reservedFor != s && j.queue.Priority > 0
+	if backfill {
+		reason = "backfill"
+	}
 	if separate {
 		if w.separateRuns == 0 && w.keptFor == nil {
 			p.separateWorkers++
@@ -384,7 +398,7 @@
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
 		Checkpoint: t.checkpoint, Ticket: ticket, Queue: j.spec.Queue, Reason: reason,
-		Incarnation: w.reg.Incarnation, Separate: separate, Gang: s.spec.Gang,
+		Incarnation: w.reg.Incarnation, Separate: separate, Gang: s.spec.Gang, Backfill: backfill,
 	})
 }
 
--- a/planner/job.go
+++ b/planner/job.go
@@ -8,6 +8,7 @@
 	"filberthaven.example/estimator"
 	"filberthaven.example/placer"
 	"filberthaven.example/profiler"
+	"filberthaven.example/reserver"
 )
 
 // State is the state of a job as callers see it.
@@ -87,9 +88,11 @@
 	forecast          stepForecast       // the newest one
 	queueStats        *queueStats        // of its queue; nil if it declares no run time
 	advice            advice
-	startedAt         time.Duration  // when the newest start of a task was decided by this owner, else 0
-	reportedAt        time.Duration  // when TakeWaits last returned it, else 0
-	peers             profiler.Group // finished runs whose times are not compared yet
+	startedAt         time.Duration        // when the newest start of a task was decided by this owner, else 0
+	reportedAt        time.Duration        // when TakeWaits last returned it, else 0
+	lacksRoom         bool                 // a gang that did not fit when it was last looked at
+	reservation       reserver.Reservation // of a gang in the current decision; without allotments if it has none
+	peers             profiler.Group       // finished runs whose times are not compared yet
 }
 
 // task is one task of a step.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -6,6 +6,7 @@
 
 	"filberthaven.example/estimator"
 	"filberthaven.example/profiler"
+	"filberthaven.example/reserver"
 )
 
 // Planner holds the jobs, workers and teams of a fleet. It is not safe for
@@ -52,6 +53,9 @@
 	startsLeft      int             // of startLimit, in the current decision; below 0 after a gang
 	startsDeferred  bool            // whether the current decision has left starts to the next one
 	speeds          speeds
+	reserver        *reserver.Reserver
+	reservedWorkers int           // by gangs, when the current decision began
+	reservedIdle    int64         // free thousandths of a processor on these workers at that time
 	restoredAt      time.Duration // when the state of earlier owners was restored, else 0
 }
 
@@ -61,6 +65,7 @@
 	spreadRequests bool          // concurrent advice requests name different workers
 	learnSpeeds    bool          // how fast workers are is learned
 	learnRunTimes  bool          // run times are learned for each queue, team and step
+	backfill       bool          // reservations of gangs are kept and bounded, and used meanwhile
 }
 
 // Option configures a Planner.
@@ -93,6 +98,7 @@
 		waiters:        map[waiterKey][]func(error){},
 		awaited:        map[string]bool{},
 		startLimit:     math.MaxInt,
+		reserver:       reserver.New(),
 	}
 	if s.learnSpeeds {
 		p.speeds.profiler = profiler.New()
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -55,23 +55,24 @@
 // seed repeats the load.
 type replay struct {
 	*fixture
-	load     []queueLoad
-	scale    float64 // part of the load that is played
-	random   *rand.Rand
-	events   []replayEvent
-	idleAt   []time.Duration // by entry VM, when its advice requests are answered
-	serials  map[string]uint64
-	ends     map[string][]EndEntry // by worker, not reported yet
-	lasts    map[string]time.Duration
-	jobs     int
-	refused  int
-	starts   int
-	noise    float64          // spread of the logarithms of the run times within a step
-	declared float64          // spread of the logarithms of the errors of declared run times
-	truths   map[string]int64 // run times of the tasks by job in ms, where the declared ones are off
-	digest   io.Writer        // gets each action
-	decideIn func(func())
-	runTime  func(a Action, estimate time.Duration) time.Duration // of a run, in full
+	load      []queueLoad
+	scale     float64 // part of the load that is played
+	random    *rand.Rand
+	events    []replayEvent
+	idleAt    []time.Duration // by entry VM, when its advice requests are answered
+	serials   map[string]uint64
+	ends      map[string][]EndEntry // by worker, not reported yet
+	lasts     map[string]time.Duration
+	jobs      int
+	refused   int
+	starts    int
+	noise     float64          // spread of the logarithms of the run times within a step
+	declared  float64          // spread of the logarithms of the errors of declared run times
+	truths    map[string]int64 // run times of the tasks by job in ms, where the declared ones are off
+	digest    io.Writer        // gets each action
+	decideIn  func(func())
+	runTime   func(a Action, estimate time.Duration) time.Duration // of a run, in full
+	urgentVMs int                                                  // of idleAt, the first ones, which answer urgent requests only; 0 if all answer any
 }
 
 // newReplay returns a replay of that part of the load on that number of workers.
@@ -202,17 +203,21 @@
 
 // answerAdvice lets the idlest entry VM answer a request.
 func (r *replay) answerAdvice(a Action) {
+	vms := r.idleAt[r.urgentVMs:]
+	if a.Urgent && r.urgentVMs > 0 {
+		vms = r.idleAt[:r.urgentVMs]
+	}
 	best := 0
-	for i := range r.idleAt {
-		if r.idleAt[i] < r.idleAt[best] {
+	for i := range vms {
+		if vms[i] < vms[best] {
 			best = i
 		}
 	}
-	if r.idleAt[best]-r.now > replayBacklog {
+	if vms[best]-r.now > replayBacklog {
 		r.p.ReportAdviceSkipped(a, r.now)
 		return
 	}
-	r.idleAt[best] = max(r.now, r.idleAt[best]) + a.Cost
+	vms[best] = max(r.now, vms[best]) + a.Cost
 	var l queueLoad
 	for _, l = range r.load {
 		if l.queue.Name == a.Queue {
@@ -227,7 +232,7 @@
 			tickets[id] = "ticket"
 		}
 	}
-	answeredAt := r.idleAt[best]
+	answeredAt := vms[best]
 	r.after(answeredAt-r.now, func() {
 		r.p.ReportAdvice(AdviceResult{Step: a.Step, Workers: a.Workers, Urgent: a.Urgent, Tickets: tickets, Until: answeredAt + l.queue.AdviceCost.TicketValidity})
 	})
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -58,6 +58,9 @@
 	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
 	speed               *profiler.Worker // of its known incarnation; nil if nothing is known
+	share               gangShare        // of the reservation that holds it in the current decision
+	releases            []release        // as releasesOf returns them
+	releasesIn          uint64           // decision in which releases was computed
 }
 
 // runKey identifies a run on a worker.
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -29,6 +29,7 @@
 	files      int           // descriptors that the process may open, 0 if not configured
 	spread     bool          // concurrent advice requests name different workers
 	speeds     bool          // tasks are placed by how fast workers have been
+	backfill   bool          // gangs keep bounded reservations, which other work may use meanwhile
 	rate       int           // lines with the same message logged per second, 0 for no limit
 	runTimes   bool          // run times are learned for each queue, team and step
 	limits     Limits
@@ -59,6 +60,9 @@
 	if s.speeds {
 		options = append(options, planner.WithLearnedSpeeds(true))
 	}
+	if s.backfill {
+		options = append(options, planner.WithBackfill(true))
+	}
 	if s.spread {
 		options = append(options, planner.WithSpreadRequests(true))
 	}
@@ -114,6 +118,7 @@
 	s.speeds = loader.Get(planning, "speeds", loader.Bool, false)
 	s.spread = loader.Get(planning, "spread", loader.Bool, false)
 	s.runTimes = loader.Get(planning, "runtimes", loader.Bool, false)
+	s.backfill = loader.Get(planning, "backfill", loader.Bool, false)
 	log := d.Section("log")
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -17,11 +17,13 @@
 		quicktest.Assert(t, os.WriteFile(path, []byte(required+section), 0o600), quicktest.IsNil)
 		return LoadSettings(path)
 	}
-	for section, options := range map[string]int{"": 0, "[planning]\n": 0, "[planning]\nruntimes = no\n": 0, "[planning]\nruntimes = yes\n": 1} {
+	for section, options := range map[string]int{"": 0, "[planning]\n": 0, "[planning]\nruntimes = no\n": 0, "[planning]\nruntimes = yes\n": 1, "[planning]\nbackfill = yes\nspeeds = yes\nspread = yes\nruntimes = no\n": 3} {
 		s, err := load(section)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		quicktest.Check(t, s.planning(), quicktest.HasLen, options, quicktest.Commentf("%q", section))
 	}
-	_, err := load("[planning]\nruntimes = maybe\n")
-	quicktest.Assert(t, err, quicktest.ErrorMatches, `(?s).*entry.ini:10.*runtimes.*`)
+	for _, key := range []string{"runtimes", "speeds", "spread", "backfill"} {
+		_, err := load("[planning]\n" + key + " = maybe\n")
+		quicktest.Check(t, err, quicktest.ErrorMatches, `(?s).*entry.ini:10.*`+key+`.*maybe.*`)
+	}
 }
