planner: Stop deferred runs for urgent steps that fit nowhere

Cause: an urgent step that fits on no worker waits until a run ends, also if runs of other queues could be stopped and resumed. Change: with key preempt of section planning (default no), such a step has runs stopped that take checkpoints, those with the fewest processors first. A run is stopped only under its numbers 1 and 2, so no task is stopped more than twice under any owner. Measured: the tests of planner; decisions with the default are those before (TestReplayDecisions).

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -89,6 +89,7 @@
 	overloadLog    claimer.Repeats // of slow orders because of the load
 	partitionLog   claimer.Repeats // of unresponsive workers because of the load
 	ready          bool            // the journal has been read and the configuration is known
+	plannerOptions []planner.Option
 }
 
 // Option configures a Conductor.
@@ -144,6 +145,11 @@
 	return func(c *Conductor) { c.members, c.fetchAdvice = members, fetch }
 }
 
+// WithPlannerOptions sets options of the planner.
+func WithPlannerOptions(options ...planner.Option) Option {
+	return func(c *Conductor) { c.plannerOptions = options }
+}
+
 // New returns a conductor for the VM with the id vmID, which owns the fleet under term.
 func New(store keeper.Store, executors *platform.ExecutorClient, vmID string, term uint64, options ...Option) (*Conductor, error) {
 	c := &Conductor{
@@ -163,7 +169,7 @@
 		c.calibrator = NewCalibrator(c.now)
 	}
 	c.metrics = newOwnerMetrics(c.registry)
-	c.planner = planner.New()
+	c.planner = planner.New(c.plannerOptions...)
 	c.balancer = newAdviceBalancer()
 	journal, err := journaler.New(store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
@@ -335,8 +341,7 @@
 			c.metrics.starts.Inc(1)
 			starts = append(starts, a)
 		case planner.Stop:
-			c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
-			c.metrics.stops.Inc(1)
+			c.logStop(a)
 			c.spawn(func() { c.stop(a) })
 		}
 	}
@@ -345,6 +350,17 @@
 	}
 }
 
+// logStop logs and counts the decision to stop a run.
+func (c *Conductor) logStop(a planner.Action) {
+	c.metrics.stops.Inc(1)
+	if !a.Preempting {
+		c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
+		return
+	}
+	c.metrics.preemptions.Inc(1)
+	c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
+}
+
 // wakeForBacklog makes runDecisions decide the starts that the limit has deferred. The caller
 // holds c.mu.
 func (c *Conductor) wakeForBacklog() {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -38,6 +38,7 @@
 	Separate    bool          // of a start: nothing else may start on the worker beside it
 	Gang        bool          // of a start: of a member of a gang
 	Repeated    bool          // of a start: the run was ordered before
+	Preempting  bool          // of a stop: it makes room for an urgent step
 }
 
 // Job returns the id of the job of a start or a stop.
@@ -92,6 +93,7 @@
 		}
 	}
 	p.startsLeft, p.startsDeferred = p.startLimit, false
+	p.beginPreemption()
 	p.keepSeparate(now)
 	p.repeatStarts(now)
 	candidates := p.candidates(now)
@@ -245,7 +247,7 @@
 }
 
 // place starts waiting tasks of a step. At the first task that fits on no worker, it
-// requests advice and, for a long-running step, reserves workers.
+// requests advice, reserves workers for a long-running step and stops runs for an urgent one.
 func (p *Planner) place(s *step, c candidate, now time.Duration) {
 	if s.spec.Gang {
 		if !s.hasSuspect() { // placeSuspects starts it otherwise
@@ -271,6 +273,7 @@
 			if s.spec.LongRunning {
 				p.reserve(s, now)
 			}
+			p.preempt(s, c, now)
 			return
 		}
 		p.start(s, i, t.lastRun+1, w, false, now)
--- a/planner/helper_test.go
+++ b/planner/helper_test.go
@@ -108,8 +108,8 @@
 // takeOver replaces the planner by a new one that restores the records. The leases of
 // the old one expire at leaseExpiry.
 func (f *fixture) takeOver(leaseExpiry time.Duration) {
-	config := f.p.config
-	f.p = New()
+	config, options := f.p.config, f.p.settings
+	f.p = New(func(s *settings) { *s = options })
 	f.Assert(f.p.Restore(nil, f.records, f.now, wall+f.now.Milliseconds(), leaseExpiry), quicktest.IsNil)
 	f.p.Configure(config, f.now)
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -138,6 +138,7 @@
 	started           bool          // the worker has answered the start or listed the run to this owner
 	separate          bool          // no run but those of its gang may be on its worker
 	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
+	preemptedAt       time.Duration // when its stop was decided to make room for an urgent step; else 0
 }
 
 // holdLateStart holds a run whose start got no answer until no incarnation of its worker can
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -208,6 +208,7 @@
 		s.tasks[r.taskIndex].checkpoint = checkpoint
 	}
 	p.learnRunTime(r, result, now)
+	p.observeStop(r, result, now)
 	switch result {
 	case Done:
 		p.completeTask(s, r.taskIndex, r.number, now)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -47,11 +47,13 @@
 	startsLeft      int             // of startLimit, in the current decision; below 0 after a gang
 	startsDeferred  bool            // whether the current decision has left starts to the next one
 	restoredAt      time.Duration   // when the state of earlier owners was restored, else 0
+	preemption      preemption
 }
 
 // settings holds what options set.
 type settings struct {
 	retention time.Duration // how long the state of an ended job stays available
+	preempt   bool          // urgent steps that fit on no worker stop runs of other queues
 }
 
 // Option configures a Planner.
--- a/planner/settled_test.go
+++ b/planner/settled_test.go
@@ -57,8 +57,8 @@
 func (f *fixture) restoreSnapshot(leaseExpiry time.Duration) {
 	state, err := f.p.Snapshot(f.now, wall+f.now.Milliseconds())
 	f.Assert(err, quicktest.IsNil)
-	config := f.p.config
-	f.p = New()
+	config, options := f.p.config, f.p.settings
+	f.p = New(func(s *settings) { *s = options })
 	f.Assert(f.p.Restore(state, nil, f.now, wall+f.now.Milliseconds(), leaseExpiry), quicktest.IsNil)
 	f.p.Configure(config, f.now)
 }
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -56,6 +56,9 @@
 	lossNoted           bool          // the loss of its known incarnation counts towards the rate of crashes
 	open                bool          // tasks may start on it; set at the beginning of each decision
 	soonFree            soonFree
+	madeRoomIn          uint64           // newest decision in which room was being made on it
+	claimedIn           uint64           // newest decision in which claimed counts
+	claimed             placer.Resources // room, there soon, for which urgent steps wait instead of stopping runs
 }
 
 // runKey identifies a run on a worker.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -115,7 +115,8 @@
 		conductor.WithIsOwner(func() bool { return r.claimer.IsOwner(term) }),
 		conductor.WithResign(r.claimer.ResignCentre), conductor.WithResignSlow(r.claimer.ResignVM), conductor.WithResignRefused(r.claimer.ResignRefused),
 		conductor.WithHasLargerPeer(r.claimer.HasLargerPeer),
-		conductor.WithMembers(r.claimer.Members, r.requestAdvice))
+		conductor.WithMembers(r.claimer.Members, r.requestAdvice),
+		conductor.WithPlannerOptions(planner.WithPreemption(r.settings.preempt)))
 	if err == nil {
 		r.receiver.SetConductor(c)
 		err = c.Run(ctx)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -26,6 +26,7 @@
 	bootstrap  bool          // the whole system starts for the first time
 	memory     int64         // bytes that the process may use, 0 if not configured
 	files      int           // descriptors that the process may open, 0 if not configured
+	preempt    bool          // urgent steps that fit on no worker stop runs of other queues
 	rate       int           // lines with the same message logged per second, 0 for no limit
 }
 
@@ -94,6 +95,8 @@
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
 	s.rate = loader.Get(log, "rate", loader.Int, spooler.DefaultRate, loader.Between(0, 1_000_000))
+	planning := d.Section("planning")
+	s.preempt = loader.Get(planning, "preempt", loader.Bool, false)
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
