planner: Start copies of straggling tasks of speculative steps

Cause: a task on a slow worker or in the tail holds up its step although other workers have room. Change: with key copies of section planning (default no), a task that has run for twice the median of its step gets a second run on room that no waiting step needs.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -339,6 +339,9 @@
 		case planner.Start:
 			c.log.Info("start", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
 			c.metrics.starts.Inc(1)
+			if a.CopyOf != 0 {
+				c.metrics.copies.Inc(1)
+			}
 			starts = append(starts, a)
 		case planner.Stop:
 			c.logStop(a)
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -9,6 +9,7 @@
 	completed, failed, cancelled                 metrics.Counter // ended jobs
 	pending, pendingOrdered                      metrics.Gauge   // jobs of which no task has begun; of these, those with a decided start
 	starts, stops                                metrics.Counter // orders that the planner decided on
+	copies                                       metrics.Counter // of the starts, those of copies
 	preemptions                                  metrics.Counter // of the stops, those that make room for urgent steps
 	startsAccepted, startsRefused, startsUnknown metrics.Counter // outcomes of start orders
 	runsEnded                                    metrics.Counter // ended runs that workers reported
@@ -33,6 +34,7 @@
 		pendingOrdered:    metrics.GetOrRegisterGauge("jobs.pending.ordered", r),
 		starts:            metrics.GetOrRegisterCounter("orders.starts", r),
 		stops:             metrics.GetOrRegisterCounter("orders.stops", r),
+		copies:            metrics.GetOrRegisterCounter("orders.copies", r),
 		preemptions:       metrics.GetOrRegisterCounter("orders.preemptions", r),
 		startsAccepted:    metrics.GetOrRegisterCounter("starts.begun", r),
 		startsRefused:     metrics.GetOrRegisterCounter("starts.refused", r),
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -190,7 +190,7 @@
 	}, c.now())
 	c.reportBegun(s.id)
 	if len(ends) > 0 {
-		c.persistEnds(s, ends, result.Ended[len(result.Ended)-1].Serial)
+		c.persistEnds(s, ends, c.planner.AppliedSerial(s.id))
 	}
 	c.storeWorker(s) // last, since the jobs that the ends complete are shown with the next record
 	c.mu.Unlock()
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -324,7 +324,7 @@
 func (p *Planner) MarkOrdered(a Action, now time.Duration) {
 	if w := p.workers[a.Worker]; w != nil {
 		if r := w.runs[runKey{a.Task, a.Number}]; r != nil {
-			r.startedAt = now
+			r.startedAt, r.ordered = now, true
 		}
 	}
 }
@@ -394,3 +394,22 @@
 	r.step.setSuspect(r.taskIndex, false)
 	r.step.occurrence.job.cleared = true
 }
+
+// store returns the crashes for a snapshot.
+func (h *crashHistory) store(now time.Duration, wall int64) []Crash {
+	stored := slices.Clone(h.crashes)
+	for i := range stored {
+		stored[i].At = wall - (now - stored[i].at).Milliseconds()
+	}
+	return stored
+}
+
+// restoreCrashes restores the crashes under a task from a snapshot.
+func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
+	for _, c := range t.Crashes {
+		c.at, c.At = now-time.Duration(wall-c.At)*time.Millisecond, 0
+		p.applyCrash(s, t.Index, c)
+	}
+	h := &s.tasks[t.Index].crashes
+	h.lastRun = max(h.lastRun, t.LastCrashRun)
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -39,6 +39,7 @@
 	Gang        bool          // of a start: of a member of a gang
 	Repeated    bool          // of a start: the run was ordered before
 	Preempting  bool          // of a stop: it makes room for an urgent step
+	CopyOf      int           // of a start: number of the run that it is a copy of; 0 if it is none
 }
 
 // Job returns the id of the job of a start or a stop.
@@ -114,6 +115,7 @@
 			}
 		}
 	}
+	p.startCopies(candidates, now)
 	p.requestOverdue(now)
 	actions := p.actions
 	p.actions = nil
@@ -360,11 +362,13 @@
 	j := s.occurrence.job
 	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now, startedAt: now, incarnation: w.reg.Incarnation}
 	ticket := s.advice.ticketText(w)
-	r.ticket = ticket != ""
+	r.ticket, r.resumed = ticket != "", t.checkpoint != ""
 	t.lastRun = number
 	s.lastRun = max(s.lastRun, number)
+	if len(t.runs) == 0 {
+		s.waitingTasks--
+	}
 	t.runs = append(t.runs, r)
-	s.waitingTasks--
 	s.startedAt = now
 	s.advice.lackingSince = 0
 	p.startsLeft--
--- a/planner/job.go
+++ b/planner/job.go
@@ -81,8 +81,9 @@
 	lastRun           int   // newest run number of any task
 	failedRuns        []int // numbers of the failed runs of a gang; empty if the step is none
 	advice            advice
-	startedAt         time.Duration // when the newest start of a task was decided by this owner, else 0
-	reportedAt        time.Duration // when TakeWaits last returned it, else 0
+	startedAt         time.Duration   // when the newest start of a task was decided by this owner, else 0
+	reportedAt        time.Duration   // when TakeWaits last returned it, else 0
+	runTimes          []time.Duration // of its tasks that this owner has seen done, if it is speculative; shortest first
 }
 
 // task is one task of a step.
@@ -139,6 +140,9 @@
 	separate          bool          // no run but those of its gang may be on its worker
 	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
 	preemptedAt       time.Duration // when its stop was decided to make room for an urgent step; else 0
+	copyOf            int           // number of the run that it is a copy of; 0 if it is none
+	ordered           bool          // this owner is ordering it or has ordered it
+	resumed           bool          // it has started from a checkpoint
 }
 
 // holdLateStart holds a run whose start got no answer until no incarnation of its worker can
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -209,6 +209,7 @@
 	}
 	p.learnRunTime(r, result, now)
 	p.observeStop(r, result, now)
+	p.observeRunTime(r, result, now)
 	switch result {
 	case Done:
 		p.completeTask(s, r.taskIndex, r.number, now)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -48,12 +48,15 @@
 	startsDeferred  bool            // whether the current decision has left starts to the next one
 	restoredAt      time.Duration   // when the state of earlier owners was restored, else 0
 	preemption      preemption
+	nextCopies      time.Duration // earliest time of the next look for tasks to copy
+	copyBudget      int64         // thousandths of a processor that further copies may use
 }
 
 // settings holds what options set.
 type settings struct {
 	retention time.Duration // how long the state of an ended job stays available
 	preempt   bool          // urgent steps that fit on no worker stop runs of other queues
+	copies    bool          // tasks of speculative steps may get a second run
 }
 
 // Option configures a Planner.
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -261,6 +261,6 @@
 		return false
 	}
 	j := s.occurrence.job
-	return s.spec.Checkpoint && !s.spec.Gang && !s.spec.LongRunning && !s.unknown && j.finalState == "" && j.queue.Priority > 0 &&
+	return len(s.tasks[r.taskIndex].runs) == 1 && s.spec.Checkpoint && !s.spec.Gang && !s.spec.LongRunning && !s.unknown && j.finalState == "" && j.queue.Priority > 0 &&
 		!s.tasks[r.taskIndex].done && !s.tasks[r.taskIndex].crashes.suspect
 }
--- a/planner/preempt_test.go
+++ b/planner/preempt_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -125,6 +126,34 @@
 		f.submitUrgent("urgent")
 		f.assertNoAction()
 	})
+	for name, change := range map[string]func(*run){
+		"not listed":       func(r *run) { r.listed = false },
+		"start in flight":  func(r *run) { r.phase = phaseDecided },
+		"not needed":       func(r *run) { r.obsolete = true },
+		"stopped before":   func(r *run) { r.stopOrdered = true },
+		"beside its copy":  func(r *run) { r.step.tasks[0].runs = []*run{r, {}} },
+		"alone on purpose": func(r *run) { r.separate = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, deferred := newPreemption(t, unchanged)
+			change(f.p.workers["w0"].runs[runKey{deferred.Task, 1}])
+			f.submitUrgent("urgent")
+			f.assertNoAction()
+		})
+	}
+	t.Run("for a deferred step", func(t *testing.T) {
+		f, _ := newPreemption(t, unchanged)
+		step := newStep(1)
+		step.CPU = 2000
+		f.submit("other", step)
+		f.assertNoAction()
+	})
+	t.Run("stops in flight", func(t *testing.T) {
+		f, _ := newPreemption(t, unchanged)
+		f.p.preemption.rooms = []madeRoom{{&step{}, &worker{}, slices.Repeat([]*run{f.p.step("deferred").tasks[0].runs[0]}, minPreempted)}}
+		f.submitUrgent("urgent")
+		f.assertNoAction()
+	})
 	t.Run("the run has not been listed to this owner", func(t *testing.T) {
 		f, deferred := newPreemption(t, unchanged)
 		f.takeOver(f.now + 6*second)
@@ -136,6 +165,43 @@
 	})
 }
 
+// TestRoomIsKept checks that other work does not take what the first of two stops frees, and that a second
+// urgent task does not count on it. Both stops would be in vain.
+func TestRoomIsKept(t *testing.T) {
+	setUp := func(t *testing.T, tasks int, cpu, need int64) (*fixture, []Action) {
+		f, deferred := newPreemption(t, unchanged)
+		f.listEnd(deferred, 1, Done)
+		step := newStep(tasks)
+		step.CPU, step.Estimate, step.Checkpoint = cpu, 60_000, true
+		f.submit("tasks", step)
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, tasks)
+		for _, a := range starts {
+			f.list(a)
+			f.p.workers["w0"].runs[runKey{a.Task, a.Number}].listed = true
+			f.p.workers["w0"].runs[runKey{a.Task, a.Number}].confirmedAt = f.now + second
+		}
+		f.submitUrgent("urgent")
+		f.p.step("urgent").spec.Size = placer.NewResources(need, 100, 0)
+		return f, f.decide()
+	}
+	t.Run("from deferred work", func(t *testing.T) {
+		f, stops := setUp(t, 2, 1900, 3800)
+		f.Assert(stops, quicktest.HasLen, 2)
+		f.listEnd(stops[0], 2, Stopped)
+		f.assertNoAction()
+		f.listEnd(stops[1], 3, Stopped)
+		f.Assert(f.starts()[0].Job(), quicktest.Equals, "urgent")
+	})
+	t.Run("from another urgent task", func(t *testing.T) {
+		f, stops := setUp(t, 3, 1300, 1400)
+		f.Assert(stops, quicktest.HasLen, 1)
+		f.submitUrgent("urgent2")
+		f.p.step("urgent2").spec.Size = placer.NewResources(1400, 100, 0)
+		f.assertNoAction()
+	})
+}
+
 // TestStopThatComesLate checks a run that ends done before its stop has an effect. Its end must count, or the
 // task would run again after it was done (TWICE).
 func TestStopThatComesLate(t *testing.T) {
--- a/planner/record.go
+++ b/planner/record.go
@@ -33,15 +33,16 @@
 	Number int    `cbor:"2,keyasint"`
 	Worker string `cbor:"3,keyasint"`
 
-	Incarnation int64 `cbor:"4,keyasint,omitempty"` // of the worker, as known to the owner
-	Separate    bool  `cbor:"5,keyasint,omitempty"` // nothing else may start on the worker beside it
-	Ticket      bool  `cbor:"6,keyasint,omitempty"` // the order carries a ticket
-	Repeated    bool  `cbor:"7,keyasint,omitempty"` // the run was ordered before
+	Incarnation int64 `cbor:"4,keyasint,omitempty"`  // of the worker, as known to the owner
+	Separate    bool  `cbor:"5,keyasint,omitempty"`  // nothing else may start on the worker beside it
+	Ticket      bool  `cbor:"6,keyasint,omitempty"`  // the order carries a ticket
+	Repeated    bool  `cbor:"7,keyasint,omitempty"`  // the run was ordered before
+	CopyOf      int   `cbor:"13,keyasint,omitempty"` // number of the run that goes on beside it; 0 if none does
 }
 
 // Begin returns the journal's entry for a start.
 func (a Action) Begin() Begin {
-	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate, Ticket: a.Ticket != "", Repeated: a.Repeated}
+	return Begin{Task: a.Task, Number: a.Number, Worker: a.Worker, Incarnation: a.Incarnation, Separate: a.Separate, Ticket: a.Ticket != "", Repeated: a.Repeated, CopyOf: a.CopyOf}
 }
 
 // Record is one change in the journal. Replaying it twice, or onto a state that
@@ -131,6 +132,9 @@
 	Ticket       bool    `cbor:"23,keyasint,omitempty"` // the order of the run on Worker carries a ticket
 	Settled      bool    `cbor:"24,keyasint,omitempty"` // the start of the run on Worker is settled
 	Repeated     bool    `cbor:"25,keyasint,omitempty"` // the run on Worker may have been ordered more than once
+
+	CopyOf int           `cbor:"26,keyasint,omitempty"` // number of the run that the run on Worker is a copy of
+	Copied *storedCopied `cbor:"27,keyasint,omitempty"` // that run, if it may go on
 }
 
 // Snapshot returns the encoded state for the journal.
@@ -174,16 +178,19 @@
 				entry.Failures, entry.LastFailedRun = countRuns(t.failedRuns)
 				entry.GangFailures, entry.LastFailedGangRun = countRuns(st.failedRuns)
 				entry.Crashes, entry.LastCrashRun, entry.Suspect = t.crashes.store(now, wall), t.crashes.lastRun, t.crashes.suspect
-				newest := 0
+				newest, copyOf := 0, 0
 				for _, r := range t.runs {
 					if r.number < newest {
 						continue // it was given up
 					}
-					newest = r.number
+					newest, copyOf = r.number, r.copyOf
 					entry.Number, entry.Worker, entry.Incarnation, entry.Separate = r.number, r.worker.reg.ID, r.incarnation, r.separate
 					entry.Ticket, entry.Settled, entry.Repeated = r.ticket, r.settled, r.repeated
 					entry.StartedAt = wall - (now - r.startedAt).Milliseconds()
 				}
+				if copyOf != 0 {
+					entry.CopyOf, entry.Copied = copyOf, t.storeCopied(copyOf, now, wall)
+				}
 				if entry.Number < t.lastRun {
 					entry.LastRun = t.lastRun
 				}
@@ -267,11 +274,15 @@
 	}
 	p.restoreCrashes(st, t, now, wall)
 	st.setSuspect(t.Index, t.Suspect)
+	if c := t.Copied; c != nil {
+		p.addInheritedRun(st, t.Index, c.Begin, now-time.Duration(wall-c.StartedAt)*time.Millisecond, c.Settled)
+	}
 	if t.Worker != "" {
-		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate, Ticket: t.Ticket, Repeated: t.Repeated}, startedAt, t.Settled)
+		p.addInheritedRun(st, t.Index, Begin{Number: t.Number, Worker: t.Worker, Incarnation: t.Incarnation, Separate: t.Separate, Ticket: t.Ticket, Repeated: t.Repeated, CopyOf: t.CopyOf}, startedAt, t.Settled)
 	}
 	if t.Done {
 		p.markDone(st, t.Index)
+		p.abandonCopies(task)
 	}
 }
 
@@ -301,11 +312,13 @@
 func (p *Planner) addInheritedRun(s *step, index int, b Begin, startedAt time.Duration, settled bool) {
 	t := &s.tasks[index]
 	for _, r := range slices.Clone(t.runs) {
-		p.release(r) // an earlier run; it has ended, since the task was started again
+		if r.number != b.CopyOf {
+			p.release(r) // an earlier run; it has ended, since the task was started again
+		}
 	}
 	r := &run{
 		step: s, taskIndex: index, number: b.Number, worker: p.worker(b.Worker), size: s.spec.Size, phase: phaseInherited,
-		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled, repeated: b.Repeated,
+		startedAt: startedAt, incarnation: b.Incarnation, ticket: b.Ticket, settled: settled, repeated: b.Repeated, copyOf: b.CopyOf,
 	}
 	if len(t.runs) == 0 && !t.done {
 		s.waitingTasks--
@@ -472,22 +485,3 @@
 	slices.SortFunc(p.live, func(a, b *job) int { return cmp.Compare(a.acceptedAt, b.acceptedAt) })
 	p.newlyBegun, p.newlyEnded, p.newCrashes, p.newLosses, p.newSettled = nil, nil, nil, nil, nil
 }
-
-// store returns the crashes for a snapshot.
-func (h *crashHistory) store(now time.Duration, wall int64) []Crash {
-	stored := slices.Clone(h.crashes)
-	for i := range stored {
-		stored[i].At = wall - (now - stored[i].at).Milliseconds()
-	}
-	return stored
-}
-
-// restoreCrashes restores the crashes under a task from a snapshot.
-func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
-	for _, c := range t.Crashes {
-		c.at, c.At = now-time.Duration(wall-c.At)*time.Millisecond, 0
-		p.applyCrash(s, t.Index, c)
-	}
-	h := &s.tasks[t.Index].crashes
-	h.lastRun = max(h.lastRun, t.LastCrashRun)
-}
--- a/planner/spec.go
+++ b/planner/spec.go
@@ -76,7 +76,7 @@
 	Rack         string           `cbor:"10,keyasint,omitempty"` // preferred rack: the one that has the data
 	MaxPerWorker int              `cbor:"11,keyasint,omitempty"` // 0 means any number
 	Checkpoint   bool             `cbor:"12,keyasint,omitempty"`
-	Speculative  bool             `cbor:"13,keyasint,omitempty"` // copies of a task may run in parallel; stored but not acted on
+	Speculative  bool             `cbor:"13,keyasint,omitempty"` // copies of a task may run in parallel
 	LongRunning  bool             `cbor:"14,keyasint,omitempty"` // tasks run until the job is cancelled
 	Filler       bool             `cbor:"15,keyasint,omitempty"` // tasks run in capacity that others leave unused
 	MayMiss      int              `cbor:"16,keyasint,omitempty"` // stored but not acted on
--- a/planner/status.go
+++ b/planner/status.go
@@ -28,7 +28,8 @@
 }
 
 // HandleStatus applies a worker's answer to a heartbeat. It returns the ends of runs
-// that are new. The worker may forget these once the journal holds them.
+// that are new. The worker may forget these, which are those up to AppliedSerial, once the journal
+// holds them.
 func (p *Planner) HandleStatus(status WorkerStatus, now time.Duration) []End {
 	w := p.workers[status.Worker]
 	if w == nil {
@@ -44,10 +45,15 @@
 	w.lossNoted = false
 	p.resolveCrashes(w, status.Incarnation, now)
 	var ends []End
-	for _, e := range status.Ended {
+	for i, e := range status.Ended {
 		if e.Serial <= w.lastSerial {
 			continue
 		}
+		if p.awaitsCopy(e.End, now) {
+			w.noteEnded(status.Ended[i:])
+			w.endsUnread = true
+			break
+		}
 		w.lastSerial = e.Serial
 		p.applyEnd(w, e.End, now)
 		ends = append(ends, e.End)
@@ -57,7 +63,7 @@
 		present[runKey{e.Task, e.Number}] = true
 		p.applyRunning(w, e, status.SentAt, status.Incarnation != 0, now)
 	}
-	if status.MoreEnds {
+	if w.endsUnread {
 		return ends // a run that is not listed may have ended
 	}
 	var lost, inherited []*run
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -116,7 +116,7 @@
 		conductor.WithResign(r.claimer.ResignCentre), conductor.WithResignSlow(r.claimer.ResignVM), conductor.WithResignRefused(r.claimer.ResignRefused),
 		conductor.WithHasLargerPeer(r.claimer.HasLargerPeer),
 		conductor.WithMembers(r.claimer.Members, r.requestAdvice),
-		conductor.WithPlannerOptions(planner.WithPreemption(r.settings.preempt)))
+		conductor.WithPlannerOptions(planner.WithPreemption(r.settings.preempt), planner.WithCopies(r.settings.copies)))
 	if err == nil {
 		r.receiver.SetConductor(c)
 		err = c.Run(ctx)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -27,6 +27,7 @@
 	memory     int64         // bytes that the process may use, 0 if not configured
 	files      int           // descriptors that the process may open, 0 if not configured
 	preempt    bool          // urgent steps that fit on no worker stop runs of other queues
+	copies     bool          // tasks of speculative steps that take long get a second run
 	rate       int           // lines with the same message logged per second, 0 for no limit
 }
 
@@ -97,6 +98,7 @@
 	s.rate = loader.Get(log, "rate", loader.Int, spooler.DefaultRate, loader.Between(0, 1_000_000))
 	planning := d.Section("planning")
 	s.preempt = loader.Get(planning, "preempt", loader.Bool, false)
+	s.copies = loader.Get(planning, "copies", loader.Bool, false)
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
