--- a/planner/copies_test.go
+++ b/planner/copies_test.go
@@ -7,11 +7,12 @@
 	"github.com/frankban/quicktest"
 )
 
-// copying is a fixture with a speculative step of four tasks, three of which are done after 1 s and one of
-// which takes long.
+// copying is a fixture with a speculative step of four tasks, three of which are done after 1 s. The others
+// take long.
 type copying struct {
 	*fixture
-	slow    Action // start of the one that takes long
+	slow    Action   // start of the last one, which takes long
+	all     []Action // starts of all
 	serials map[string]uint64
 }
 
@@ -31,12 +32,14 @@
 	starts := f.starts()
 	f.Assert(starts, quicktest.HasLen, step.Tasks)
 	f.now += second
-	for _, a := range starts[:len(starts)-1] {
+	for _, a := range starts[:3] {
 		f.end(a, Done)
 	}
-	f.slow = starts[len(starts)-1]
+	f.slow, f.all = starts[len(starts)-1], starts
 	f.now += 1500 * millisecond
-	f.list(f.slow)
+	for _, a := range starts[3:] {
+		f.list(a)
+	}
 	f.now += second / 10
 	f.p.step("j").spec.MaxPerWorker = 0
 	return f
@@ -104,12 +107,8 @@
 // TestTwoEndsAtOnce checks two ends done of a task, the second of which must neither complete the step again
 // nor make the task wait again (TWICE).
 func TestTwoEndsAtOnce(t *testing.T) {
-	f := newCopying(t, func(s *StepSpec) { s.Tasks = 5 })
-	other := f.slow
-	other.Task = "j.0.0.3"
-	f.Assert(f.p.jobs["j"].occurrences[0].steps[0].doneTasks, quicktest.Equals, 4)
-	second := f.copied()
-	f.end(second, Done)
+	f := newCopying(t, unchanged)
+	f.end(f.copied(), Done)
 	f.end(f.slow, Done)
 	f.assertState("j", Completed)
 	f.assertNoStart()
@@ -184,13 +183,22 @@
 // TestEndsOfTwoWorkersWaitForEachOther checks two workers whose first ends wait for copies on the other one, which
 // have ended there. Nothing would be known of both workers for 15 s.
 func TestEndsOfTwoWorkersWaitForEachOther(t *testing.T) {
-	f := newCopying(t, unchanged)
-	copied := f.decideCopy()
-	f.p.MarkOrdered(copied, f.now)
-	w := f.p.workers[copied.Worker]
-	w.noteEnded([]EndEntry{{1, End{Task: copied.Task, Number: copied.Number, Result: Done}}})
-	f.end(f.slow, Done)
-	f.assertState("j", Completed)
+	f := newCopying(t, func(s *StepSpec) { s.Tasks = 5 })
+	f.now += copyInterval
+	copies := f.decide()
+	f.Assert(copies, quicktest.HasLen, 2)
+	for i, a := range copies {
+		f.Assert(a.Worker, quicktest.Equals, f.all[4-i].Worker)
+		f.p.MarkOrdered(a, f.now)
+	}
+	for range 2 {
+		for i, a := range copies {
+			original := f.all[4-i]
+			ended := []EndEntry{{1, End{Task: original.Task, Number: original.Number, Result: Done}}, {2, End{Task: a.Task, Number: a.Number, Result: Done}}}
+			f.p.HandleStatus(WorkerStatus{Worker: a.Worker, Incarnation: 1, SentAt: f.now, Ended: ended}, f.now)
+		}
+	}
+	f.Assert(f.p.FinalState("j"), quicktest.Equals, Completed)
 }
 
 // TestCopyCarriedOutLate checks a copy whose start gets no answer. If the end done of the other run were taken note
--- a/planner/preempt_test.go
+++ b/planner/preempt_test.go
@@ -146,6 +146,13 @@
 		step := newStep(1)
 		step.CPU = 2000
 		f.submit("other", step)
+		f.p.jobs["other"].queue.Objective = 2 * second
+		f.assertNoAction()
+	})
+	t.Run("for an expired step", func(t *testing.T) {
+		f, _ := newPreemption(t, unchanged)
+		f.submitUrgent("urgent")
+		f.now += 12 * second
 		f.assertNoAction()
 	})
 	t.Run("stops in flight", func(t *testing.T) {
