--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -349,10 +349,12 @@
 			if a.Backfill {
 				c.metrics.backfilled.Inc(1)
 			}
+			if a.CopyOf != 0 {
+				c.metrics.copies.Inc(1)
+			}
 			starts = append(starts, a)
 		case planner.Stop:
-			c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
-			c.metrics.stops.Inc(1)
+			c.logStop(a)
 			c.spawn(func() { c.stop(a) })
 		}
 	}
@@ -361,6 +363,17 @@
 	}
 }
 
+// logStop logs and counts the decision to stop a run.
+func (c *Conductor) logStop(a planner.Action) {
+	c.metrics.stops.Inc(1)
+	if !a.Preempting {
+		c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker)
+		return
+	}
+	c.metrics.preemptions.Inc(1)
+	c.log.Info("stop", "task", a.Task, "run", a.Number, "worker", a.Worker, "reason", a.Reason)
+}
+
 // wakeForBacklog makes runDecisions decide the starts that the limit has deferred. The caller
 // holds c.mu.
 func (c *Conductor) wakeForBacklog() {
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -13,6 +13,8 @@
 	backfilled                                   metrics.Counter      // decided starts on workers that were reserved for gangs
 	fastWorkers, slowWorkers                     metrics.Gauge        // workers known to be faster and slower than most
 	starts, stops                                metrics.Counter      // orders that the planner decided on
+	copies                                       metrics.Counter      // of the starts, those of copies
+	preemptions                                  metrics.Counter      // of the stops, those that make room for urgent steps
 	startsAccepted, startsRefused, startsUnknown metrics.Counter      // outcomes of start orders
 	runsEnded                                    metrics.Counter      // ended runs that workers reported
 	heartbeats, missedHeartbeats                 metrics.Counter      // heartbeats sent, and those that failed
@@ -42,6 +44,8 @@
 		backfilled:        metrics.GetOrRegisterCounter("orders.backfilled", r),
 		starts:            metrics.GetOrRegisterCounter("orders.starts", r),
 		stops:             metrics.GetOrRegisterCounter("orders.stops", r),
+		copies:            metrics.GetOrRegisterCounter("orders.copies", r),
+		preemptions:       metrics.GetOrRegisterCounter("orders.preemptions", r),
 		startsAccepted:    metrics.GetOrRegisterCounter("starts.begun", r),
 		startsRefused:     metrics.GetOrRegisterCounter("starts.refused", r),
 		startsUnknown:     metrics.GetOrRegisterCounter("starts.unsure", r),
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -324,7 +324,7 @@
 func (p *Planner) MarkOrdered(a Action, now time.Duration) {
 	if w := p.workers[a.Worker]; w != nil {
 		if r := w.runs[runKey{a.Task, a.Number}]; r != nil {
-			r.startedAt = now
+			r.startedAt, r.ordered = now, true
 		}
 	}
 }
@@ -403,3 +403,13 @@
 	}
 	return stored
 }
+
+// restoreCrashes restores the crashes under a task from a snapshot.
+func (p *Planner) restoreCrashes(s *step, t storedTask, now time.Duration, wall int64) {
+	for _, c := range t.Crashes {
+		c.at, c.At = now-time.Duration(wall-c.At)*time.Millisecond, 0
+		p.applyCrash(s, t.Index, c)
+	}
+	h := &s.tasks[t.Index].crashes
+	h.lastRun = max(h.lastRun, t.LastCrashRun)
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -39,6 +39,8 @@
 	Gang        bool          // of a start: of a member of a gang
 	Backfill    bool          // of a start: other than urgent work, on a worker that is reserved for a gang
 	Repeated    bool          // of a start: the run was ordered before
+	Preempting  bool          // of a stop: it makes room for an urgent step
+	CopyOf      int           // of a start: number of the run that it is a copy of; 0 if it is none
 }
 
 // Job returns the id of the job of a start or a stop.
@@ -97,6 +99,7 @@
 	}
 	p.classifyWorkers(now)
 	p.startsLeft, p.startsDeferred = p.startLimit, false
+	p.beginPreemption()
 	p.keepSeparate(now)
 	p.repeatStarts(now)
 	candidates := p.candidates(now)
@@ -120,6 +123,7 @@
 			}
 		}
 	}
+	p.startCopies(candidates, now)
 	p.requestOverdue(now)
 	actions := p.actions
 	p.actions = nil
@@ -253,7 +257,7 @@
 }
 
 // place starts waiting tasks of a step. At the first task that fits on no worker, it
-// requests advice and, for a long-running step, reserves workers.
+// requests advice, reserves workers for a long-running step and stops runs for an urgent one.
 func (p *Planner) place(s *step, c candidate, now time.Duration) {
 	if s.spec.Gang {
 		if !s.hasSuspect() { // placeSuspects starts it otherwise
@@ -279,6 +283,7 @@
 			if s.spec.LongRunning {
 				p.reserve(s, now)
 			}
+			p.preempt(s, c, now)
 			return
 		}
 		p.start(s, i, t.lastRun+1, w, false, now)
@@ -371,13 +376,14 @@
 	t := &s.tasks[index]
 	j := s.occurrence.job
 	r := &run{step: s, taskIndex: index, number: number, worker: w, size: s.spec.Size, phase: phaseDecided, decidedAt: now, startedAt: now, incarnation: w.reg.Incarnation}
-	r.resumed = t.checkpoint != ""
 	ticket := s.advice.ticketText(w)
-	r.ticket = ticket != ""
+	r.ticket, r.resumed = ticket != "", t.checkpoint != ""
 	t.lastRun = number
 	s.lastRun = max(s.lastRun, number)
+	if len(t.runs) == 0 {
+		s.waitingTasks--
+	}
 	t.runs = append(t.runs, r)
-	s.waitingTasks--
 	s.startedAt = now
 	s.advice.lackingSince = 0
 	p.startsLeft--
--- a/planner/job.go
+++ b/planner/job.go
@@ -93,6 +93,7 @@
 	lacksRoom         bool                 // a gang that did not fit when it was last looked at
 	reservation       reserver.Reservation // of a gang in the current decision; without allotments if it has none
 	peers             profiler.Group       // finished runs whose times are not compared yet
+	runTimes          []time.Duration      // of its tasks that this owner has seen done, if it is speculative; shortest first
 }
 
 // task is one task of a step.
@@ -151,6 +152,9 @@
 	started           bool          // the worker has answered the start or listed the run to this owner
 	separate          bool          // no run but those of its gang may be on its worker
 	crash             *Crash        // of its worker, which has ended the run unless the worker lists it again; else nil
+	preemptedAt       time.Duration // when its stop was decided to make room for an urgent step; else 0
+	copyOf            int           // number of the run that it is a copy of; 0 if it is none
+	ordered           bool          // this owner is ordering it or has ordered it
 }
 
 // holdLateStart holds a run whose start got no answer until no incarnation of its worker can
--- a/planner/outcome.go
+++ b/planner/outcome.go
@@ -210,6 +210,8 @@
 	}
 	p.learnRunTime(r, result, now)
 	p.learnSpeed(r, result, now)
+	p.observeStop(r, result, now)
+	p.observeSpeculative(r, result, now)
 	switch result {
 	case Done:
 		p.completeTask(s, r.taskIndex, r.number, now)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -57,6 +57,9 @@
 	reservedWorkers int           // by gangs, when the current decision began
 	reservedIdle    int64         // free thousandths of a processor on these workers at that time
 	restoredAt      time.Duration // when the state of earlier owners was restored, else 0
+	preemption      preemption
+	nextCopies      time.Duration // earliest time of the next look for tasks to copy
+	copyBudget      int64         // thousandths of a processor that further copies may use
 }
 
 // settings holds what options set.
@@ -66,6 +69,8 @@
 	learnSpeeds    bool          // how fast workers are is learned
 	learnRunTimes  bool          // run times are learned for each queue, team and step
 	backfill       bool          // reservations of gangs are kept and bounded, and used meanwhile
+	preempt        bool          // urgent steps that fit on no worker stop runs of other queues
+	copies         bool          // tasks of speculative steps may get a second run
 }
 
 // Option configures a Planner.
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -61,6 +61,9 @@
 	share               gangShare        // of the reservation that holds it in the current decision
 	releases            []release        // as releasesOf returns them
 	releasesIn          uint64           // decision in which releases was computed
+	madeRoomIn          uint64           // newest decision in which room was being made on it
+	claimedIn           uint64           // newest decision in which claimed counts
+	claimed             placer.Resources // room, there soon, for which urgent steps wait instead of stopping runs
 }
 
 // runKey identifies a run on a worker.
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -30,6 +30,8 @@
 	spread     bool          // concurrent advice requests name different workers
 	speeds     bool          // tasks are placed by how fast workers have been
 	backfill   bool          // gangs keep bounded reservations, which other work may use meanwhile
+	preempt    bool          // urgent steps that fit on no worker stop runs of other queues
+	copies     bool          // tasks of speculative steps that take long get a second run
 	rate       int           // lines with the same message logged per second, 0 for no limit
 	runTimes   bool          // run times are learned for each queue, team and step
 	limits     Limits
@@ -66,6 +68,12 @@
 	if s.spread {
 		options = append(options, planner.WithSpreadRequests(true))
 	}
+	if s.preempt {
+		options = append(options, planner.WithPreemption(true))
+	}
+	if s.copies {
+		options = append(options, planner.WithCopies(true))
+	}
 	return options
 }
 
@@ -123,6 +131,8 @@
 	s.level = loader.Get(log, "level", loader.OneOf("trace", "debug", "info", "warn", "error"), "info")
 	s.json = loader.Get(log, "format", loader.OneOf("text", "json"), "text") == "json"
 	s.rate = loader.Get(log, "rate", loader.Int, spooler.DefaultRate, loader.Between(0, 1_000_000))
+	s.preempt = loader.Get(planning, "preempt", loader.Bool, false)
+	s.copies = loader.Get(planning, "copies", loader.Bool, false)
 	s.limits.decode(d.Section("limits"), defaultLimits(s.memory, s.files))
 	if err := d.Err(); err != nil {
 		return nil, err
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -17,12 +17,12 @@
 		quicktest.Assert(t, os.WriteFile(path, []byte(required+section), 0o600), quicktest.IsNil)
 		return LoadSettings(path)
 	}
-	for section, options := range map[string]int{"": 0, "[planning]\n": 0, "[planning]\nruntimes = no\n": 0, "[planning]\nruntimes = yes\n": 1, "[planning]\nbackfill = yes\nspeeds = yes\nspread = yes\nruntimes = no\n": 3} {
+	for section, options := range map[string]int{"": 0, "[planning]\n": 0, "[planning]\nruntimes = no\n": 0, "[planning]\nruntimes = yes\n": 1, "[planning]\nbackfill = yes\nspeeds = yes\nspread = yes\nruntimes = no\npreempt = yes\ncopies = yes\n": 5} {
 		s, err := load(section)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		quicktest.Check(t, s.planning(), quicktest.HasLen, options, quicktest.Commentf("%q", section))
 	}
-	for _, key := range []string{"runtimes", "speeds", "spread", "backfill"} {
+	for _, key := range []string{"runtimes", "speeds", "spread", "backfill", "preempt", "copies"} {
 		_, err := load("[planning]\n" + key + " = maybe\n")
 		quicktest.Check(t, err, quicktest.ErrorMatches, `(?s).*entry.ini:10.*`+key+`.*maybe.*`)
 	}
