limiter, receiver, relayer, conductor: Faults found by a review of the limits

A body refused by the next owner was answered 503 although an earlier owner may have accepted the job. A former owner answered 401 and 404 by old routes. With HTTP/2, one response ended the protection of all requests of its connection. A blocked log held up requests. A write that a peer refused unread counted as of unknown outcome. Change: the connection of a refused body is closed; a body refused by the owner is sent again while the caller waits, and 504 is told if an earlier attempt may have run; Screen leaves requests to Serve unless the VM is the up-to-date owner; protections are counted; the log is written outside of the lock; a body that a peer refused goes to another.

--- a/conductor/entry_test.go
+++ b/conductor/entry_test.go
@@ -78,3 +78,11 @@
 		quicktest.Assert(t, time.Now().Before(end), quicktest.IsTrue)
 	}
 }
+
+// TestScreenOfFormerOwner guards against refusals by paths and keys that are out of date: a VM that
+// is not the owner any more leaves them to Serve.
+func TestScreenOfFormerOwner(t *testing.T) {
+	c := &Conductor{ready: true, isOwner: func() bool { return false }}
+	_, refused := c.Screen(Request{Method: "POST", Host: "h", Path: "/new/1"})
+	quicktest.Assert(t, refused, quicktest.IsFalse)
+}
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -126,9 +126,10 @@
 // Screen returns the response to a request that is refused whatever its body holds, because of
 // an unknown path or key, and whether it is. The owner calls it before it reads the body.
 func (c *Conductor) Screen(request Request) (Response, bool) {
+	upToDate := c.upToDate()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ready {
+	if !c.ready || !upToDate || !c.isOwner() {
 		return Response{}, false
 	}
 	queue, found := c.routing.queue(request.Host, request.Path)
--- a/limiter/body.go
+++ b/limiter/body.go
@@ -23,7 +23,7 @@
 	limiter  *Limiter
 	source   io.ReadCloser
 	w        http.ResponseWriter
-	conn     *Conn // nil if the listener is not limited
+	use      *use // of the connection
 	path     string
 	expected int64 // bytes; -1 if unknown
 	factor   int64 // bytes charged for each byte that Read returns
@@ -68,7 +68,7 @@
 // Read reads from the body and charges what it returns.
 func (b *Body) Read(p []byte) (int, error) {
 	if b.streams {
-		b.conn.protect()
+		b.use.protect()
 	}
 	n, err := b.readSome(p)
 	if n > 0 && b.factor > 0 {
@@ -79,8 +79,12 @@
 	return n, err
 }
 
-// refuse returns the error of a Read of a body that was refused.
+// refuse returns the error of a Read of a body that was refused. The connection is closed after
+// the response, as its context ends if its last bytes had arrived when it was interrupted.
 func (b *Body) refuse(cause error) error {
+	if !b.streams {
+		b.w.Header().Set("Connection", "close")
+	}
 	if b.refusal != nil {
 		return b.refusal(cause)
 	}
@@ -112,7 +116,7 @@
 		return 0, b.refuse(cause)
 	}
 	if b.complete {
-		b.conn.protect()
+		b.use.protect()
 	}
 	return n, err
 }
--- a/limiter/handler.go
+++ b/limiter/handler.go
@@ -46,6 +46,12 @@
 	return ctx
 }
 
+// useOf returns the use of its connection by a request.
+func useOf(request *http.Request) *use {
+	conn, _ := request.Context().Value(connKey{}).(*Conn)
+	return &use{conn: conn}
+}
+
 // BodyFrom returns the body of a request of a Limiter's handler, nil if it has none.
 func BodyFrom(request *http.Request) *Body {
 	b, _ := request.Body.(*Body)
@@ -55,7 +61,7 @@
 // Handler returns a handler that limits the bodies of the requests to next.
 func (l *Limiter) Handler(next http.Handler, policy Policy) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		conn, _ := request.Context().Value(connKey{}).(*Conn)
+		conn := useOf(request)
 		defer conn.release()
 		if len(request.Header) > maxFields {
 			refuse(w, policy, http.StatusRequestHeaderFieldsTooLarge, "too many header fields")
@@ -67,7 +73,7 @@
 			return
 		}
 		b := &Body{
-			limiter: l, source: request.Body, w: w, conn: conn, path: request.URL.Path, expected: request.ContentLength,
+			limiter: l, source: request.Body, w: w, use: conn, path: request.URL.Path, expected: request.ContentLength,
 			factor: policy.Factor, refusal: policy.Refusal,
 		}
 		if policy.Timeout != nil {
@@ -118,7 +124,7 @@
 // one is closed after the response, so that net/http doesn't wait for the body.
 func Bodiless(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		conn, _ := request.Context().Value(connKey{}).(*Conn)
+		conn := useOf(request)
 		defer conn.release()
 		if request.ContentLength != 0 || len(request.Header) > maxFields {
 			w.Header().Set("Connection", "close")
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -136,6 +137,9 @@
 	if b.cause != nil {
 		return b.cause
 	}
+	if _, ok := l.bodies[b]; !ok {
+		return http.ErrBodyReadAfterClose // a charge after the end would never end
+	}
 	b.charged += n
 	l.add(n)
 	return nil
@@ -189,7 +193,8 @@
 		state.suppressed++
 		return
 	}
-	l.log.Warn(message, append(args, "more", state.suppressed)...)
+	// A blocked reader of the log must not hold up requests, which wait for the lock.
+	go l.log.Warn(message, append(args, "more", state.suppressed)...)
 	state.last, state.suppressed = now, 0
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -164,7 +164,7 @@
 	f.Assert(errors.As(<-f.errs, &tooLarge), quicktest.IsTrue)
 }
 
-// TestMostIdleConnectionIsClosed guards against a crowd that shuts out others, and against
+// TestMostIdleConnectionIsClosed guards against many clients that shut out others, and against
 // closing the connection of a request that may have been handed on.
 func TestMostIdleConnectionIsClosed(t *testing.T) {
 	arrived, done := make(chan struct{}), make(chan struct{})
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -16,7 +16,7 @@
 )
 
 // Listener is a listener with a limited number of open connections. At the limit, it closes
-// the most idle connection for a new one: a crowd that keeps its connections open would
+// the most idle connection for a new one: many clients that keep their connections open would
 // otherwise shut out everybody else. A connection whose request is being served is not closed.
 // If all are, the new connection is closed.
 type Listener struct {
@@ -119,7 +119,7 @@
 	var fresh, known *Conn
 	for c := range l.conns {
 		switch {
-		case c.serving.Load():
+		case c.serving.Load() > 0:
 		case c.served.Load():
 			known = c.older(known)
 		default:
@@ -137,7 +137,7 @@
 	net.Conn
 	listener *Listener
 	progress atomic.Int64 // ns from the start of the listener to the last byte read
-	serving  atomic.Bool  // a request may have been handed on, and has no response yet
+	serving  atomic.Int64 // requests that may have been handed on and have no response yet; HTTP/2 has several at once
 	served   atomic.Bool  // a request was served
 	deadline atomic.Bool  // the server has set a write deadline
 }
@@ -197,18 +197,32 @@
 	return nil
 }
 
-// protect keeps the connection open until release, as its request may be handed on.
-func (c *Conn) protect() {
-	if c != nil {
-		c.serving.Store(true)
+// use is the use of a connection by one request.
+type use struct {
+	conn      *Conn // nil if the listener is not limited
+	mu        sync.Mutex
+	protected bool
+	released  bool // the handler has returned, though a transport may still read the body
+}
+
+// protect keeps the connection open until release, as the request may be handed on.
+func (u *use) protect() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn != nil && !u.protected && !u.released {
+		u.protected = true
+		u.conn.serving.Add(1)
 	}
 }
 
 // release ends the protection. As the response may not be sent yet, it counts as progress.
-func (c *Conn) release() {
-	if c != nil && c.serving.Load() {
-		c.advance()
-		c.served.Store(true)
-		c.serving.Store(false)
+func (u *use) release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.released = true
+	if u.protected {
+		u.conn.advance()
+		u.conn.served.Store(true)
+		u.conn.serving.Add(-1)
 	}
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -294,7 +294,9 @@
 		// The owner has refused the body, and works.
 		r.unreachableSince.Store(0)
 		r.breaker.record(term, true, r.now())
-		return bodyFailure(fmt.Errorf("%w by the owner", limiter.ErrRefused)), nil
+		refused := bodyFailure(fmt.Errorf("%w by the owner", limiter.ErrRefused))
+		refused.Retryable = true // the owner has not read it, so it can't know of an earlier attempt
+		return refused, nil
 	}
 	if err != nil {
 		r.failedOwnerCalls.Inc(1)
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"filberthaven.example/claimer"
 	"filberthaven.example/keeper"
 	"filberthaven.example/messenger"
@@ -139,6 +140,8 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	resp, err := messenger.Call[request, response](traced, r.messenger, peer.Address(), procedure, &req)
 	switch {
+	case connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted: // the peer has refused the body
+		return response{}, fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
 	case err != nil && connected.Load() && !req.Operation.isRepeatable():
 		return response{}, fmt.Errorf("%w: %w", keeper.ErrOutcomeUnknown, err)
 	case err != nil:
--- a/relayer/peers_test.go
+++ b/relayer/peers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"filberthaven.example/claimer"
 	"filberthaven.example/emulator"
 	"filberthaven.example/keeper"
@@ -247,3 +249,19 @@
 	c.Assert(peer.ID(), quicktest.Equals, "small")
 	c.Assert(len(largePeers([]claimer.Member{member("a", 0), member("b", 0)})), quicktest.Equals, 2)
 }
+
+// TestPeerRefusesBody guards against a write whose outcome counts as unknown although its peer has
+// refused the body, so that no other peer is tried.
+func TestPeerRefusesBody(t *testing.T) {
+	c := quicktest.New(t)
+	m, err := messenger.New()
+	c.Assert(err, quicktest.IsNil)
+	mux := http.NewServeMux()
+	messenger.Handle(m, mux, procedure, func(context.Context, *request) (*response, error) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("body refused"))
+	})
+	busy := serve(t, "busy", mux)
+	r := newWithPeers(t, busy)
+	_, err = r.callPeer(context.Background(), busy, request{Operation: put, Key: "k"})
+	c.Assert(errors.Is(err, keeper.ErrUnavailable), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
