planner: Spread advice requests from four others in flight on

Change: four; the first spread request names other workers than the last usual one; a function for the runs of silent workers.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -257,9 +257,12 @@
 	}
 	if urgent && p.isUneven() {
 		found = s.appendUnqueried(found, limit, p.bySpeed(), func(w *worker) bool { return room(w) > 0 })
-		return s.appendUnqueried(found, limit, workers, func(w *worker) bool { return !slices.Contains(found, w) }), reason
+		found = s.appendUnqueried(found, limit, workers, func(w *worker) bool { return !slices.Contains(found, w) })
+	} else {
+		found = s.appendUnqueried(found, limit, workers, func(*worker) bool { return true })
 	}
-	return s.appendUnqueried(found, limit, workers, func(*worker) bool { return true }), reason
+	p.spreader.next = len(found) // the first spread request names others
+	return found, reason
 }
 
 // appendUnqueried appends workers that match and that unqueried may return, in their order and up
--- a/planner/spread.go
+++ b/planner/spread.go
@@ -13,7 +13,7 @@
 	// for each worker, and names enough workers for a step of three tasks.
 	spreadQueried = 16
 	// minSpreadRequests is the number of requests in flight from which the next one is spread.
-	minSpreadRequests = 2
+	minSpreadRequests = 4
 	// scarcityTime is how long advice counts as scarce after a request that no VM could take.
 	scarcityTime = 500 * time.Millisecond
 	// expiredShare is the number of decisions of which one requests advice for expired steps
--- a/planner/status.go
+++ b/planner/status.go
@@ -38,11 +38,7 @@
 	if !p.observeAnswer(w, status.Incarnation, status.SentAt, now) {
 		return nil
 	}
-	if w.unansweredCalls > 0 {
-		for _, r := range w.runs {
-			r.silent = true
-		}
-	}
+	w.markSilentRuns()
 	w.unansweredCalls, w.heartbeatTried, w.restarted = 0, true, w.restarted && w.doubted != 0
 	w.earlierOwnersFenced = true
 	w.endsUnread = status.MoreEnds
@@ -190,3 +186,14 @@
 	p.allocate(r)
 	p.stop(r)
 }
+
+// markSilentRuns notes that the ends which an answer lists after unanswered calls may have come at any
+// time since the calls.
+func (w *worker) markSilentRuns() {
+	if w.unansweredCalls == 0 {
+		return
+	}
+	for _, r := range w.runs {
+		r.silent = true
+	}
+}
