planner, runner: Faults found by a review of copies and preemption

Change: room that is made is kept from gangs; such ends teach nothing; the fuzz has five workers and half of its deferred jobs with copies, and has to stop runs (stricter than before); each key is checked alone.

--- a/planner/contention_fuzz_test.go
+++ b/planner/contention_fuzz_test.go
@@ -54,7 +54,7 @@
 	done        map[string]bool         // tasks of which an end done was taken note of
 	failed      map[string]map[int]bool // failed runs that were taken note of, by task
 	preempted   map[string]map[int]bool // runs that were stopped for urgent steps, by task
-	speculative bool                    // deferred jobs may have copies
+	speculative bool                    // half of the deferred jobs may have copies
 	preemptions int
 	copies      int
 	log         []string
@@ -113,7 +113,7 @@
 	spec := JobSpec{ID: fmt.Sprintf("j%d", len(l.jobs)), Queue: "q", Team: "team", Payload: "p", AcceptedAt: wall + l.now.Milliseconds()}
 	step := newStep(1 + l.random.IntN(4))
 	step.CPU, step.Checkpoint, step.Estimate = 1400, l.happens(0.8), 12_000
-	if l.speculative {
+	if l.speculative && l.happens(0.5) {
 		step.Tasks, step.CPU, step.Estimate, step.Speculative = 5, 600, 1500, true
 	}
 	if urgent {
@@ -378,11 +378,11 @@
 func TestCopiesWithFaults(t *testing.T) {
 	copies, preemptions := 0, 0
 	for seed := range 5 * *simulationSeeds {
-		l := newContention(t, seed, 8, WithPreemption(true), WithCopies(true))
+		l := newContention(t, seed, 5, WithPreemption(true), WithCopies(true))
 		l.speculative = true
 		l.play(seed)
 		copies, preemptions = copies+l.copies, preemptions+l.preemptions
 	}
 	t.Logf("%d copies, %d stops for urgent steps", copies, preemptions)
-	quicktest.New(t).Assert(copies > 0, quicktest.IsTrue)
+	quicktest.New(t).Assert(copies > 0 && preemptions > 0, quicktest.IsTrue)
 }
--- a/planner/copies.go
+++ b/planner/copies.go
@@ -59,7 +59,7 @@
 
 // observeSpeculative notes how long a run of a speculative step took.
 func (p *Planner) observeSpeculative(r *run, result string, now time.Duration) {
-	if !p.settings.copies || !r.step.spec.Speculative || result != Done || r.decidedAt == 0 || r.resumed {
+	if !p.settings.copies || !r.step.spec.Speculative || result != Done || r.decidedAt == 0 || r.resumed || r.silent {
 		return
 	}
 	took := now - r.startedAt
@@ -263,12 +263,12 @@
 	}
 }
 
-// noteEnded notes that runs whose ends are not applied yet have begun. Otherwise the ends of two
+// noteEnded notes that runs whose ends are not applied yet have begun, and that they teach no run times. Otherwise the ends of two
 // workers could wait for each other.
 func (w *worker) noteEnded(ends []EndEntry) {
 	for _, e := range ends {
 		if r := w.runs[runKey{e.Task, e.Number}]; r != nil {
-			r.started = true
+			r.started, r.silent = true, true
 		}
 	}
 }
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -112,9 +112,7 @@
 	for _, room := range q.rooms {
 		if room.step == s {
 			made++
-			if room.worker.reservedFor == nil {
-				room.worker.reservedFor = s
-			}
+			room.worker.keepRoomFor(s)
 		}
 	}
 	if c.slack < p.typicalStop(now)+preemptionMargin {
@@ -147,9 +145,7 @@
 	q.stopsLeft -= len(v.runs)
 	q.rooms = append(q.rooms, madeRoom{s, v.worker, v.runs})
 	v.worker.madeRoomIn = p.decisions
-	if v.worker.reservedFor == nil {
-		v.worker.reservedFor = s
-	}
+	v.worker.keepRoomFor(s)
 }
 
 // victims are runs whose stop lets one more task start on their worker.
@@ -264,3 +260,12 @@
 	return len(s.tasks[r.taskIndex].runs) == 1 && s.spec.Checkpoint && !s.spec.Gang && !s.spec.LongRunning && !s.unknown && j.finalState == "" && j.queue.Priority > 0 &&
 		!s.tasks[r.taskIndex].done && !s.tasks[r.taskIndex].crashes.suspect
 }
+
+// keepRoomFor keeps a worker on which room is being made from other than urgent work for the rest
+// of the decision. The reservation of a gang gives way, since the gang and its backfill would take
+// the room.
+func (w *worker) keepRoomFor(s *step) {
+	if w.reservedFor == nil || w.share.tasks > 0 {
+		w.reservedFor, w.share = s, gangShare{}
+	}
+}
--- a/planner/preempt_test.go
+++ b/planner/preempt_test.go
@@ -200,6 +200,23 @@
 		f.listEnd(stops[1], 3, Stopped)
 		f.Assert(f.starts()[0].Job(), quicktest.Equals, "urgent")
 	})
+	t.Run("from a gang with a reservation", func(t *testing.T) {
+		f, stops := setUp(t, 2, 1900, 3800)
+		f.Assert(stops, quicktest.HasLen, 2)
+		f.p.settings.backfill = true
+		gang := newStep(2)
+		gang.Gang = true
+		f.submit("gang", gang)
+		f.decide()
+		f.now += 200 * time.Millisecond
+		f.listEnd(stops[0], 2, Stopped)
+		for range 2 {
+			f.Assert(f.starts(), quicktest.HasLen, 0)
+			f.now += 200 * time.Millisecond
+		}
+		f.listEnd(stops[1], 3, Stopped)
+		f.Assert(f.starts()[0].Job(), quicktest.Equals, "urgent")
+	})
 	t.Run("from another urgent task", func(t *testing.T) {
 		f, stops := setUp(t, 3, 1300, 1400)
 		f.Assert(stops, quicktest.HasLen, 1)
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -17,10 +17,20 @@
 		quicktest.Assert(t, os.WriteFile(path, []byte(required+section), 0o600), quicktest.IsNil)
 		return LoadSettings(path)
 	}
-	for section, options := range map[string]int{"": 0, "[planning]\n": 0, "[planning]\nruntimes = no\n": 0, "[planning]\nruntimes = yes\n": 1, "[planning]\nbackfill = yes\nspeeds = yes\nspread = yes\nruntimes = no\npreempt = yes\ncopies = yes\n": 5} {
-		s, err := load(section)
-		quicktest.Assert(t, err, quicktest.IsNil)
-		quicktest.Check(t, s.planning(), quicktest.HasLen, options, quicktest.Commentf("%q", section))
+	s, err := load("")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, s.planning(), quicktest.HasLen, 0)
+	for key, field := range map[string]func(*Settings) bool{
+		"runtimes": func(s *Settings) bool { return s.runTimes }, "speeds": func(s *Settings) bool { return s.speeds },
+		"spread": func(s *Settings) bool { return s.spread }, "backfill": func(s *Settings) bool { return s.backfill },
+		"preempt": func(s *Settings) bool { return s.preempt }, "copies": func(s *Settings) bool { return s.copies },
+	} {
+		for value, options := range map[string]int{"no": 0, "yes": 1} {
+			s, err := load("[planning]\n" + key + " = " + value + "\n")
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Check(t, field(s), quicktest.Equals, value == "yes", quicktest.Commentf("%s = %s", key, value))
+			quicktest.Check(t, s.planning(), quicktest.HasLen, options)
+		}
 	}
 	for _, key := range []string{"runtimes", "speeds", "spread", "backfill", "preempt", "copies"} {
 		_, err := load("[planning]\n" + key + " = maybe\n")
