--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -33,8 +33,8 @@
 	// decay is the part of its weight that an observation of a worker keeps at the next one.
 	decay = 0.97
 	// priorWeight is the weight of the assumption that a new worker is as fast as the others.
-	// It decays like an observation, and ends with the first change of speed. A lasting one would pull the factors of workers that only
-	// meet their like to 1 again and again.
+	// It decays like an observation, and ends with the first change of speed. A lasting one would
+	// pull the factors of workers whose runs are compared only with those of equal ones back to 1.
 	priorWeight = 2
 	// maxDifference is the largest logarithm of the ratio of two run times that counts.
 	// Stragglers take seven times as long, a logarithm of 1.9.
