receiver: One timeout for reading, holding and forwarding a request

Cause: the body, the room for its copies and the forwarding had a full timeout of the caller each, so a request could be served after its caller had left. Change: one context from the start of the request.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -155,6 +155,8 @@
 	forwarded := conductor.Request{
 		Method: request.Method, Host: request.Host, Path: request.URL.Path, Key: platform.APIKey(request.Header),
 	}
+	ctx, cancel := context.WithTimeout(request.Context(), platform.RequestTimeout(request.Header, defaultRequestTimeout))
+	defer cancel()
 	if request.ContentLength != 0 {
 		if c := r.localConductor.Load(); c != nil {
 			if response, refused := c.Screen(forwarded); refused {
@@ -162,18 +164,17 @@
 			}
 		}
 		var err error
-		if forwarded.Body, err = readBody(w, request); err != nil {
+		if forwarded.Body, err = readBody(ctx, w, request); err != nil {
 			return bodyFailure(err), false
 		}
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), requestTimeout(request))
-	defer cancel()
 	return r.forward(ctx, forwarded), true
 }
 
 // readBody reads the body of a request, and waits until there is room for the copies that are
-// made of it. A body that comes through no limiter.Limiter is limited in size only.
-func readBody(w http.ResponseWriter, request *http.Request) ([]byte, error) {
+// made of it, until ctx is done. A body that comes through no limiter.Limiter is limited in size
+// only.
+func readBody(ctx context.Context, w http.ResponseWriter, request *http.Request) ([]byte, error) {
 	body := limiter.BodyFrom(request)
 	if body == nil {
 		return io.ReadAll(http.MaxBytesReader(w, request.Body, bodyLimit))
@@ -182,16 +183,9 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), requestTimeout(request))
-	defer cancel()
 	return data, body.Hold(ctx, len(data))
 }
 
-// requestTimeout returns how long the caller of a request waits for the response.
-func requestTimeout(request *http.Request) time.Duration {
-	return platform.RequestTimeout(request.Header, defaultRequestTimeout)
-}
-
 // bodyFailure returns the response to a request whose body was not read. The request has not
 // run.
 func bodyFailure(err error) conductor.Response {
