filberthaven: The soak runs with all parts of the section planning

Cause: the soak did not run with the new parts. Change: its entry VMs switch all of them on. Its jobs are neither urgent nor speculative, so that preemption and copies have no work there.

--- a/filberthaven/soak_test.go
+++ b/filberthaven/soak_test.go
@@ -64,6 +64,9 @@
 	log             *os.File
 }
 
+// allPlanning switches on all parts of the section planning.
+const allPlanning = "[planning]\nspeeds = yes\nspread = yes\nruntimes = yes\nbackfill = yes\npreempt = yes\ncopies = yes\n"
+
 // TestEntrySoak kills, pauses and stops entry processes, makes the store unavailable, loses
 // its responses, delays calls to executors or loses their responses, crashes and resizes
 // executors, and submits jobs that crash them, while callers submit jobs. Every accepted job
@@ -119,7 +122,7 @@
 	folder := logFolder(c)
 	for n := range soakVMs {
 		v := &soakVM{config: filepath.Join(c.TempDir(), fmt.Sprintf("vm%d.ini", n)), callers: freeAddress(c)}
-		config := fmt.Sprintf("[vm]\nid = vm%d\ncentre = a\ncallers = %s\nready = %s\ninternal = %s\ndrain = 100ms\n\n[platform]\nstore = %s\nadvice = %s\nlease = 2s\n",
+		config := fmt.Sprintf("[vm]\nid = vm%d\ncentre = a\ncallers = %s\nready = %s\ninternal = %s\ndrain = 100ms\n\n[platform]\nstore = %s\nadvice = %s\nlease = 2s\n\n"+allPlanning,
 			n, v.callers, freeAddress(c), freeAddress(c), s.platform.StoreAddress, s.platform.AdviceAddress)
 		c.Assert(os.WriteFile(v.config, []byte(config), 0o600), qt.IsNil)
 		log, err := os.Create(filepath.Join(folder, fmt.Sprintf("vm%d.log", n)))
