planner: Expired steps request advice as before (LOST)

Cause: with spread requests, expired steps requested advice in one decision of 16 while it was scarce. Change: the rule is taken out, with its test.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -109,9 +109,6 @@
 	if cost == nil {
 		return
 	}
-	if c.rank == expiredRank && p.spreader.skipsExpired(p.decisions, now) {
-		return
-	}
 	p.observeLack(s, urgent, room, now)
 	if now < p.noAdviceBefore[urgent] {
 		return
@@ -288,7 +285,6 @@
 // advice would repeat all its requests at each decision.
 func (p *Planner) ReportAdviceSkipped(a Action, now time.Duration) {
 	p.endRequest(a.Step, a.Workers, a.Urgent)
-	p.spreader.noteSkipped(a.Urgent, now)
 	p.noAdviceBefore[a.Urgent] = now + adviceBackoff
 	switch {
 	case a.Overdue:
--- a/planner/spread.go
+++ b/planner/spread.go
@@ -1,7 +1,5 @@
 package planner
 
-import "time"
-
 // While several steps wait for advice, requests that all name the workers with the most free
 // capacity get tickets for the same workers, and the first steps leave no capacity to the others.
 // In a burst of 430 urgent jobs a second on 350 workers, a step needed 1.4 requests and 0.3 s.
@@ -14,43 +12,22 @@
 	spreadQueried = 16
 	// minSpreadRequests is the number of requests in flight from which the next one is spread.
 	minSpreadRequests = 4
-	// scarcityTime is how long advice counts as scarce after a request that no VM could take.
-	scarcityTime = 500 * time.Millisecond
-	// expiredShare is the number of decisions of which one requests advice for expired steps
-	// while advice is scarce. Their callers gain nothing, but the steps have to run some time.
-	expiredShare = 16
 )
 
 // requestSpreader counts advice requests, and spreads them over the workers.
 type requestSpreader struct {
-	enabled   bool
-	inFlight  map[bool]int  // requests in flight, for urgent steps (true) and others
-	skippedAt time.Duration // when no VM could take a request of a step that is not urgent, 0 before the first time
-	next      int           // index of the next worker to name, of those that a spread request may name
+	enabled  bool
+	inFlight map[bool]int // requests in flight, for urgent steps (true) and others
+	next     int          // index of the next worker to name, of those that a spread request may name
 }
 
 func newRequestSpreader(enabled bool) requestSpreader {
 	return requestSpreader{enabled: enabled, inFlight: map[bool]int{}}
 }
 
-// WithSpreadRequests sets whether concurrent advice requests name different workers, and whether
-// expired steps leave scarce advice to others.
+// WithSpreadRequests sets whether concurrent advice requests name different workers.
 func WithSpreadRequests(on bool) Option { return func(s *settings) { s.spreadRequests = on } }
 
-// noteSkipped notes a request that no VM could take.
-func (r *requestSpreader) noteSkipped(urgent bool, now time.Duration) {
-	if !urgent {
-		r.skippedAt = now
-	}
-}
-
-// skipsExpired reports whether expired steps request no advice in a decision, since there is too
-// little for the others.
-func (r *requestSpreader) skipsExpired(decision uint64, now time.Duration) bool {
-	scarce := r.skippedAt != 0 && now-r.skippedAt < scarcityTime
-	return r.enabled && scarce && decision%expiredShare != 0
-}
-
 // spreadQuery returns workers for an advice request beside others in flight: the next ones, in
 // turn, of the workers with room, of which there are so many that each request may name others. It
 // returns nil if there are too few, or few other requests are in flight.
--- a/planner/spread_test.go
+++ b/planner/spread_test.go
@@ -94,24 +94,3 @@
 	f.grantTickets(requests[3])
 	f.Assert(f.p.spreader.inFlight[true], quicktest.Equals, 0)
 }
-
-// TestExpiredStepsLeaveScarceAdvice guards against expired steps that take advice from those that
-// can still be in time, and against expired steps that never get any (LOST).
-func TestExpiredStepsLeaveScarceAdvice(t *testing.T) {
-	r := newRequestSpreader(true)
-	count := func(now time.Duration) (skipped int) {
-		for decision := range uint64(2 * expiredShare) {
-			if r.skipsExpired(decision, now) {
-				skipped++
-			}
-		}
-		return skipped
-	}
-	c := quicktest.New(t)
-	c.Check(count(second), quicktest.Equals, 0, quicktest.Commentf("advice is not scarce"))
-	r.noteSkipped(true, second)
-	c.Check(count(second), quicktest.Equals, 0, quicktest.Commentf("urgent requests have VMs of their own"))
-	r.noteSkipped(false, second)
-	c.Check(count(second+scarcityTime/2), quicktest.Equals, 2*expiredShare-2)
-	c.Check(count(second+scarcityTime), quicktest.Equals, 0)
-}
