limiter, receiver: Wait for the client before closing the connection of an unread body

Cause: a response to a body that was not read closed the connection at once, and its unread bytes reset it. Change: the receiver lets the server wait so for each body that it did not read.

--- a/limiter/handler.go
+++ b/limiter/handler.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -137,3 +139,12 @@
 
 // IsRefused reports whether the error of a Read is that of a refused body.
 func IsRefused(err error) bool { return errors.Is(err, ErrRefused) }
+
+// CloseAfterResponse makes the server close the connection of a request whose body was not read.
+// It waits half a second before that, so that the client can read the response: a connection
+// that is closed with unread bytes is reset. net/http does so only if an http.MaxBytesReader has
+// found the body too large.
+func CloseAfterResponse(w http.ResponseWriter) {
+	tooLarge := http.MaxBytesReader(w, io.NopCloser(strings.NewReader(" ")), 0)
+	_, _ = tooLarge.Read(make([]byte, 1))
+}
--- a/limiter/refusal_test.go
+++ b/limiter/refusal_test.go
@@ -68,3 +68,26 @@
 	first.release()
 	c.Check(conn.serving.Load(), quicktest.Equals, int64(0))
 }
+
+// TestResponseBeforeBody guards against a connection that is reset before its client has read the
+// response, since the body was not read.
+func TestResponseBeforeBody(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := New()
+	c.Assert(err, quicktest.IsNil)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		CloseAfterResponse(w)
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	server := &http.Server{Handler: l.Handler(handler, Policy{}), ConnContext: ConnContext}
+	go func() { _ = server.Serve(l.Listen(listener, "test", 100, WithSocketBuffer(8<<10))) }()
+	defer func() { _ = server.Close() }()
+	for range 50 {
+		response, err := http.Post("http://"+listener.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("x", 300<<10)))
+		c.Assert(err, quicktest.IsNil)
+		c.Check(response.StatusCode, quicktest.Equals, http.StatusRequestEntityTooLarge)
+		c.Check(response.Body.Close(), quicktest.IsNil)
+	}
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -139,9 +139,12 @@
 	if response.RetryAfter > 0 {
 		header["Retry-After"] = []string{strconv.Itoa(response.RetryAfter)}
 	}
-	if r.draining.Load() || !complete {
+	if r.draining.Load() {
 		header["Connection"] = []string{"close"}
 	}
+	if !complete {
+		limiter.CloseAfterResponse(w)
+	}
 	w.WriteHeader(response.Status)
 	if _, err := w.Write(response.Body); err != nil {
 		r.log.Debug("response not written to the caller", "path", request.URL.Path, "error", err)
