conductor: Measure the rate at which starts are ordered

Logs and metrics did not tell whether work waits for room on the workers or for the owner, which orders each start by a call of its own: hypotheses 2 and 3 of docs/incidents/slowowner.md. The owner now measures how many starts get their outcome in half a second while no order finds fewer than 128 in flight, that is, while it can order no more. It logs the rate every two seconds while it is known, and has it in the gauges orders.rate and orders.waiting. No decision uses it.

--- a/conductor/backlog.go
+++ b/conductor/backlog.go
@@ -9,15 +9,20 @@
 	// backlogTime bounds how long a start waits for its turn while orders are fast. It is well
 	// below maxOrderWait, since the rate of orders changes.
 	backlogTime = maxOrderWait / 2
+	// busyOrders is the number of orders in flight from which the owner orders as many starts
+	// as it can. Below that, an order does not wait for others.
+	busyOrders = maxOrders / 2
 )
 
 // startBacklog counts the starts that are decided and neither ordered nor withdrawn. It
 // limits them to what is ordered within backlogTime, so that an owner does not decide starts
-// that it has to withdraw.
+// that it has to withdraw. It measures at what rate starts are ordered while that is the limit.
 type startBacklog struct {
 	starts     int           // decided, and without an outcome
 	ordered    [2]int        // orders with an outcome, in the current interval of backlogTime and the one before
 	intervalAt time.Duration // when the current interval began
+	idle       bool          // an order of the current interval found fewer than busyOrders in flight
+	rate       float64       // starts a second that the owner can order, by the interval before; 0 if it can order more
 }
 
 // advance begins a new interval if the current one is over.
@@ -25,8 +30,22 @@
 	switch age := now - b.intervalAt; {
 	case age >= 2*backlogTime:
 		b.ordered, b.intervalAt = [2]int{}, now
+		b.idle, b.rate = false, 0
 	case age >= backlogTime:
+		b.rate = 0
+		if !b.idle {
+			b.rate = float64(b.ordered[0]) / backlogTime.Seconds()
+		}
 		b.ordered, b.intervalAt = [2]int{0, b.ordered[0]}, b.intervalAt+backlogTime
+		b.idle = false
+	}
+}
+
+// begin counts an order that is sent while inFlight orders are, itself included.
+func (b *startBacklog) begin(inFlight int, now time.Duration) {
+	b.advance(now)
+	if inFlight < busyOrders {
+		b.idle, b.rate = true, 0
 	}
 }
 
--- a/conductor/backlog_test.go
+++ b/conductor/backlog_test.go
@@ -66,3 +66,32 @@
 	b.withdraw()
 	quicktest.Check(t, b.room(now+4*backlogTime), quicktest.Equals, maxOrderBacklog-1)
 }
+
+// TestOrderRate checks that the rate of orders is known while all orders find many in flight, and
+// no longer.
+func TestOrderRate(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		inFlight int
+		want     float64
+	}{{"busy", maxOrders, 400}, {"idle", busyOrders - 1, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			var b startBacklog
+			b.begin(test.inFlight, 0)
+			for range 200 {
+				b.add(1)
+				b.finish(backlogTime / 2)
+			}
+			b.advance(backlogTime)
+			quicktest.Check(t, b.rate, quicktest.Equals, test.want)
+		})
+	}
+	t.Run("after the load", func(t *testing.T) {
+		b := startBacklog{rate: 400}
+		b.begin(1, backlogTime/2)
+		quicktest.Check(t, b.rate, quicktest.Equals, 0.0)
+		b = startBacklog{rate: 400}
+		b.advance(2 * backlogTime)
+		quicktest.Check(t, b.rate, quicktest.Equals, 0.0)
+	})
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -242,6 +242,8 @@
 	c.metrics.declaredError.Update(0)
 	c.metrics.reservedWorkers.Update(0)
 	c.metrics.reservedIdle.Update(0)
+	c.metrics.orderRate.Update(0)
+	c.metrics.ordersWaiting.Update(0)
 	c.log.Info("fleet released", "term", c.term)
 	return nil
 }
@@ -385,7 +387,8 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// updateGauges updates the gauges of pending jobs, of the speeds of workers and of reservations.
+// updateGauges updates the gauges of pending jobs, of the speeds of workers, of reservations and
+// of orders.
 func (c *Conductor) updateGauges() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -400,6 +403,12 @@
 	workers, idle := c.planner.Reservations()
 	c.metrics.reservedWorkers.Update(int64(workers))
 	c.metrics.reservedIdle.Update(idle)
+	c.backlog.advance(c.now())
+	c.metrics.orderRate.Update(int64(c.backlog.rate))
+	c.metrics.ordersWaiting.Update(int64(c.backlog.starts))
+	if c.backlog.rate > 0 {
+		c.log.Info("starts wait for orders", "rate", int(c.backlog.rate), "waiting", c.backlog.starts, "inflight", len(c.orderSlots))
+	}
 }
 
 // sweep removes deregistered workers and ended jobs past their retention, and persists
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -12,6 +12,7 @@
 	reservedIdle                                 metrics.GaugeFloat64 // free processors on them
 	backfilled                                   metrics.Counter      // decided starts on workers that were reserved for gangs
 	fastWorkers, slowWorkers                     metrics.Gauge        // workers known to be faster and slower than most
+	orderRate, ordersWaiting                     metrics.Gauge        // starts a second that can be ordered, 0 if they are not the limit; starts without an outcome
 	starts, stops                                metrics.Counter      // orders that the planner decided on
 	copies                                       metrics.Counter      // of the starts, those of copies
 	preemptions                                  metrics.Counter      // of the stops, those that make room for urgent steps
@@ -42,6 +43,8 @@
 		reservedWorkers:   metrics.GetOrRegisterGauge("workers.reserved", r),
 		reservedIdle:      metrics.GetOrRegisterGaugeFloat64("workers.reserved.idle", r),
 		backfilled:        metrics.GetOrRegisterCounter("orders.backfilled", r),
+		orderRate:         metrics.GetOrRegisterGauge("orders.rate", r),
+		ordersWaiting:     metrics.GetOrRegisterGauge("orders.waiting", r),
 		starts:            metrics.GetOrRegisterCounter("orders.starts", r),
 		stops:             metrics.GetOrRegisterCounter("orders.stops", r),
 		copies:            metrics.GetOrRegisterCounter("orders.copies", r),
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -119,6 +119,7 @@
 		c.wake()
 		return
 	}
+	c.backlog.begin(inFlight, sentAt)
 	c.planner.ExtendLease(a.Worker, c.leaseExpiry(sentAt))
 	c.planner.MarkOrdered(a, sentAt)
 	address, leaseUntil := s.address, s.leaseUntil(sentAt, c.leaseDuration)
