--- a/conductor/backlog.go
+++ b/conductor/backlog.go
@@ -9,6 +9,9 @@
 	// backlogTime bounds how long a start waits for its turn while orders are fast. It is well
 	// below maxOrderWait, since the rate of orders changes.
 	backlogTime = maxOrderWait / 2
+	// busyBacklogTime bounds that time while the owner orders as many starts as it can. Starts
+	// are ordered in the order of their decision, so the others wait undecided, by rank.
+	busyBacklogTime = backlogTime / 2
 	// busyOrders is the number of orders in flight from which the owner orders as many starts
 	// as it can. Below that, an order does not wait for others.
 	busyOrders = maxOrders / 2
@@ -21,7 +24,8 @@
 	starts     int           // decided, and without an outcome
 	ordered    [2]int        // orders with an outcome, in the current interval of backlogTime and the one before
 	intervalAt time.Duration // when the current interval began
-	idle       bool          // an order of the current interval found fewer than busyOrders in flight
+	begun      int           // orders sent in the current interval
+	idle       bool          // one of these found fewer than busyOrders in flight
 	rate       float64       // starts a second that the owner can order, by the interval before; 0 if it can order more
 }
 
@@ -30,20 +34,21 @@
 	switch age := now - b.intervalAt; {
 	case age >= 2*backlogTime:
 		b.ordered, b.intervalAt = [2]int{}, now
-		b.idle, b.rate = false, 0
+		b.begun, b.idle, b.rate = 0, false, 0
 	case age >= backlogTime:
 		b.rate = 0
-		if !b.idle {
+		if b.begun > 0 && !b.idle {
 			b.rate = float64(b.ordered[0]) / backlogTime.Seconds()
 		}
 		b.ordered, b.intervalAt = [2]int{0, b.ordered[0]}, b.intervalAt+backlogTime
-		b.idle = false
+		b.begun, b.idle = 0, false
 	}
 }
 
 // begin counts an order that is sent while inFlight orders are, itself included.
 func (b *startBacklog) begin(inFlight int, now time.Duration) {
 	b.advance(now)
+	b.begun++
 	if inFlight < busyOrders {
 		b.idle, b.rate = true, 0
 	}
@@ -52,6 +57,9 @@
 // room returns how many starts may be decided now.
 func (b *startBacklog) room(now time.Duration) int {
 	b.advance(now)
+	if b.rate > 0 {
+		return max(maxOrders, int(b.rate*busyBacklogTime.Seconds())) - b.starts
+	}
 	return max(maxOrderBacklog, b.ordered[0], b.ordered[1]) - b.starts
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -316,6 +316,7 @@
 	now := c.now()
 	partitioned, saturated := c.planner.Partitioned(now), c.runQueue.saturated()
 	c.planner.SetStartLimit(c.backlog.room(now))
+	c.planner.SetOrderRate(c.backlog.rate, c.backlog.starts)
 	actions := c.planner.Decide(now, wallClock())
 	if c.planner.HasEnded() {
 		c.flush() // jobs that have failed, so that callers see it at once
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -117,6 +117,7 @@
 func causeRules() []rule {
 	return []rule{
 		{"sends more than its rate", "its team sent more than its rate while work waited, so it was refused"},
+		{"can't be ordered in time", "the starts ahead of it could not be ordered in time, so it was refused"},
 		{"can't be done in time", "the work ahead of it could not be done in time, so it was refused"},
 		{"job not stored", "the store could not take it, so it was refused"},
 		{"request not passed on", "the entry VM reached no owner of the fleet"},
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -16,6 +16,11 @@
 			`2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: job refused: job=` + id + ` reason="the work ahead can't be done in time" after=3s`,
 			``,
 		},
+		{
+			"refused while starts wait for the owner", "the starts ahead of it could not be ordered in time, so it was refused",
+			`2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: job refused: job=` + id + ` reason="the starts ahead can't be ordered in time" after=3s`,
+			``,
+		},
 		{
 			"late after a change of owner", "it completed; the fleet changed its owner meanwhile",
 			"2026-01-20T01:58:41.100Z [INFO]  filberthaven.conductor: job accepted: job=" + id,
--- a/planner/admit.go
+++ b/planner/admit.go
@@ -36,21 +36,25 @@
 // counts only the waiting work that has to start no later than the job. A job of a team
 // over its rate is refused if the wait exceeds overRateSlackFactor times the job's
 // slack; RetryAfter is then the whole wait. Any job is refused if the wait exceeds
-// refuseAllSlackFactor times its slack; RetryAfter is then the excess over the slack.
+// refuseAllSlackFactor times its slack; RetryAfter is then the excess over the slack. While
+// starts wait for the owner, any job is refused if the starts ahead of it take longer than its
+// slack, since it would then be late even if the workers were idle.
 func (p *Planner) admit(j *job, now time.Duration) *RefusalError {
 	p.refreshLoad(now)
 	overRate := j.team.takeToken(now)
 	if p.load.capacity <= 0 {
 		return nil // no worker is known yet
 	}
-	wait := p.load.wait(j.latestStart())
+	wait, orderWait := p.load.wait(j.latestStart()), p.orderWait(j)
 	slack := j.objective() - j.criticalPath
-	switch {
-	case overRate && float64(wait) > overRateSlackFactor*float64(slack):
-		return &RefusalError{"the team sends more than its rate while work waits", retryAfter(wait), wait, slack}
+	switch longest := max(wait, orderWait); {
+	case overRate && float64(longest) > overRateSlackFactor*float64(slack):
+		return &RefusalError{"the team sends more than its rate while work waits", retryAfter(longest), longest, slack}
 	case j.isLongRunning() || j.spec.Occurrences > 0:
 		// Repeating jobs start later and long-running ones never end, so the present
 		// wait does not make them late.
+	case orderWait > slack:
+		return &RefusalError{"the starts ahead can't be ordered in time", retryAfter(orderWait - slack), orderWait, slack}
 	case float64(wait) > refuseAllSlackFactor*float64(slack):
 		return &RefusalError{"the work ahead can't be done in time", retryAfter(wait - slack), wait, slack}
 	}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -109,20 +109,7 @@
 	for _, s := range p.waitingSuspects(candidates, now) {
 		p.placeSuspects(s.step, s.candidate, now)
 	}
-	for _, c := range candidates {
-		if c.occurrence.job.holdsBack() {
-			continue
-		}
-		for _, s := range c.occurrence.steps {
-			if p.startsLeft <= 0 {
-				p.startsDeferred = true
-				break
-			}
-			if s.ready && s.waitingTasks > 0 {
-				p.place(s, c, now)
-			}
-		}
-	}
+	p.placeAll(candidates, now)
 	p.startCopies(candidates, now)
 	p.requestOverdue(now)
 	actions := p.actions
--- a/planner/load.go
+++ b/planner/load.go
@@ -37,6 +37,8 @@
 	latestStart time.Duration // as job.latestStart returns it
 	capacity    float64       // for the waiting tasks of ready steps to run at once, in workers
 	work        float64       // of all waiting tasks, including those of steps not ready
+	starts      int           // waiting tasks of ready steps
+	urgent      bool          // the job is of a queue of priority 0
 }
 
 // add counts a job that was just admitted.
@@ -134,12 +136,13 @@
 
 // demandOf returns the demand of a job's waiting tasks, by their expected run times.
 func (p *Planner) demandOf(j *job) demand {
-	d := demand{latestStart: j.latestStart()}
+	d := demand{latestStart: j.latestStart(), urgent: j.queue.Priority == 0}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			waiting := s.spec.Size.DominantShare(p.load.meanWorker) * float64(s.waitingTasks)
 			if s.ready {
 				d.capacity += waiting
+				d.starts += s.waitingTasks
 			}
 			if s.waitingTasks > 0 {
 				d.work += waiting * p.expected(s)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -52,6 +52,7 @@
 	startLimit      int             // most starts in a decision
 	startsLeft      int             // of startLimit, in the current decision; below 0 after a gang
 	startsDeferred  bool            // whether the current decision has left starts to the next one
+	ordering        ordering
 	speeds          speeds
 	reserver        *reserver.Reserver
 	reservedWorkers int           // by gangs, when the current decision began
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -71,6 +71,8 @@
 	truths    map[string]int64 // run times of the tasks by job in ms, where the declared ones are off
 	digest    io.Writer        // gets each action
 	decideIn  func(func())
+	order     func(a Action, runTime time.Duration)                // carries out a start
+	submitted map[string]int                                       // jobs by queue, with refused ones
 	runTime   func(a Action, estimate time.Duration) time.Duration // of a run, in full
 	urgentVMs int                                                  // of idleAt, the first ones, which answer urgent requests only; 0 if all answer any
 }
@@ -84,7 +86,11 @@
 	r := &replay{
 		fixture: &fixture{C: quicktest.New(t), p: New(options...)}, load: load, scale: scale, random: rand.New(rand.NewPCG(seed, 1)),
 		idleAt: make([]time.Duration, max(1, int(replayVMs*scale))), serials: map[string]uint64{}, ends: map[string][]EndEntry{}, lasts: map[string]time.Duration{}, truths: map[string]int64{}, noise: 0.3,
-		digest: io.Discard, decideIn: func(decide func()) { decide() },
+		digest: io.Discard, decideIn: func(decide func()) { decide() }, submitted: map[string]int{},
+	}
+	r.order = func(a Action, runTime time.Duration) {
+		r.after(replayAnswer, func() { r.p.ReportStart(a, Accepted, r.now) })
+		r.after(replayAnswer+runTime, func() { r.end(a, Done) })
 	}
 	r.runTime = func(_ Action, estimate time.Duration) time.Duration {
 		return time.Duration(float64(estimate.Milliseconds())*math.Exp(r.noise*r.random.NormFloat64())) * time.Millisecond
@@ -142,6 +148,7 @@
 
 func (r *replay) submitJob(l *queueLoad) {
 	r.jobs++
+	r.submitted[l.queue.Name]++
 	id := fmt.Sprintf("%016x", r.jobs)
 	vary := func(spread float64) float64 { return math.Exp(spread * r.random.NormFloat64()) }
 	size := l.size.CPU() * int64(50+r.random.IntN(100)) / 100
@@ -182,8 +189,7 @@
 		r.starts++
 		s, _ := r.p.stepOf(a.Task)
 		runTime := r.runTime(a, time.Duration(cmp.Or(r.truths[a.Job()], s.spec.Estimate))*time.Millisecond)
-		r.after(replayAnswer, func() { r.p.ReportStart(a, Accepted, r.now) })
-		r.after(replayAnswer+runTime, func() { r.end(a, Done) })
+		r.order(a, runTime)
 	case Stop:
 		r.after(replayAnswer, func() { r.p.ReportStop(a, true, r.now) })
 		r.after(replayAnswer, func() { r.end(a, Stopped) })
