--- a/conductor/backlog_test.go
+++ b/conductor/backlog_test.go
@@ -95,3 +95,16 @@
 		quicktest.Check(t, b.rate, quicktest.Equals, 0.0)
 	})
 }
+
+// TestOrderDelay checks that the longest recent time from a decision to the answer counts.
+func TestOrderDelay(t *testing.T) {
+	var b startBacklog
+	now := time.Second
+	b.answer(now-300*time.Millisecond, now)
+	b.answer(now-100*time.Millisecond, now)
+	quicktest.Check(t, b.delay(), quicktest.Equals, 300*time.Millisecond)
+	b.advance(now + backlogTime)
+	quicktest.Check(t, b.delay(), quicktest.Equals, 300*time.Millisecond)
+	b.advance(now + 2*backlogTime)
+	quicktest.Check(t, b.delay(), quicktest.Equals, time.Duration(0))
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -317,6 +317,7 @@
 	partitioned, saturated := c.planner.Partitioned(now), c.runQueue.saturated()
 	c.planner.SetStartLimit(c.backlog.room(now))
 	c.planner.SetOrderRate(c.backlog.rate, c.backlog.starts)
+	c.planner.SetOrderDelay(c.backlog.delay())
 	actions := c.planner.Decide(now, wallClock())
 	if c.planner.HasEnded() {
 		c.flush() // jobs that have failed, so that callers see it at once
@@ -408,7 +409,7 @@
 	c.metrics.orderRate.Update(int64(c.backlog.rate))
 	c.metrics.ordersWaiting.Update(int64(c.backlog.starts))
 	if c.backlog.rate > 0 {
-		c.log.Info("starts wait for orders", "rate", int(c.backlog.rate), "waiting", c.backlog.starts, "inflight", len(c.orderSlots))
+		c.log.Info("starts wait for orders", "rate", int(c.backlog.rate), "waiting", c.backlog.starts, "inflight", len(c.orderSlots), "delay", c.backlog.delay().Round(time.Millisecond))
 	}
 }
 
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -140,6 +140,7 @@
 	c.observe(s, result, sentAt, receivedAt)
 	if result.Outcome != planner.Unknown {
 		// An order without an answer tells of its worker, not of this VM.
+		c.backlog.answer(a.DecidedAt, receivedAt)
 		c.observeLatency(c.now()-sentAt, inFlight)
 	}
 	c.planner.ReportStart(a, result.Outcome, c.now())
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -134,7 +134,7 @@
 // none if the step knows enough.
 func (p *Planner) newRequest(s *step, urgent bool, room func(*worker) int, now time.Duration) (request Action, found bool) {
 	cost := s.occurrence.job.queue.AdviceCost
-	workers, reason := s.renewableTickets(room, now), "tickets have run out"
+	workers, reason := s.renewableTickets(room, p.arrival(now)), "tickets have run out"
 	if len(workers) == 0 && !p.requestsSuffice(s) {
 		workers, reason = p.unqueried(s, cost, urgent, room)
 		if !s.spec.Gang && s.hasWaitingSuspect() && s.knowsEligible() && !slices.ContainsFunc(workers, func(w *worker) bool { return room(w) > 0 }) {
@@ -203,8 +203,8 @@
 	return max(1, n)
 }
 
-// renewableTickets returns the eligible workers with free capacity and without a valid
-// ticket, sorted by id. For a gang it returns none unless all of its tasks fit on
+// renewableTickets returns the eligible workers with free capacity and without a ticket that is
+// valid at that time, sorted by id. For a gang it returns none unless all of its tasks fit on
 // eligible workers.
 func (s *step) renewableTickets(room func(*worker) int, now time.Duration) []*worker {
 	var renewable []*worker
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -35,6 +35,7 @@
 	Cost        time.Duration // of an advice request: its expected time at the service
 	Reason      string        // for logs
 	Incarnation int64         // of a start: of the worker, as known now
+	DecidedAt   time.Duration // of a start
 	Separate    bool          // of a start: nothing else may start on the worker beside it
 	Gang        bool          // of a start: of a member of a gang
 	Backfill    bool          // of a start: other than urgent work, on a worker that is reserved for a gang
@@ -319,7 +320,7 @@
 			return
 		}
 		for _, e := range s.advice.eligible {
-			if e.hasTicket(now) && s.mayUse(e.worker) && !yield(e.worker) {
+			if e.hasTicket(p.arrival(now)) && s.mayUse(e.worker) && !yield(e.worker) {
 				return
 			}
 		}
@@ -391,7 +392,7 @@
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(index), Number: number, Payload: j.spec.Payload,
 		Checkpoint: t.checkpoint, Ticket: ticket, Queue: j.spec.Queue, Reason: reason,
-		Incarnation: w.reg.Incarnation, Separate: separate, Gang: s.spec.Gang, Backfill: backfill,
+		Incarnation: w.reg.Incarnation, DecidedAt: now, Separate: separate, Gang: s.spec.Gang, Backfill: backfill,
 	})
 }
 
--- a/planner/ordering.go
+++ b/planner/ordering.go
@@ -10,6 +10,9 @@
 	maxOtherCredit = 100
 	// urgentRateInterval is the time between two updates of ordering.urgentRate.
 	urgentRateInterval = 200 * time.Millisecond
+	// maxTicketDelay is the longest time for which a ticket has to be valid beyond ticketMargin.
+	// Tickets are valid for some seconds, and those of a gang are requested one after the other.
+	maxTicketDelay = time.Second
 )
 
 // ordering describes how starts wait for the owner, which orders each of them by a call. An
@@ -18,6 +21,7 @@
 type ordering struct {
 	rate         float64       // starts a second that the owner can order; 0 if orders are not the limit
 	pending      int           // starts that are decided and have no outcome
+	delay        time.Duration // from the decision of a start until it arrives at the worker, as observed last
 	credit       float64       // starts of other than urgent work that go first, at most maxOtherCredit; below 0 after a gang
 	urgentRate   float64       // starts of urgent work a second, as a moving average over about a second
 	urgentStarts int           // since measuredAt
@@ -30,6 +34,16 @@
 	p.ordering.rate, p.ordering.pending = rate, pending
 }
 
+// SetOrderDelay sets how long starts have recently taken from their decision until they
+// arrived at the worker.
+func (p *Planner) SetOrderDelay(d time.Duration) { p.ordering.delay = d }
+
+// arrival returns when a start that is decided now may arrive at its worker, less ticketMargin.
+// Its ticket has to be valid then: a worker that refuses a member ends the try of a whole gang.
+func (p *Planner) arrival(now time.Duration) time.Duration {
+	return now + min(max(0, p.ordering.delay-ticketMargin), maxTicketDelay)
+}
+
 // observeStarts updates the rate of urgent starts.
 func (o *ordering) observeStarts(now time.Duration) {
 	age := now - o.measuredAt
--- a/planner/ordering_test.go
+++ b/planner/ordering_test.go
@@ -88,3 +88,30 @@
 		}
 	}
 }
+
+// TestTicketsOutlastOrderDelay (SHORT, issue 52) guards against a gang that starts with tickets
+// that end before its orders arrive: the first member that a worker refuses ends the try.
+func TestTicketsOutlastOrderDelay(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay time.Duration
+		want  []Kind
+	}{
+		{"orders arrive in time", 100 * time.Millisecond, []Kind{Start, Start}},
+		{"orders arrive too late", 700 * time.Millisecond, []Kind{RequestAdvice}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 2, Queue{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: second, AdviceCost: &AdviceCost{Base: time.Millisecond, TicketValidity: 2 * second}})
+			f.submit("j", newWideGang())
+			request := f.decide()[0]
+			tickets := map[string]string{"w0": "ticket", "w1": "ticket"}
+			f.p.ReportAdvice(AdviceResult{Step: request.Step, Workers: request.Workers, Tickets: tickets, Until: f.now + 600*time.Millisecond})
+			f.p.SetOrderDelay(test.delay)
+			var kinds []Kind
+			for _, a := range f.decide() {
+				kinds = append(kinds, a.Kind)
+			}
+			f.Assert(kinds, quicktest.DeepEquals, test.want)
+		})
+	}
+}
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -174,7 +174,7 @@
 		if w.madeRoomIn == p.decisions || !s.spec.Size.Fits(w.reg.Capacity) || !s.belowMaxPerWorker(w, 0) {
 			continue
 		}
-		if e := s.advice.known[w]; s.occurrence.job.queue.AdviceCost != nil && !e.hasTicket(stopped) {
+		if e := s.advice.known[w]; s.occurrence.job.queue.AdviceCost != nil && !e.hasTicket(p.arrival(stopped)) {
 			continue
 		}
 		free := w.free()
--- a/planner/repeated.go
+++ b/planner/repeated.go
@@ -58,7 +58,7 @@
 	p.actions = append(p.actions, Action{
 		Kind: Start, Worker: w.reg.ID, Task: s.taskName(r.taskIndex), Number: r.number, Payload: s.occurrence.job.spec.Payload,
 		Checkpoint: s.tasks[r.taskIndex].checkpoint, Queue: s.occurrence.job.spec.Queue, Reason: "an earlier order got no answer",
-		Incarnation: w.reg.Incarnation, Repeated: true,
+		Incarnation: w.reg.Incarnation, DecidedAt: now, Repeated: true,
 	})
 }
 
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -186,13 +186,13 @@
 	}
 	s.lacksRoom = true
 	if len(s.reservation.Allotments) == 0 {
-		if !p.knowsEnough(s) || len(s.renewableTickets(s.fitCount, now)) > 0 {
+		if !p.knowsEnough(s) || len(s.renewableTickets(s.fitCount, p.arrival(now))) > 0 {
 			p.requestAdvice(s, c, now)
 		}
 		return
 	}
 	// The workers are known. If it fits on others too, it is not to wait for its own.
-	if len(s.renewableTickets(s.fitCount, now)) > 0 {
+	if len(s.renewableTickets(s.fitCount, p.arrival(now))) > 0 {
 		p.requestAdvice(s, c, now)
 	}
 }
@@ -211,7 +211,7 @@
 		}
 		return 0
 	}
-	if len(s.renewableTickets(room, now)) > 0 {
+	if len(s.renewableTickets(room, p.arrival(now))) > 0 {
 		p.requestAdviceFor(s, c, room, now)
 	}
 }
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -205,7 +205,7 @@
 		return isRequested
 	case e == nil:
 		return isNotKnown
-	case o == noObstacle && !e.hasTicket(now):
+	case o == noObstacle && !e.hasTicket(p.arrival(now)):
 		return lacksTicket
 	default:
 		return o
