--- a/filberthaven/bodies_test.go
+++ b/filberthaven/bodies_test.go
@@ -20,8 +20,6 @@
 const (
 	// completeJobs is the number of jobs of the largest legal size that a crowd sends whole.
 	completeJobs = 240
-	// payloadSize is the largest legal payload of a job in bytes.
-	payloadSize = 4000
 	// responseTime limits the wait for the response to one request.
 	responseTime = 30 * time.Second
 )
@@ -43,13 +41,6 @@
 	return pieces(encoded.Bytes(), 64<<10)
 }
 
-// largeJob returns a job with the largest legal payload, whose body is filled up with spaces to
-// the given size.
-func largeJob(size int) []byte {
-	job := fmt.Appendf(nil, `{"spec":"%s","steps":[{"num-tasks":1,"cpu":1000,"mem-mb":10,"est-ms":150}]`, strings.Repeat("x", payloadSize))
-	return append(append(job, filler(size-len(job)-1)...), '}')
-}
-
 // post sends one request in parts with short pauses, and returns the status of the response.
 func post(address, target, key, framing string, parts [][]byte) (int, error) {
 	conn, err := net.DialTimeout("tcp", address, responseTime)
@@ -98,7 +89,7 @@
 		assertServed(c, address, imitator.APIKey, func() string {
 			jobs++
 			return fmt.Sprintf("%s%016x", imitator.QueuePrefix, jobs)
-		}, largeJob(bodySize))
+		}, imitator.LargeJob(bodySize))
 	}
 }
 
@@ -134,7 +125,7 @@
 	c := qt.New(t)
 	p := newEntryPair(c, buildForMemory(c))
 	cr := newCrowd(c)
-	body := largeJob(bodySize)
+	body := imitator.LargeJob(bodySize)
 	var statuses sync.Map // number of responses by status
 	for n := range completeJobs {
 		address := p.addresses["callers"][n%2]
