--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -389,30 +389,6 @@
 // spawn runs f in a goroutine that Run waits for.
 func (c *Conductor) spawn(f func()) { c.goroutines.Go(f) }
 
-// updateGauges updates the gauges of pending jobs, of the speeds of workers, of reservations and
-// of orders.
-func (c *Conductor) updateGauges() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.metrics.pending.Update(int64(c.planner.PendingInAll()))
-	c.metrics.pendingOrdered.Update(int64(c.planner.PendingOrdered()))
-	fast, slow := c.planner.SpeedClasses()
-	if int64(fast) != c.metrics.fastWorkers.Value() || int64(slow) != c.metrics.slowWorkers.Value() {
-		c.log.Info("speeds of workers", "fast", fast, "slow", slow)
-	}
-	c.metrics.fastWorkers.Update(int64(fast))
-	c.metrics.slowWorkers.Update(int64(slow))
-	workers, idle := c.planner.Reservations()
-	c.metrics.reservedWorkers.Update(int64(workers))
-	c.metrics.reservedIdle.Update(idle)
-	c.backlog.advance(c.now())
-	c.metrics.orderRate.Update(int64(c.backlog.rate))
-	c.metrics.ordersWaiting.Update(int64(c.backlog.starts))
-	if c.backlog.rate > 0 {
-		c.log.Info("starts wait for orders", "rate", int(c.backlog.rate), "waiting", c.backlog.starts, "inflight", len(c.orderSlots), "delay", c.backlog.delay().Round(time.Millisecond))
-	}
-}
-
 // sweep removes deregistered workers and ended jobs past their retention, and persists
 // what no other record has taken along.
 func (c *Conductor) sweep(now time.Duration) {
