review: case 11, a late heartbeat makes an executor's next life forget its ends

It takes the place of the case of an unanswered order, which stays in the stand-in as a fault beyond the five.

--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -12,7 +12,7 @@
 	return all[i]
 }
 
-// flappingExecutor (case 11): all executors but one are full of sound work. That one goes down
+// flappingExecutor (case 12): all executors but one are full of sound work. That one goes down
 // and up by turns. A job that fits only there must not be shown as failed: none of its runs
 // has ended failed.
 func flappingExecutor(c *cluster, trouble bool) (bool, error) {
@@ -79,7 +79,7 @@
 	return false, fmt.Errorf("the booking is neither shown as completed nor as failed")
 }
 
-// suspectBesideServices (case 13): a service fills one executor, and short work keeps all others
+// suspectBesideServices (case 14): a service fills one executor, and short work keeps all others
 // less than half busy. An executor is lost right after a second service has started there. That
 // service has to run again elsewhere, as there is room for it many times over.
 func suspectBesideServices(c *cluster, trouble bool) (bool, error) {
@@ -168,7 +168,7 @@
 	return longest >= 3*time.Second, nil
 }
 
-// waitingService (case 12): a service fills less than half of each executor. A job comes that can
+// waitingService (case 13): a service fills less than half of each executor. A job comes that can
 // never be done, a second service whose tasks fit on none beside the first. The booking of
 // another tenant that comes afterwards has to run, as there is room for it many times over.
 func waitingService(c *cluster, trouble bool) (bool, error) {
@@ -218,7 +218,7 @@
 	return len(runs) == 0 && free > 0, nil
 }
 
-// failingService (case 14): the tasks of a service end failed at once, each time that they are
+// failingService (case 15): the tasks of a service end failed at once, each time that they are
 // started. A gang that comes afterwards has to run, as there is room for it many times over.
 func failingService(c *cluster, trouble bool) (bool, error) {
 	const (
@@ -260,7 +260,7 @@
 	return len(runs) == 0 && free >= 2*members, nil
 }
 
-// unansweredOrder (case 15): one order to start a task gets no answer and is carried out late. The
+// unansweredOrder (extra): one order to start a task gets no answer and is carried out late. The
 // task has to run again in time, on this executor or on another.
 func unansweredOrder(c *cluster, trouble bool) (bool, error) {
 	const (
@@ -307,3 +307,54 @@
 	c.record.say("from %.0f s after the end of the traffic, nothing of the job ran for %.1f s, with its second step not done; it is shown as %q", finish.Seconds(), longest.Seconds(), c.state(victim))
 	return longest >= 3*time.Second, nil
 }
+
+// lateHeartbeat (case 11): one heartbeat gets no answer and is carried out late, after its executor
+// has crashed and started again under its id. The new life must not forget ends that nobody
+// has read: their tasks would start again, although they are done.
+func lateHeartbeat(c *cluster, trouble bool) (bool, error) {
+	const (
+		executors = 8 // one of them crashes: a share of 0.125
+		period    = time.Second
+		bookings  = 12                     // in a period
+		quiet     = 900 * time.Millisecond // from the start of a period until its work has ended
+		late      = 3 * period
+		down      = 60 * time.Millisecond
+		lastSeen  = 180 // ends that the late heartbeat lets its executor forget
+		label     = "b" // only one executor has it
+	)
+	all, err := begin(c, executors)
+	if err != nil {
+		return false, err
+	}
+	hit := all[0]
+	if trouble {
+		hit.delayHeartbeat(lastSeen, late)
+	}
+	began, left := time.Now(), 14 // periods
+	for n := 0; left > 0; n++ {
+		time.Sleep(period*time.Duration(n) - time.Since(began))
+		for i := range bookings {
+			work := 250 + 30*i
+			if _, err := c.submit("a booking", job{fmt.Sprintf("work-ms=%d", work), []step{{Tasks: 4, CPU: 250, Memory: 64, Estimate: work, Label: label}}}); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(period*time.Duration(n) + quiet - time.Since(began))
+		if left--; hit.hasDelayed() && hit.lives() == 1 {
+			hit.crash()
+			time.Sleep(down)
+			hit.begin()
+			left = 5
+		}
+	}
+	if trouble && hit.lives() == 1 {
+		return false, fmt.Errorf("no heartbeat with a last-seen of %d came", lastSeen)
+	}
+	time.Sleep(4 * time.Second)
+	again := c.fleet.startedAfterDone()
+	for _, line := range again {
+		c.record.say("%s", line)
+	}
+	c.record.say("%d runs, %d of them started after a run of their task had ended done and its end was taken note of", len(c.fleet.runsOf("")), len(again))
+	return len(again) > 0, nil
+}
--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -231,6 +231,8 @@
 	MaxPerHost  int   `json:"anti-affinity,omitempty"`
 	LongRunning bool  `json:"long-running,omitempty"`
 	Gang        bool  `json:"gang,omitempty"`
+
+	Label string `json:"required-label,omitempty"`
 }
 
 // submit hands a job of the first tenant in until it is accepted, and returns its id.
--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	heartbeat    = 1500 * time.Millisecond // between two writes of an executor's entry
 	maxLease     = 6 * time.Second         // hold-max-ms
 	listedEnds   = 500
+	unlistedEnds = 4                      // that a late heartbeat waits for
 	startupTime  = 200 * time.Millisecond // until a task that lasts is at work
 	entryTimeout = 3 * heartbeat
 )
@@ -26,6 +28,7 @@
 	executor string
 	at, end  time.Time // end is zero while it runs
 	how      string    // how it has ended; "crash" if its executor has crashed
+	noted    time.Time // when last-seen reached its end; zero if it has not
 }
 
 // fleet is all executors, and the log of what they have run.
@@ -65,6 +68,27 @@
 	return found
 }
 
+// startedAfterDone describes the runs that started after a run of their task had ended done, if that
+// end was taken note of then or later.
+func (f *fleet) startedAfterDone() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	done := map[string]*start{}
+	for _, s := range f.starts {
+		if s.how == "done" && !s.noted.IsZero() && (done[s.task] == nil || s.end.Before(done[s.task].end)) {
+			done[s.task] = s
+		}
+	}
+	var found []string
+	for _, s := range f.starts {
+		if first := done[s.task]; first != nil && s.at.After(first.end) {
+			found = append(found, fmt.Sprintf("%s: run %d had ended done on %s, its end was taken note of, and run %d started %.3f s after it on %s",
+				s.task, first.number, first.executor, s.number, s.at.Sub(first.end).Seconds(), s.executor))
+		}
+	}
+	return found
+}
+
 // hasEnded reports whether a run of the task has ended done.
 func (f *fleet) hasEnded(task string) bool {
 	for _, s := range f.runsOf(task) {
@@ -122,17 +146,20 @@
 	highest  map[string]int  // by task: highest run stopped or ended
 	ends     []endRow
 	serial   int
-	forgot   int
 	ended    chan struct{} // closed and replaced at each end
 	lastBeat time.Time
 	delayed  string // task whose first order is carried out late
 	late     time.Duration
+
+	listed    int  // serial of the newest end that an answer has listed
+	delayFrom int  // last-seen from which a heartbeat is carried out late; 0 for none
+	hasLeft   bool // a heartbeat was left unanswered
 }
 
-func (f *fleet) add(id, service, zone, rack string, cpu int) *executor {
+func (f *fleet) add(id, service, zone, kind, rack string, cpu int) *executor {
 	e := &executor{
 		fleet: f, id: id, address: freeAddress(), service: service, zone: zone,
-		capacity: map[string]int{"cpu": cpu, "mem-mb": 65536, "gpu": 0}, labels: []string{"a", rack},
+		capacity: map[string]int{"cpu": cpu, "mem-mb": 65536, "gpu": 0}, labels: []string{kind, rack},
 	}
 	e.begin()
 	go e.beat()
@@ -148,7 +175,7 @@
 		panic(err)
 	}
 	e.up, e.life, e.born = true, e.life+1, time.Now()
-	e.fence, e.until, e.seq, e.serial, e.forgot = 0, 0, 0, 0, 0
+	e.fence, e.until, e.seq, e.serial, e.listed = 0, 0, 0, 0, 0
 	e.runs, e.highest, e.ends, e.ended = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 	mux := http.NewServeMux()
 	life := e.life
@@ -389,7 +416,9 @@
 }
 
 // isDelayed reports whether an order is to be carried out late. The caller holds e.mu.
-func (e *executor) isDelayed(o order) bool { return e.delayed != "" && e.delayed == o.Task && o.Run == 1 }
+func (e *executor) isDelayed(o order) bool {
+	return e.delayed != "" && e.delayed == o.Task && o.Run == 1
+}
 
 func (e *executor) runStop(o order) (int, string) {
 	if r := e.runs[runKey(o.Task, o.Run)]; r != nil {
@@ -399,6 +428,60 @@
 	return http.StatusOK, ""
 }
 
+// forget forgets the ends up to last-seen. The caller holds e.mu.
+func (e *executor) forget(lastSeen int) {
+	for len(e.ends) > 0 && e.ends[0].serial <= lastSeen {
+		e.fleet.mu.Lock()
+		e.ends[0].run.noted = time.Now()
+		e.fleet.mu.Unlock()
+		e.ends = e.ends[1:]
+	}
+}
+
+// lives returns how often the executor has started.
+func (e *executor) lives() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// delayHeartbeat leaves the next heartbeat unanswered whose last-seen is at least that, and carries
+// it out that much later, whatever life the executor is in then.
+func (e *executor) delayHeartbeat(lastSeen int, late time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delayFrom, e.late = lastSeen, late
+}
+
+// hasDelayed reports whether a heartbeat was left unanswered.
+func (e *executor) hasDelayed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hasLeft
+}
+
+// carryOutHeartbeat carries out a heartbeat that was left unanswered, at a time within the next
+// second at which some ends have not been listed yet.
+func (e *executor) carryOutHeartbeat(o order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for deadline := time.Now().Add(time.Second); e.serial-e.listed < unlistedEnds && time.Now().Before(deadline); {
+		e.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		e.mu.Lock()
+	}
+	if !e.up || o.Fence < e.fence {
+		return
+	}
+	before := len(e.ends)
+	e.fence = o.Fence
+	if o.Until > 0 {
+		e.extend(o.Until)
+	}
+	e.forget(o.LastSeen)
+	e.fleet.record.say("heartbeat carried out late by %s: last-seen %d, %d of %d ends forgotten", e.id, o.LastSeen, before-len(e.ends), before)
+}
+
 func (e *executor) hold(w http.ResponseWriter, r *http.Request, life int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -406,13 +489,19 @@
 	if !ok {
 		return
 	}
+	if e.delayFrom > 0 && o.LastSeen >= e.delayFrom && !e.hasLeft {
+		e.hasLeft = true
+		e.fleet.record.say("heartbeat left unanswered by %s: last-seen %d", e.id, o.LastSeen)
+		time.AfterFunc(e.late, func() { e.carryOutHeartbeat(o) })
+		e.mu.Unlock()
+		<-r.Context().Done()
+		e.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if o.Until > 0 {
 		e.extend(o.Until)
 	}
-	e.forgot = max(e.forgot, min(o.LastSeen, e.serial))
-	for len(e.ends) > 0 && e.ends[0].serial <= e.forgot {
-		e.ends = e.ends[1:]
-	}
+	e.forget(o.LastSeen)
 	deadline := time.After(time.Duration(o.Wait) * time.Millisecond)
 	for waiting := o.Wait > 0; waiting && len(e.ends) == 0; {
 		ended := e.ended
@@ -434,6 +523,7 @@
 		running = append(running, []any{r.start.task, r.start.number, "", r.percent(), 100})
 	}
 	for _, row := range e.ends[:min(len(e.ends), listedEnds)] {
+		e.listed = max(e.listed, row.serial)
 		ended = append(ended, []any{row.serial, row.run.task, row.run.number, row.run.how, ""})
 	}
 	reply(w, http.StatusOK, map[string]any{"clock-ms": e.clock(), "born": e.born.UnixMilli(), "running": running, "ended": ended})
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,7 +16,8 @@
 
 // cases are the cases by number. They return whether the rule was broken.
 var cases = map[int]func(c *cluster, trouble bool) (bool, error){
-	11: flappingExecutor, 12: waitingService, 13: suspectBesideServices, 14: failingService, 15: unansweredOrder,
+	11: lateHeartbeat, 12: flappingExecutor, 13: waitingService, 14: suspectBesideServices, 15: failingService,
+	16: unansweredOrder, // beyond the five cases
 }
 
 func main() { os.Exit(play()) }
@@ -69,9 +70,11 @@
 func begin(c *cluster, executors int) ([]*executor, error) {
 	c.configure()
 	var all []*executor
+	kind := "b" // of the first executor
 	for i := range executors {
 		zone := []string{"pianura-a", "pianura-b", "pianura-c"}[i%3]
-		all = append(all, c.fleet.add(fmt.Sprintf("i-%04d", i+1), service, zone, fmt.Sprintf("r-%d", i/8), 16000))
+		all = append(all, c.fleet.add(fmt.Sprintf("i-%04d", i+1), service, zone, kind, fmt.Sprintf("r-%d", i/8), 16000))
+		kind = "a"
 	}
 	for _, zone := range []string{"pianura-a", "pianura-b", "pianura-c"} {
 		if err := c.startVM(zone); err != nil {
