planner, conductor: Name the steps for which workers are reserved, and since when

Change: a worker knows since when it has been reserved without a break. `job waits` lines end with the reservations, and the gauges count all of them, with the longest.

Tests of planner, conductor and commands pass.

--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filberthaven.example/planner"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -12,8 +13,9 @@
 	accepted, refused, unavailable               metrics.Counter      // submitted jobs
 	completed, failed, cancelled                 metrics.Counter      // ended jobs
 	pending, pendingOrdered                      metrics.Gauge        // jobs of which no task has begun; of these, those with a decided start
-	reservedWorkers                              metrics.Gauge        // workers reserved for gangs
+	reservedWorkers, keptWorkers                 metrics.Gauge        // workers reserved for gangs and long-running steps, and for suspects
 	reservedIdle                                 metrics.GaugeFloat64 // free processors on them
+	reservedLongest                              metrics.Gauge        // ms for which one of them has been reserved without a break
 	backfilled                                   metrics.Counter      // decided starts on workers that were reserved for gangs
 	fastWorkers, slowWorkers                     metrics.Gauge        // workers known to be faster and slower than most
 	orderRate, ordersWaiting                     metrics.Gauge        // starts a second that can be ordered, 0 if they are not the limit; starts without an outcome
@@ -45,6 +47,8 @@
 		fastWorkers:       metrics.GetOrRegisterGauge("workers.fast", r),
 		slowWorkers:       metrics.GetOrRegisterGauge("workers.slow", r),
 		reservedWorkers:   metrics.GetOrRegisterGauge("workers.reserved", r),
+		keptWorkers:       metrics.GetOrRegisterGauge("workers.kept", r),
+		reservedLongest:   metrics.GetOrRegisterGauge("workers.reserved.longest", r),
 		reservedIdle:      metrics.GetOrRegisterGaugeFloat64("workers.reserved.idle", r),
 		backfilled:        metrics.GetOrRegisterCounter("orders.backfilled", r),
 		orderRate:         metrics.GetOrRegisterGauge("orders.rate", r),
@@ -84,9 +88,7 @@
 	}
 	c.metrics.fastWorkers.Update(int64(fast))
 	c.metrics.slowWorkers.Update(int64(slow))
-	workers, idle := c.planner.Reservations()
-	c.metrics.reservedWorkers.Update(int64(workers))
-	c.metrics.reservedIdle.Update(idle)
+	c.metrics.updateReservations(c.planner.Reservations(c.now()))
 	c.backlog.advance(c.now())
 	c.metrics.orderRate.Update(int64(c.backlog.rate))
 	c.metrics.ordersWaiting.Update(int64(c.backlog.starts))
@@ -94,3 +96,11 @@
 		c.log.Info("starts wait for orders", "rate", int(c.backlog.rate), "waiting", c.backlog.starts, "inflight", len(c.orderSlots), "delay", c.backlog.delay().Round(time.Millisecond))
 	}
 }
+
+// updateReservations updates the gauges of workers that are kept from other work.
+func (m ownerMetrics) updateReservations(r planner.Reservations) {
+	m.reservedWorkers.Update(int64(r.Workers))
+	m.keptWorkers.Update(int64(r.Kept))
+	m.reservedIdle.Update(r.Idle)
+	m.reservedLongest.Update(r.Longest.Milliseconds())
+}
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -166,7 +166,7 @@
 		if need <= 0 {
 			return
 		}
-		pl.worker.reservedFor = s
+		p.reserveWorker(pl.worker, s, now)
 		need -= pl.tasks
 	}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -55,8 +55,6 @@
 	ordering        ordering
 	speeds          speeds
 	reserver        *reserver.Reserver
-	reservedWorkers int           // by gangs, when the current decision began
-	reservedIdle    int64         // free thousandths of a processor on these workers at that time
 	restoredAt      time.Duration // when the state of earlier owners was restored, else 0
 	preemption      preemption
 	nextCopies      time.Duration // earliest time of the next look for tasks to copy
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -112,7 +112,7 @@
 	for _, room := range q.rooms {
 		if room.step == s {
 			made++
-			room.worker.keepRoomFor(s)
+			p.keepRoomFor(room.worker, s, now)
 		}
 	}
 	if c.slack < p.typicalStop(now)+preemptionMargin {
@@ -145,7 +145,7 @@
 	q.stopsLeft -= len(v.runs)
 	q.rooms = append(q.rooms, madeRoom{s, v.worker, v.runs})
 	v.worker.madeRoomIn = p.decisions
-	v.worker.keepRoomFor(s)
+	p.keepRoomFor(v.worker, s, now)
 }
 
 // victims are runs whose stop lets one more task start on their worker.
@@ -264,8 +264,9 @@
 // keepRoomFor keeps a worker on which room is being made from other than urgent work for the rest
 // of the decision. The reservation of a gang gives way, since the gang and its backfill would take
 // the room.
-func (w *worker) keepRoomFor(s *step) {
+func (p *Planner) keepRoomFor(w *worker, s *step, now time.Duration) {
 	if w.reservedFor == nil || w.share.tasks > 0 {
-		w.reservedFor, w.share = s, gangShare{}
+		w.share = gangShare{}
+		p.reserveWorker(w, s, now)
 	}
 }
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -67,7 +67,6 @@
 			}
 		}
 	}
-	p.reservedWorkers, p.reservedIdle = 0, 0
 	plan := p.reserver.Plan(gangs, len(p.fleet), now)
 	for _, r := range plan {
 		p.applyReservation(steps[r.Gang], r, now)
@@ -150,15 +149,13 @@
 	s.reservation = r
 	for _, a := range r.Allotments {
 		w := p.workers[a.Worker]
-		w.reservedFor = s
+		p.reserveWorker(w, s, now)
 		w.share = gangShare{tasks: a.Tasks, startsIn: r.Start - now, need: s.spec.Size.Scale(int64(a.Tasks))}
 		for _, release := range p.releasesOf(w, now) {
 			if release.at <= r.Start {
 				w.share.released = w.share.released.Add(release.size)
 			}
 		}
-		p.reservedWorkers++
-		p.reservedIdle += max(0, w.free().CPU())
 	}
 }
 
@@ -240,10 +237,30 @@
 	return w.releases
 }
 
-// Reservations returns how many workers the newest decision has reserved for gangs, and how
-// many processors were free on them when it began.
-func (p *Planner) Reservations() (workers int, idle float64) {
-	return p.reservedWorkers, float64(p.reservedIdle) / 1000
+// Reservations describes the workers that the newest decision keeps from other work.
+type Reservations struct {
+	Workers int           // reserved for gangs and long-running steps
+	Kept    int           // reserved for suspects
+	Idle    float64       // free processors on all of them
+	Longest time.Duration // for which one of them has been reserved without a break, whatever the steps
+}
+
+// Reservations describes the reservations of the newest decision.
+func (p *Planner) Reservations(now time.Duration) Reservations {
+	var r Reservations
+	for _, w := range p.fleet {
+		if w.reservedFor == nil {
+			continue
+		}
+		if w.keptFor != nil {
+			r.Kept++
+		} else {
+			r.Workers++
+		}
+		r.Idle += float64(max(0, w.free().CPU())) / 1000
+		r.Longest = max(r.Longest, now-w.reservedSince)
+	}
+	return r
 }
 
 // knowsEnough reports whether a gang knows that many eligible workers that a reservation will
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -80,7 +80,7 @@
 			w.keptFor = nil
 		}
 		if w.keptFor != nil {
-			w.reservedFor = w.keptFor
+			p.reserveWorker(w, w.keptFor, now)
 		}
 		if w.keptFor != nil || w.separateRuns > 0 && w.closedAt == 0 {
 			p.separateWorkers++
@@ -264,7 +264,8 @@
 	if best == nil {
 		return changing
 	}
-	best.keptFor, best.reservedFor = s, s
+	best.keptFor = s
+	p.reserveWorker(best, s, now)
 	p.separateWorkers++
 	return true
 }
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,8 @@
 	waitReportInterval = 5 * time.Second
 	// maxWaitReports is the most reports that one call of TakeWaits returns.
 	maxWaitReports = 10
+	// maxWaitReservations is the most steps with reservations that a report names.
+	maxWaitReservations = 3
 	// maxWaitRuns is the most earlier runs that a report names.
 	maxWaitRuns = 3
 )
@@ -101,7 +104,11 @@
 		reason = fmt.Sprintf("no room on workers with tickets; requests for advice: %d in flight, %d left in the decision, back-off %v",
 			s.advice.requests, p.adviceBudget[urgent], max(0, p.noAdviceBefore[urgent]-now).Round(time.Millisecond))
 	}
-	return reason + "; workers: " + workers
+	reason += "; workers: " + workers
+	if reservations := p.describeReservations(s, now); reservations != "" {
+		reason += "; reservations: " + reservations
+	}
+	return reason
 }
 
 // describeRuns names runs of a step that may not have ended.
@@ -128,7 +135,7 @@
 func (p *Planner) describeWorkers(s *step, now time.Duration) (counts string, room int) {
 	n := map[obstacle]int{}
 	for _, w := range p.fleet {
-		if !w.listed || w.reg.Service != s.occurrence.job.queue.Service || !s.spec.Size.Fits(w.reg.Capacity) || s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
+		if !s.couldUse(w) {
 			continue
 		}
 		o := p.adviceObstacle(s, w, now, p.workerObstacle(s, w))
@@ -146,6 +153,43 @@
 	return strings.Join(list, ", "), room
 }
 
+// reservationSummary is what the newest decision has reserved for a step, of the workers on which a
+// task of another step fits when they are empty.
+type reservationSummary struct {
+	workers int
+	longest time.Duration // for which one of them has been reserved without a break
+}
+
+// describeReservations names the steps for which workers are reserved that might run a task of the
+// step, those with the most workers first, and the step itself if it has reserved any.
+func (p *Planner) describeReservations(s *step, now time.Duration) string {
+	holders := map[*step]reservationSummary{}
+	for _, w := range p.fleet {
+		if w.reservedFor != nil && s.couldUse(w) {
+			r := holders[w.reservedFor]
+			holders[w.reservedFor] = reservationSummary{r.workers + 1, max(r.longest, now-w.reservedSince)}
+		}
+	}
+	steps := slices.SortedFunc(maps.Keys(holders), func(a, b *step) int {
+		return cmp.Or(compareBool(b == s, a == s), cmp.Compare(holders[b].workers, holders[a].workers), cmp.Compare(a.name, b.name))
+	})
+	var list []string
+	for _, holder := range steps[:min(len(steps), maxWaitReservations)] {
+		name := holder.name
+		if holder == s {
+			name = "this step"
+		}
+		list = append(list, fmt.Sprintf("%d for %s, %v", holders[holder].workers, name, holders[holder].longest.Round(time.Millisecond)))
+	}
+	return strings.Join(list, ", ")
+}
+
+// couldUse reports whether a task of the step fits on the worker when that is empty, whatever the
+// advice.
+func (s *step) couldUse(w *worker) bool {
+	return w.listed && w.reg.Service == s.occurrence.job.queue.Service && s.spec.Size.Fits(w.reg.Capacity) && (s.spec.Label == "" || w.hasLabel(s.spec.Label))
+}
+
 // obstacle is what keeps the tasks of a step from starting on a worker.
 type obstacle int
 
@@ -165,7 +209,7 @@
 
 // obstacleNames are the obstacles for logs.
 var obstacleNames = [...]string{
-	"room", "full", "no ticket", "not known", "not allowed", "requested", "reserved for a gang", "kept for a suspect", "with a suspect",
+	"room", "full", "no ticket", "not known", "not allowed", "requested", "reserved", "kept for a suspect", "with a suspect",
 	"no answer", "draining",
 }
 
--- a/planner/wait_test.go
+++ b/planner/wait_test.go
@@ -34,6 +34,35 @@
 		f.submit("j", newStep(1))
 		assertWaits(f, "late urgent", "no room; workers: 1 full")
 	})
+	t.Run("reserved workers", func(t *testing.T) {
+		f := newFixture(t, 3)
+		config := f.p.config
+		config.Version, config.Queues = 2, append(config.Queues, Queue{Name: "deferred", Service: "s", Stretch: 100, Priority: 1})
+		f.p.Configure(config, 0)
+		filler := newStep(2)
+		filler.CPU, filler.MaxPerWorker, filler.Estimate = 3000, 1, longWait.Milliseconds()+1000
+		f.submit("filler", filler)
+		f.Assert(f.starts(), quicktest.HasLen, 2)
+		gang := newWideGang()
+		gang.Tasks = 3
+		f.submit("gang", gang)
+		deferred := newStep(1)
+		deferred.CPU = 2000
+		_, err := f.p.Submit(JobSpec{ID: "j", Queue: "deferred", Team: "team", Steps: []StepSpec{deferred}}, 0)
+		f.Assert(err, quicktest.IsNil)
+		f.p.MarkStored("j")
+		f.now = longWait - second
+		f.decide()
+		f.now = longWait
+		f.decide()
+		reasons := map[string]string{}
+		for _, w := range f.p.TakeWaits(f.now) {
+			reasons[w.Job] = w.Reason
+		}
+		f.Check(reasons["j"], quicktest.Equals, "no room; workers: 2 full, 1 reserved; reservations: 1 for gang.0.0, 1s")
+		f.Check(reasons["gang"], quicktest.Equals, "no room; workers: 1 room, 2 full; reservations: 1 for this step, 1s")
+		f.Check(f.p.Reservations(f.now), quicktest.Equals, Reservations{Workers: 1, Idle: 4, Longest: second})
+	})
 	t.Run("a run of an earlier try", func(t *testing.T) {
 		f := newFixture(t, 2)
 		f.submit("j", newWideGang())
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -50,6 +50,8 @@
 	health              health
 	pruned              bool          // it was removed from the planner
 	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
+	reservedIn          uint64        // newest decision that reserved it; 0 if none has
+	reservedSince       time.Duration // when the first of the successive decisions was made that reserved it, the last of which is reservedIn
 	keptFor             *step         // step for whose suspects nothing else starts on this worker, else nil
 	separateRuns        int           // runs beside which no others may start
 	lastAnswerAt        time.Duration // when the newest call was sent that this incarnation has answered
@@ -115,6 +117,14 @@
 // free returns the capacity that is not allocated to any run.
 func (w *worker) free() placer.Resources { return w.reg.Capacity.Sub(w.allocated) }
 
+// reserveWorker reserves a worker for a step for the rest of the decision.
+func (p *Planner) reserveWorker(w *worker, s *step, now time.Duration) {
+	if w.reservedIn == 0 || w.reservedIn+1 < p.decisions {
+		w.reservedSince = now
+	}
+	w.reservedIn, w.reservedFor = p.decisions, s
+}
+
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.reg.Labels, label) }
 
 // orderedRuns returns the runs that the known incarnation of the worker may have, sorted by
