--- a/planner/gang.go
+++ b/planner/gang.go
@@ -172,7 +172,7 @@
 }
 
 // soonFree is a worker's free capacity if the runs that should end within
-// releaseHorizon had ended.
+// releaseHorizon had ended. Long-running ones go on.
 type soonFree struct {
 	decision uint64 // in which it was computed
 	runs     int    // number of the worker's runs at that time
@@ -187,7 +187,7 @@
 	}
 	free := w.free()
 	for _, r := range w.runs {
-		if p.remainingTime(r, now) < releaseHorizon {
+		if !r.lasts() && p.remainingTime(r, now) < releaseHorizon {
 			free = free.Add(r.size)
 		}
 	}
@@ -215,7 +215,12 @@
 	}
 }
 
-// remainingTime returns how long a run is expected to go on.
+// lasts reports whether the run goes on until its job is cancelled: it is of a long-running task
+// and was not told to stop. No remaining time is known of it.
+func (r *run) lasts() bool { return r.step.spec.LongRunning && !r.stopOrdered }
+
+// remainingTime returns how long a run is expected to go on, 0 if that is not known or it has gone
+// on for longer than expected.
 func (p *Planner) remainingTime(r *run, now time.Duration) time.Duration {
 	if p.learns(r.step) {
 		return p.learnedRemainingTime(r, now)
