planner: Compare speeds and declared times by more seeds

TestTruthfulDeclarations and TestSpeeds compare two ways to plan by two seeds each. Means over ten and four seeds now; the bounds stay as they are.

--- a/planner/forecast_test.go
+++ b/planner/forecast_test.go
@@ -45,7 +45,7 @@
 	c := quicktest.New(t)
 	var ended, refused [2]float64
 	for i, options := range [][]Option{nil, {WithLearnedRunTimes()}} {
-		for seed := range uint64(2) {
+		for seed := range uint64(10) {
 			r := newReplay(t, largeLoad(), 275, 0.25, seed, options...)
 			r.noise = 0.05
 			r.run(3*second, 1)
--- a/planner/speed_test.go
+++ b/planner/speed_test.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// speedSeeds is the number of seeds of TestSpeeds.
+const speedSeeds = 4
+
 // TestSpeeds guards against urgent work on slow workers while fast ones are free, also after a
 // takeover, which loses the speeds.
 func TestSpeeds(t *testing.T) {
@@ -139,7 +142,7 @@
 			t.Run(fmt.Sprintf("%s, takeover %t", name, takeOver), func(t *testing.T) {
 				var inTime, onFast [2]float64
 				for i := range inTime {
-					for seed := range uint64(2) {
+					for seed := range uint64(speedSeeds) {
 						u := newUnevenReplay(t, seed, i == 1, factor)
 						u.run(20*second, 1)
 						if takeOver {
@@ -150,7 +153,7 @@
 						u.onFast, u.urgentStarts = 0, 0
 						u.run(20*second, 1)
 						in, on := u.inTime(since)
-						inTime[i], onFast[i] = inTime[i]+in/2, onFast[i]+on/2
+						inTime[i], onFast[i] = inTime[i]+in/speedSeeds, onFast[i]+on/speedSeeds
 					}
 				}
 				t.Logf("in time %.3f, on fast workers %.3f", inTime, onFast)
