planner: Bound the time for which a worker is reserved for runs that don't end (LOST)

Other work had room on these workers and never started.

Cause: the remaining time of an overdue run is 0, so each decision anew expects it to end at once and reserves its worker, as long as it runs.

Change: a worker that successive decisions have reserved in vain for 2.5 s is left out for 2.5 s, each further time for twice as long, up to 40 s; a start where the step had reserved ends that.

Evidence: all seven subtests of TestReservationsInVainEnd failed before the change (nothing started in 3 s; reserved in 600 of 600 decisions) and pass with it.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -377,6 +377,9 @@
 	p.startsLeft--
 	j.ordered = true
 	p.allocate(r)
+	if w.reservedFor == s {
+		w.reservedSince, w.reservationPause = now, 0
+	}
 	reason, backfill := w.startReason(), w.reservedFor != nil && w.reservedFor != s && j.queue.Priority > 0
 	if backfill {
 		reason = "backfill"
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -13,6 +13,16 @@
 // when a step reserves workers. It is a fraction of the usual slack of a gang.
 const releaseHorizon = 1500 * time.Millisecond
 
+const (
+	// maxReservation is how long a worker stays reserved for steps that don't fit on it. The runs
+	// that should have ended by then last longer than expected, for a time that nobody knows.
+	maxReservation = releaseHorizon + time.Second
+	// A worker that has been reserved for that long is not reserved for the first of these times,
+	// and each further time for twice as long, up to the second one.
+	minReservationPause = maxReservation
+	maxReservationPause = 16 * minReservationPause
+)
+
 // placement is a number of a step's tasks on one worker.
 type placement struct {
 	worker *worker
@@ -149,6 +159,9 @@
 func (p *Planner) reserve(s *step, now time.Duration) {
 	var placements []placement
 	for w := range p.reservableWorkers(s) {
+		if p.pausesReservations(w, s, now) {
+			continue
+		}
 		free := p.freeSoon(w, now)
 		n := 0
 		for ; n < s.waitingTasks && s.spec.Size.Fits(free) && s.belowMaxPerWorker(w, n); n++ {
@@ -171,6 +184,16 @@
 	}
 }
 
+// pausesReservations reports whether the worker is not reserved for the step for now, since
+// successive decisions have reserved it in vain for as long as they may.
+func (p *Planner) pausesReservations(w *worker, s *step, now time.Duration) bool {
+	if w.reservedIn != 0 && w.reservedIn+1 == p.decisions && now-w.reservedSince >= maxReservation && !s.spec.Size.Fits(w.free()) {
+		w.reservationPause = min(max(minReservationPause, 2*w.reservationPause), maxReservationPause)
+		w.notReservedBefore = now + w.reservationPause
+	}
+	return now < w.notReservedBefore
+}
+
 // soonFree is a worker's free capacity if the runs that should end within
 // releaseHorizon had ended. Long-running ones go on.
 type soonFree struct {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -52,6 +52,8 @@
 	reservedFor         *step         // step for which the current decision has reserved this worker, else nil
 	reservedIn          uint64        // newest decision that reserved it; 0 if none has
 	reservedSince       time.Duration // when the first of the successive decisions was made that reserved it, the last of which is reservedIn
+	notReservedBefore   time.Duration // reserve leaves it out until then
+	reservationPause    time.Duration // the newest such time; 0 once a step has started where it had reserved
 	keptFor             *step         // step for whose suspects nothing else starts on this worker, else nil
 	separateRuns        int           // runs beside which no others may start
 	lastAnswerAt        time.Duration // when the newest call was sent that this incarnation has answered
