--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"filberthaven.example/placer"
 )
 
 const (
@@ -185,6 +187,17 @@
 	return true
 }
 
+// freeWithoutEnding returns the worker's free capacity if all runs had ended but those that last.
+func (w *worker) freeWithoutEnding() placer.Resources {
+	free := w.reg.Capacity
+	for _, r := range w.runs {
+		if r.lasts() {
+			free = free.Sub(r.size)
+		}
+	}
+	return free
+}
+
 // emptyWorkers returns the usable workers that run only services on which a task of the step
 // fits: those that are kept for it first, then those with the fewest services, then those
 // in its preferred rack, then the smallest.
@@ -230,7 +243,8 @@
 }
 
 // keepWorker keeps one more worker for the waiting suspects of a step, unless one is being
-// emptied for it: the one whose runs should end first. Nothing else starts on it. It reports
+// emptied for it: of those that have room for a task beside their services, the one whose other runs
+// should end first. Nothing else starts on it. It reports
 // whether the step may expect another empty worker: one is being emptied for it, or a
 // worker that is kept for suspects or runs one will be free again.
 func (p *Planner) keepWorker(s *step, now time.Duration) bool {
@@ -248,12 +262,12 @@
 	var best *worker
 	var bestLeft time.Duration
 	for w := range p.reservableWorkers(s) {
-		if w.separateRuns > 0 || !s.spec.Size.Fits(w.reg.Capacity) {
+		if w.separateRuns > 0 || !s.spec.Size.Fits(w.freeWithoutEnding()) {
 			continue
 		}
 		left := time.Duration(0)
 		for _, r := range w.runs {
-			if !r.step.spec.LongRunning {
+			if !r.lasts() {
 				left = max(left, p.remainingTime(r, now))
 			}
 		}
--- a/planner/suspect_test.go
+++ b/planner/suspect_test.go
@@ -207,3 +207,36 @@
 	}
 	f.Fatalf("%d newer suspects have started before", started)
 }
+
+// TestWorkerForSuspectHasRoomBesideServices guards against a suspect that waits for a worker whose
+// services leave no room for it, and never starts (review/14, LOST).
+func TestWorkerForSuspectHasRoomBesideServices(t *testing.T) {
+	for name, suspect := range map[string]StepSpec{"service": newService(1, 1000), "job": newStep(1)} {
+		t.Run(name, func(t *testing.T) {
+			f := newReserveFixture(t, 6)
+			f.submitTo("services", "filler", newService(1, 3500))
+			f.Assert(f.starts(), quicktest.HasLen, 1)
+			sound := newStep(5)
+			sound.MaxPerWorker, sound.Estimate = 1, 10_000
+			f.submitTo("q", "sound", sound)
+			running := f.starts()
+			f.Assert(running, quicktest.HasLen, 5)
+			queue := "q"
+			if suspect.LongRunning {
+				queue = "services"
+			}
+			f.submitTo(queue, "suspect", suspect)
+			s := f.p.jobs["suspect"].occurrences[0].steps[0]
+			s.setSuspect(0, true)
+			f.now += second
+			f.assertNoStart()
+			for i, a := range running {
+				if f.p.workers[a.Worker].keptFor == s {
+					f.now += second
+					f.listEnd(a, uint64(i+1), Done)
+				}
+			}
+			f.Check(f.startedTasks(), quicktest.DeepEquals, []string{"suspect.0.0.0"})
+		})
+	}
+}
