--- a/planner/wait.go
+++ b/planner/wait.go
@@ -138,7 +138,7 @@
 		if !s.couldUse(w) {
 			continue
 		}
-		o := p.adviceObstacle(s, w, now, p.workerObstacle(s, w))
+		o := p.adviceObstacle(s, w, now, p.workerObstacle(s, w, now))
 		n[o]++
 		if o == noObstacle {
 			room += s.fitCount(w)
@@ -203,6 +203,7 @@
 	isReserved
 	isKept
 	hasSuspect
+	isPaused
 	isSilent
 	isDraining
 )
@@ -210,17 +211,19 @@
 // obstacleNames are the obstacles for logs.
 var obstacleNames = [...]string{
 	"room", "full", "no ticket", "not known", "not allowed", "requested", "reserved", "kept for a suspect", "with a suspect",
-	"no answer", "draining",
+	"paused after failed runs or a refusal", "no answer", "draining",
 }
 
 // workerObstacle returns what keeps the tasks of a step from starting on a worker, apart from
 // advice.
-func (p *Planner) workerObstacle(s *step, w *worker) obstacle {
+func (p *Planner) workerObstacle(s *step, w *worker, now time.Duration) obstacle {
 	switch {
 	case w.reg.Draining || p.cordoned[w.reg.Centre]:
 		return isDraining
 	case w.separateRuns > 0:
 		return hasSuspect
+	case !w.open && !w.health.allowsStarts(now):
+		return isPaused
 	case !w.open:
 		return isSilent
 	case w.keptFor != nil && w.keptFor != s:
--- a/planner/wait_test.go
+++ b/planner/wait_test.go
@@ -34,6 +34,17 @@
 		f.submit("j", newStep(1))
 		assertWaits(f, "late urgent", "no room; workers: 1 full")
 	})
+	t.Run("workers without answer and after failed runs", func(t *testing.T) {
+		f := newFixture(t, 3)
+		f.p.ExtendLease("w0", longWait)
+		f.p.HeartbeatMissed("w0")
+		for range failureLimit {
+			f.p.workers["w1"].health.recordFailure(longWait - 1)
+		}
+		f.p.workers["w2"].reg.Draining = true
+		f.submit("j", newStep(1))
+		assertWaits(f, "late urgent", "no room; workers: 1 paused after failed runs or a refusal, 1 no answer, 1 draining")
+	})
 	t.Run("reserved workers", func(t *testing.T) {
 		f := newFixture(t, 3)
 		config := f.p.config
