--- a/planner/decide.go
+++ b/planner/decide.go
@@ -279,14 +279,14 @@
 }
 
 // bestFit returns the worker on which one task of the step leaves the least CPU free,
-// so that large gaps stay for large tasks. Workers that no reservation of a gang holds go first,
-// so that urgent steps delay gangs only where there is no other room; of these, workers in
-// the step's preferred rack, and then those whose speed it prefers. It returns nil if the task fits
-// on no usable worker.
+// so that large gaps stay for large tasks. Workers that no reservation of a gang holds and that the
+// step doesn't avoid go first, so that urgent steps delay gangs only where there is no other room; of
+// these, workers in the step's preferred rack, and then those whose speed it prefers. It returns nil
+// if the task fits on no usable worker.
 func (p *Planner) bestFit(s *step, c candidate, now time.Duration) *worker {
 	var best *worker
 	var bestLeft int64
-	bestInRack, bestHeld, bestPlace := false, false, 0
+	bestInRack, bestLast, bestPlace := false, false, 0
 	if s.spec.Size.CPU() > p.maxFreeCPU {
 		return nil
 	}
@@ -298,9 +298,9 @@
 		inRack := s.spec.Rack != "" && w.hasLabel(s.spec.Rack)
 		place := preference.place(w)
 		left := w.free().Sub(s.spec.Size).CPU()
-		held := w.share.tasks > 0
-		if best == nil || !held && bestHeld || held == bestHeld && (inRack && !bestInRack || inRack == bestInRack && (place < bestPlace || place == bestPlace && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID))) {
-			best, bestLeft, bestInRack, bestHeld, bestPlace = w, left, inRack, held, place
+		last := w.share.tasks > 0 || s.avoids(w)
+		if best == nil || !last && bestLast || last == bestLast && (inRack && !bestInRack || inRack == bestInRack && (place < bestPlace || place == bestPlace && (left < bestLeft || left == bestLeft && w.reg.ID < best.reg.ID))) {
+			best, bestLeft, bestInRack, bestLast, bestPlace = w, left, inRack, last, place
 		}
 	}
 	return best
--- a/planner/job.go
+++ b/planner/job.go
@@ -84,6 +84,7 @@
 	openPrerequisites int                // number of steps named in After that are not finished; -1 once this step is finished
 	lastRun           int                // newest run number of any task
 	failedRuns        []int              // numbers of the failed runs of a gang; empty if the step is none
+	failedOn          map[string]bool    // IDs of the workers on which runs have failed since one last succeeded
 	siblings          estimator.Siblings // finished tasks with a known run time
 	forecast          stepForecast       // the newest one
 	queueStats        *queueStats        // of its queue; nil if it declares no run time
@@ -155,6 +156,7 @@
 	preemptedAt       time.Duration // when its stop was decided to make room for an urgent step; else 0
 	copyOf            int           // number of the run that it is a copy of; 0 if it is none
 	ordered           bool          // this owner is ordering it or has ordered it
+	sound             bool          // it has gone on for soundTime, and its task is a long-running one
 	silent            bool          // its worker left a call unanswered meanwhile, so the time of its end is not known
 }
 
--- a/planner/status.go
+++ b/planner/status.go
@@ -99,9 +99,9 @@
 		p.observeEnd(r.step, e)
 		switch e.Result {
 		case Done:
-			w.health.recordSuccess()
+			r.step.observeSuccess(w)
 		case RunFailed:
-			w.health.recordFailure(now)
+			r.observeFailure(now)
 		}
 		r.crash = nil
 		p.observeSurvival(r, e.Result == Done || e.Result == RunFailed, now)
@@ -154,6 +154,7 @@
 			r.phase, r.confirmedAt = phaseRunning, now
 			p.stopIfObsolete(r)
 		}
+		r.observeSoundness(sentAt)
 		p.observeRunning(r.step, e)
 		return
 	}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -165,7 +165,7 @@
 
 // health detects workers that fail whatever they start, as opposed to tasks that
 // fail by themselves. A worker with failureLimit failed runs in a row is
-// quarantined.
+// quarantined. Runs of steps that fail by themselves don't count.
 type health struct {
 	failures       int           // failed runs in a row
 	noStartsBefore time.Duration // end of the quarantine, or of the back-off after a NoCapacity refusal
