--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -11,7 +11,8 @@
 //   - A claim writes the owner's key only if the key is absent, and binds it to a lease.
 //     So there is at most one owner's record at a time.
 //   - The term of an ownership is the store's revision at which the claim was written, so
-//     it only rises. All orders to workers carry it as their fence.
+//     it only rises. All orders to workers carry it as their fence, or a later revision
+//     that the owner has seen while it owned the fleet, which is lower than the next term.
 //   - An owner counts the time of its lease from before it sent the last successful
 //     renewal, by a clock that includes suspended time, and stops acting as the owner
 //     leaseMargin early. When the next VM can claim, IsOwner already returns false.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -45,6 +45,7 @@
 // Conductor runs the fleet for one ownership.
 type Conductor struct {
 	store         keeper.Store
+	newestVersion newestVersion
 	term          uint64
 	executors     *platform.ExecutorClient
 	fetchAdvice   func(ctx context.Context, member claimer.Member, a planner.Action) (map[string]string, time.Duration, error)
@@ -154,12 +155,13 @@
 // New returns a conductor for the VM with the id vmID, which owns the fleet under term.
 func New(store keeper.Store, executors *platform.ExecutorClient, vmID string, term uint64, options ...Option) (*Conductor, error) {
 	c := &Conductor{
-		store: store, executors: executors, vmID: vmID, term: term,
+		executors: executors, vmID: vmID, term: term,
 		isOwner: func() bool { return true }, resign: func() {}, resignSlow: func() {}, resignRefused: func() {}, hasLargerPeer: func() bool { return false }, now: claimer.Now,
 		members:       func() []claimer.Member { return nil },
 		leaseDuration: 6 * time.Second, log: hclog.NewNullLogger(), registry: metrics.NewRegistry(),
 		wakeup: make(chan struct{}, 1), probeSlots: make(chan struct{}, maxProbes), orderSlots: make(chan struct{}, maxOrders), sessions: map[string]*session{},
 	}
+	c.store = c.newestVersion.wrap(store)
 	for _, option := range options {
 		option(c)
 	}
@@ -172,7 +174,7 @@
 	c.metrics = newOwnerMetrics(c.registry)
 	c.planner = planner.New(c.planning...)
 	c.balancer = newAdviceBalancer()
-	journal, err := journaler.New(store, "fleet",
+	journal, err := journaler.New(c.store, "fleet",
 		journaler.WithRate(journalRate), journaler.WithSlots(journalSlots), journaler.WithBatchDelay(journalBatchDelay),
 		journaler.WithLogger(c.log), journaler.WithRegistry(c.registry))
 	if err != nil {
--- a/conductor/mirrors.go
+++ b/conductor/mirrors.go
@@ -99,6 +99,7 @@
 	reconnect := s == nil || s.address != registration.Address || s.incarnation != registration.Incarnation
 	if s == nil {
 		s = &session{id: id, wakeup: make(chan struct{}, 1)}
+		c.raiseFence(s)
 		c.sessions[id] = s
 	}
 	s.address = registration.Address
@@ -107,7 +108,7 @@
 	}
 	now := c.now()
 	changed := c.planner.Register(registration, now)
-	s.follow(c.planner.Incarnation(id), now)
+	c.follow(s, c.planner.Incarnation(id), now)
 	if reconnect || c.planner.NeedsHeartbeat(id) {
 		c.startHeartbeats(s) // to learn the worker's clock and its runs
 	}
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -122,10 +122,13 @@
 	c.backlog.begin(inFlight, sentAt)
 	c.planner.ExtendLease(a.Worker, c.leaseExpiry(sentAt))
 	c.planner.MarkOrdered(a, sentAt)
-	address, leaseUntil := s.address, s.leaseUntil(sentAt, c.leaseDuration)
+	address, lease := s.address, platform.Lease{Fence: c.fenceOf(s), Until: s.leaseUntil(sentAt, c.leaseDuration)}
 	c.mu.Unlock()
-	result, err := c.executors.Start(c.orderCtx, address, a, platform.Lease{Fence: c.term, Until: leaseUntil})
+	result, err := c.executors.Start(c.orderCtx, address, a, lease)
 	receivedAt := c.now()
+	if c.refusedAsOutdated(s, lease.Fence, result.Outcome) {
+		result.Outcome = planner.Refused
+	}
 	if c.ctx.Err() != nil {
 		if result.Outcome != planner.Unknown {
 			c.mu.Lock()
@@ -195,9 +198,9 @@
 		c.sleep(stopBackoff)
 		return
 	}
-	address := s.address
+	address, lease := s.address, platform.Lease{Fence: c.fenceOf(s)}
 	c.mu.Unlock()
-	result, err := c.executors.Stop(c.ctx, address, a, platform.Lease{Fence: c.term})
+	result, err := c.executors.Stop(c.ctx, address, a, lease)
 	if c.ctx.Err() != nil {
 		return
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -46,6 +46,7 @@
 	persistedSerial    uint64        // serial of the newest end that the journal holds
 	acknowledgedSerial uint64        // serial of the newest end that the worker may forget
 	listedAt           time.Duration // when the newest list of the incarnation was received; 0 before the first
+	fence              uint64        // as raiseFence has chosen it for the incarnation; see fenceOf
 	heartbeating       bool          // runHeartbeats is running
 	stored             bool          // a record that adds the worker was queued
 	wakeup             chan struct{} // of capacity 1; has an element if a heartbeat is due at once
@@ -72,10 +73,12 @@
 	return s.persistedSerial
 }
 
-// follow begins the incarnation that the planner knows, unless it is the current one already.
-func (s *session) follow(incarnation int64, now time.Duration) {
+// follow begins the incarnation that the planner knows, unless it is the current one already. The
+// caller holds c.mu.
+func (c *Conductor) follow(s *session, incarnation int64, now time.Duration) {
 	if incarnation != 0 && incarnation != s.incarnation {
 		s.restart(incarnation, now)
+		c.raiseFence(s)
 	}
 }
 
@@ -89,7 +92,7 @@
 	}
 	now := c.now()
 	counts := c.planner.ObserveAnswer(s.id, r.Incarnation, sentAt, now)
-	s.follow(c.planner.Incarnation(s.id), now)
+	c.follow(s, c.planner.Incarnation(s.id), now)
 	if counts && r.HasClock && (r.Incarnation != 0 || sentAt >= s.incarnationSeenAt) {
 		s.clock.observe(r.Clock, sentAt, receivedAt)
 	}
@@ -144,7 +147,7 @@
 func (c *Conductor) heartbeat(s *session, busy bool) bool {
 	c.mu.Lock()
 	sentAt := c.now()
-	lease := platform.Lease{Fence: c.term}
+	lease := platform.Lease{Fence: c.fenceOf(s)}
 	wait := time.Duration(0)
 	// The ownership is checked after sentAt, from which the lease runs, since the VM may
 	// have been suspended before.
@@ -174,7 +177,7 @@
 		return false
 	}
 	if err != nil || result.Outcome != planner.Accepted {
-		c.heartbeatFailed(s, address, result, err)
+		c.heartbeatFailed(s, address, lease.Fence, result, err)
 		return false
 	}
 	c.mu.Lock()
@@ -267,10 +270,14 @@
 	}
 }
 
-// heartbeatFailed reports a failed heartbeat to the planner, or resigns if the worker
-// knows a newer owner.
-func (c *Conductor) heartbeatFailed(s *session, address string, result platform.ExecutorResult, err error) {
+// heartbeatFailed reports a failed heartbeat with that fence to the planner, or resigns if the
+// worker knows a newer owner.
+func (c *Conductor) heartbeatFailed(s *session, address string, fence uint64, result platform.ExecutorResult, err error) {
 	c.metrics.missedHeartbeats.Inc(1)
+	if c.refusedAsOutdated(s, fence, result.Outcome) {
+		c.log.Info("heartbeat for an earlier incarnation refused", "worker", s.id, "fence", fence)
+		return
+	}
 	if result.Outcome == planner.StaleTerm {
 		c.log.Warn("worker has a newer owner; giving up the ownership", "worker", s.id, "term", c.term)
 		c.resign()
