--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -69,7 +69,8 @@
 	if len(crashes) < minPrompt {
 		return false
 	}
-	var certain, ended []float64
+	var certain []float64
+	var ended []Crash // with the chance as it is known now
 	alone, lost := false, 0
 	rate := p.rateWithout(crashes, now)
 	for _, c := range crashes {
@@ -86,12 +87,13 @@
 		if isRefuted(age, longest) {
 			chance = 1
 		}
-		ended = append(ended, chance)
+		c.Chance = chance
+		ended = append(ended, c)
 		if c.Started && c.Prompt {
 			certain = append(certain, chance)
 		}
 	}
-	return alone && (len(certain) >= minPrompt && combinedChance(certain) <= maxChance || lost >= minLosses && len(ended) >= minEnded && combinedChance(ended) <= maxLateChance)
+	return alone && (len(certain) >= minPrompt && combinedChance(certain) <= maxChance || lost >= minLosses && len(ended) >= minEnded && chanceBesideOneWorker(ended) <= maxLateChance)
 }
 
 // resolveCrashes applies what the answer of a worker's incarnation tells of lost workers: of
