--- a/conductor/fence.go
+++ b/conductor/fence.go
@@ -69,7 +69,10 @@
 // refusedAsOutdated reports whether a worker has refused a call for its fence since the call was for an
 // earlier incarnation, and not since the worker has a newer owner: calls carry a higher one by now.
 func (c *Conductor) refusedAsOutdated(s *session, fence uint64, outcome planner.Outcome) bool {
+	if outcome != planner.StaleTerm {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return outcome == planner.StaleTerm && fence < c.fenceOf(s)
+	return fence < c.fenceOf(s)
 }
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -132,7 +132,8 @@
 	return n
 }
 
-// countOn returns how many of the crashes are of that worker, or of another one at its address. A suspect starts elsewhere if it can, as the worker may be the cause.
+// countOn returns how many of the crashes are of that worker, or of another one at its address.
+// A suspect starts elsewhere if it can, as the worker may be the cause.
 func (h *crashHistory) countOn(w *worker) int {
 	n := 0
 	for _, c := range h.crashes {
