--- a/conductor/fence_test.go
+++ b/conductor/fence_test.go
@@ -73,11 +73,16 @@
 	fmt.Fprintf(response, `{"clock-ms":1,"born":%d}`, w.born)
 }
 
-// restart begins the worker's next incarnation.
-func (w *fencedWorker) restart() {
+// with calls a function while no call is carried out.
+func (w *fencedWorker) with(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.born, w.fence, w.ends, w.leaveOut = w.born+1, 0, nil, false
+	change()
+}
+
+// restart begins the worker's next incarnation.
+func (w *fencedWorker) restart() {
+	w.with(func() { w.born, w.fence, w.ends, w.leaveOut = w.born+1, 0, nil, false })
 }
 
 // fencedFixture is an owner under term 1 whose journal has been written to at version 20, with one
@@ -118,9 +123,10 @@
 	f := newFencedFixture(t)
 	f.c.planner.ReportStart(f.start, planner.Withdrawn, f.now)
 	f.s.persistedSerial = 57
-	f.worker.leaveOut = true
+	f.worker.with(func() { f.worker.leaveOut = true })
 	f.Assert(f.heartbeat(), quicktest.IsFalse)
-	late := f.worker.calls[len(f.worker.calls)-1]
+	var late fencedCall
+	f.worker.with(func() { late = f.worker.calls[len(f.worker.calls)-1] })
 	f.Assert(late.Acknowledged, quicktest.Equals, uint64(57))
 	f.worker.restart()
 	f.Assert(f.heartbeat(), quicktest.IsTrue)
@@ -129,13 +135,12 @@
 	for _, start := range f.c.planner.Decide(f.now, 0) {
 		f.c.start(start)
 	}
-	f.Assert(f.worker.starts, quicktest.Equals, 1)
-
-	f.worker.mu.Lock()
-	defer f.worker.mu.Unlock()
-	f.worker.ends = []uint64{1, 2}
-	f.worker.execute(late)
-	f.Check(f.worker.ends, quicktest.DeepEquals, []uint64{1, 2})
+	f.worker.with(func() {
+		f.Assert(f.worker.starts, quicktest.Equals, 1)
+		f.worker.ends = []uint64{1, 2}
+		f.worker.execute(late)
+		f.Check(f.worker.ends, quicktest.DeepEquals, []uint64{1, 2})
+	})
 }
 
 // TestFenceStaysBelowNextTerm checks that an owner that may have been followed chooses no fence above
@@ -161,16 +166,17 @@
 			f := newFencedFixture(t)
 			resigned := 0
 			f.c.resign = func() { resigned++ }
-			f.worker.during = func() {
+			restarted := func() {
 				f.c.mu.Lock()
 				defer f.c.mu.Unlock()
 				f.c.raiseFence(f.s)
 				f.worker.fence, f.worker.during = 20, nil
 			}
+			f.worker.with(func() { f.worker.during = restarted })
 			call(f)
 			f.Check(resigned, quicktest.Equals, 0)
 			f.Check(f.heartbeat(), quicktest.IsTrue)
-			f.worker.fence = 30
+			f.worker.with(func() { f.worker.fence = 30 })
 			f.Check(f.heartbeat(), quicktest.IsFalse)
 			f.Check(resigned, quicktest.Equals, 1)
 		})
