--- a/planner/chance.go
+++ b/planner/chance.go
@@ -50,34 +50,6 @@
 	return math.Exp(-sum) * total
 }
 
-// chanceBesideOneWorker returns the combinedChance of the crashes where one worker may crash again and
-// again for a cause of its own. So the crashes of a worker that has had several say nothing, and
-// one more elsewhere doesn't either. Of such workers it leaves out the one without which the
-// others are most likely to come by chance.
-func chanceBesideOneWorker(crashes []Crash) float64 {
-	all := make([]float64, len(crashes))
-	for i, c := range crashes {
-		all[i] = c.Chance
-	}
-	likeliest := combinedChance(all)
-	for _, c := range crashes {
-		var others []float64
-		for _, other := range crashes {
-			if !other.isOn(c.Worker, c.Address) {
-				others = append(others, other.Chance)
-			}
-		}
-		switch {
-		case len(others) == len(crashes)-1: // that worker has crashed once
-		case len(others) < 2:
-			return 1
-		default:
-			likeliest = max(likeliest, combinedChance(others))
-		}
-	}
-	return likeliest
-}
-
 // noteLostWorker counts the loss of a worker's incarnation towards the rate of crashes, unless
 // a suspect was alone there, which may be the cause.
 func (p *Planner) noteLostWorker(w *worker, now time.Duration) {
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -65,11 +65,6 @@
 // isOpen reports whether it is not known whether the worker's incarnation has ended.
 func (c *Crash) isOpen() bool { return !c.Ended && !c.Survived }
 
-// isOn reports whether the crash was of that worker, or of another one at its address.
-func (c *Crash) isOn(worker, address string) bool {
-	return worker != "" && c.Worker == worker || c.Address != "" && c.Address == address
-}
-
 // signAt returns when the worker gave the first sign of its crash.
 func (c *Crash) signAt() time.Duration {
 	return c.startedAt() + time.Duration(c.Age)*time.Millisecond
@@ -137,7 +132,7 @@
 func (h *crashHistory) countOn(w *worker) int {
 	n := 0
 	for _, c := range h.crashes {
-		if !c.Survived && c.isOn(w.reg.ID, w.reg.Address) {
+		if !c.Survived && (c.Worker == w.reg.ID || c.Address != "" && c.Address == w.reg.Address) {
 			n++
 		}
 	}
--- a/planner/suspect.go
+++ b/planner/suspect.go
@@ -120,7 +120,7 @@
 }
 
 // placeSuspectGang starts a gang with suspects, or none of its members. The suspects get
-// workers of their own, as far as the limit for these allows, those first that have crashed least under them. Members that fit nowhere else
+// workers of their own, as far as the limit for these allows. Members that fit nowhere else
 // start beside the suspects of their gang.
 func (p *Planner) placeSuspectGang(s *step, c candidate, now time.Duration) {
 	if slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.held }) {
@@ -139,13 +139,7 @@
 	}
 	var separate []placement
 	room, taken := 0, map[*worker]int{}
-	empty := p.emptyWorkers(s, now)
-	crashes := map[*worker]int{}
-	for _, w := range empty {
-		crashes[w] = s.crashesOn(w)
-	}
-	slices.SortStableFunc(empty, func(a, b *worker) int { return cmp.Compare(crashes[a], crashes[b]) })
-	for _, w := range empty {
+	for _, w := range p.emptyWorkers(s, now) {
 		if room >= len(suspects) || len(separate) >= p.maxSeparate {
 			break
 		}
@@ -182,17 +176,6 @@
 	p.startMembers(s, others, shared, number, checkpoint, false, now)
 }
 
-// crashesOn returns how often the worker may have crashed under suspects of the step.
-func (s *step) crashesOn(w *worker) int {
-	n := 0
-	for i := range s.tasks {
-		if s.tasks[i].crashes.suspect {
-			n += s.tasks[i].crashes.countOn(w)
-		}
-	}
-	return n
-}
-
 // runsOnlyServices reports whether the worker has no runs but of long-running tasks, which
 // it would never be rid of.
 func (w *worker) runsOnlyServices() bool {
--- a/planner/verdict.go
+++ b/planner/verdict.go
@@ -69,8 +69,7 @@
 	if len(crashes) < minPrompt {
 		return false
 	}
-	var certain []float64
-	var ended []Crash // with the chance as it is known now
+	var certain, ended []float64
 	alone, lost := false, 0
 	rate := p.rateWithout(crashes, now)
 	for _, c := range crashes {
@@ -87,13 +86,12 @@
 		if isRefuted(age, longest) {
 			chance = 1
 		}
-		c.Chance = chance
-		ended = append(ended, c)
+		ended = append(ended, chance)
 		if c.Started && c.Prompt {
 			certain = append(certain, chance)
 		}
 	}
-	return alone && (len(certain) >= minPrompt && combinedChance(certain) <= maxChance || lost >= minLosses && len(ended) >= minEnded && chanceBesideOneWorker(ended) <= maxLateChance)
+	return alone && (len(certain) >= minPrompt && combinedChance(certain) <= maxChance || lost >= minLosses && len(ended) >= minEnded && combinedChance(ended) <= maxLateChance)
 }
 
 // resolveCrashes applies what the answer of a worker's incarnation tells of lost workers: of
