--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -447,3 +447,31 @@
 	f.returns(lost)
 	f.assertCrashes("k.0.0.0", 0)
 }
+
+// TestFlappingWorkerFailsNoJob checks that a worker that goes down and up again and again fails no job
+// whose task fits nowhere else (review/12, LOST).
+func TestFlappingWorkerFailsNoJob(t *testing.T) {
+	f := newCrashFixture(t, 16)
+	filler := newStep(15)
+	filler.CPU, filler.MaxPerWorker, filler.Estimate = 4000, 1, 100_000
+	f.submit("filler", filler)
+	for _, a := range f.starts() {
+		f.running[a.Worker] = []Action{a}
+	}
+	f.submit("j", newStep(1))
+	for range 2 * minLosses {
+		starts := f.starts()
+		f.Assert(starts, quicktest.HasLen, 1, quicktest.Commentf("%v", f.p.FailureOf("j")))
+		id := starts[0].Worker
+		f.running[id] = starts
+		f.now += 600 * time.Millisecond
+		f.answer(id)
+		f.now += 20 * time.Millisecond
+		f.running[id] = nil
+		f.p.ObserveClosed(id, f.now)
+		f.now += 800 * time.Millisecond
+		f.restart(id)
+	}
+	f.Assert(f.starts(), quicktest.HasLen, 1)
+	f.assertState("j", Running)
+}
